--- /dev/null
+++ b/src/agent_main.cc
@@ -0,0 +1,141 @@
+// The agent daemon: wires the control thread to the traffic thread.
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+
+#include "backend/agent_server.h"
+#include "core/command_line.h"
+#include "core/log.h"
+#include "core/process_settings.h"
+#include "core/random.h"
+#include "net/http_server.h"
+#include "platform/platform_feed.h"
+
+namespace mangohold {
+namespace {
+
+// How often a leaving agent looks whether it is idle.
+constexpr Duration kLeaveTick = std::chrono::milliseconds(50);
+
+// Waits for work in progress, then stops. Runs on the traffic thread.
+void FinishLeaving(EventLoop& traffic, EventLoop& control, AgentServer& server,
+                   TimePoint latest) {
+  if (server.is_idle() || Clock::now() >= latest) {
+    Log(LogLevel::kInfo, "stopped", {{"is_idle", server.is_idle()}});
+    // Answers that were just written leave the process first.
+    traffic.After(kLeaveTick, [&control] { control.Stop(); });
+    return;
+  }
+  traffic.After(kLeaveTick, [&traffic, &control, &server, latest] {
+    FinishLeaving(traffic, control, server, latest);
+  });
+}
+
+// Health and metrics, on the control thread.
+void HandleAdmin(const HttpRequest& request, HttpExchange& exchange,
+                 const Counters& counters) {
+  if (request.path == "/metrics") {
+    exchange.Reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                   counters.PrometheusText());
+  } else if (request.path == "/healthz") {
+    exchange.Reply(200, {}, "ok\n");
+  } else {
+    exchange.Reply(404, {}, "no such path\n");
+  }
+}
+
+bool IsListedAsLeaving(const std::vector<Instance>& instances,
+                       const InstanceId& self) {
+  return std::ranges::any_of(instances, [&self](const Instance& instance) {
+    return instance.id == self && instance.state == InstanceState::kLeaving;
+  });
+}
+
+int Run(const AgentSettings& settings) {
+  Counters counters;
+  EventLoop control;
+  EventLoop traffic;
+  AgentServer server(
+      traffic,
+      {.gate = {.instance = settings.instance,
+                .service = settings.service,
+                .zone = settings.zone,
+                .tickets = {.agent = settings.peer_address,
+                            .incarnation = Incarnation(RandomHex128())},
+                .confirmation_limit = settings.confirmation_limit},
+       .listen = settings.peer_address,
+       .backend_url = settings.backend_url},
+      counters);
+  HttpClient http(control.io());
+  PlatformClient platform(http, {.url = settings.platform_url}, counters);
+  PlatformFeed feed(
+      control, platform, {},
+      {.on_configuration =
+           [&](const ConfigurationPtr& configuration) {
+             traffic.Post([&server, configuration] {
+               server.SetConfiguration(configuration);
+             });
+           },
+       .on_confirmed =
+           [&](TimePoint as_of) {
+             traffic.Post([&server, as_of] { server.Confirm(as_of); });
+           },
+       .on_instances =
+           [&](const std::vector<Instance>& instances) {
+             if (!IsListedAsLeaving(instances, settings.instance)) return;
+             traffic.Post([&server] { server.BeginLeaving(); });
+           }},
+      counters);
+  HttpServer admin(control.io(),
+                   {.address = settings.admin_address, .max_connections = 64},
+                   [&counters](const HttpRequest& request,
+                               const std::shared_ptr<HttpExchange>& exchange) {
+                     HandleAdmin(request, *exchange, counters);
+                   });
+  for (const absl::Status& status : {server.Start(), admin.Listen()}) {
+    if (status.ok()) continue;
+    Log(LogLevel::kError, "start_failed",
+        {{"error", std::string(status.message())}});
+    return kExitUnavailable;
+  }
+  bool is_leaving = false;
+  control.OnTerminate([&] {
+    if (is_leaving) return control.Stop();
+    is_leaving = true;
+    traffic.Post([&] {
+      server.BeginLeaving();
+      FinishLeaving(traffic, control, server,
+                    Clock::now() + settings.leave_limit);
+    });
+  });
+  feed.Start();
+  Log(LogLevel::kInfo, "started",
+      {{"peer_address", settings.peer_address.value()}});
+  traffic.StartThread();
+  control.Run();
+  traffic.Join();
+  // The operating system releases what is left; destroying it here would run
+  // the handlers of connections that are still open.
+  std::quick_exit(kExitOk);
+}
+
+}  // namespace
+}  // namespace mangohold
+
+int main(int argc, char** argv) {
+  using namespace mangohold;
+  int exit_code = kExitOk;
+  const auto command =
+      ParseDaemonCommand(argc, argv, "mangohold-agent", exit_code);
+  if (!command) return exit_code;
+  Findings findings;
+  const AgentSettings settings =
+      ParseAgentSettings(command->config_file, command->config_text, findings);
+  if (!findings.empty()) {
+    std::fputs(findings.ToString().c_str(), stderr);
+    return kExitData;
+  }
+  if (command->check_only) return kExitOk;
+  InitLog("mangohold-agent", settings.instance.value(), settings.log_level);
+  return Run(settings);
+}
--- /dev/null
+++ b/src/backend/admission.cc
@@ -0,0 +1,214 @@
+#include "backend/admission.h"
+
+#include <algorithm>
+
+namespace mangohold {
+namespace {
+
+// Weight of the newest sample in the mean service time.
+constexpr double kMeanGain = 0.1;
+constexpr Millis kLeastRetryAfter{50};
+constexpr Millis kMostRetryAfter{30'000};
+// A request is only started if this part of the mean service time is left; a
+// request that is shorter than the mean keeps its chance.
+constexpr double kServiceShareNeeded = 0.5;
+
+Duration Scaled(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+Admission::Admission(Options options)
+    : options_(options),
+      cold_start_(options.cold_start, options.concurrency_limit) {}
+
+void Admission::SetOptions(const Options& options) {
+  options_ = options;
+  cold_start_.SetOptions(options.cold_start, options.concurrency_limit);
+}
+
+// Runs the request if the backend server has room and nobody waits. Otherwise
+// it waits if it can be reached before its deadline. A full queue gives room
+// to a workspace that holds less than its share of it.
+Admission::Decision Admission::Arrive(const Arrival& arrival, TimePoint now) {
+  if (arrival.deadline <= now) {
+    return {.verdict = Verdict::kRefused, .reason = Reason::kDeadlineExceeded};
+  }
+  if (queued_ == 0 && in_flight_ < limit()) {
+    ++in_flight_;
+    return {.verdict = Verdict::kRun};
+  }
+  const Duration needed =
+      ExpectedWait(arrival) + Scaled(mean_service_, kServiceShareNeeded);
+  if (now + needed > arrival.deadline) {
+    return {.verdict = Verdict::kRefused,
+            .reason = Reason::kDeadlineUnreachable,
+            .retry_after = RetryAfter()};
+  }
+  Decision decision{.verdict = Verdict::kQueued};
+  if (queued_ >= options_.queue_limit) {
+    decision.displaced = Displace(arrival);
+    if (!decision.displaced) {
+      return {.verdict = Verdict::kRefused,
+              .reason = Reason::kQueueFull,
+              .retry_after = RetryAfter()};
+    }
+  }
+  Flow& flow = flows_[arrival.workspace];
+  if (flow.queued == 0) flow.finish_tag = finish_tags_[arrival.workspace];
+  flow.weight = arrival.weight;
+  flow.queues[static_cast<std::size_t>(arrival.priority)].push_back(
+      {arrival.id, arrival.deadline});
+  ++flow.queued;
+  ++queued_;
+  deadlines_.insert({arrival.deadline, arrival.id});
+  return decision;
+}
+
+// A workspace's wait is bounded both by everything that waits and by its own
+// requests served at its share of the weights.
+Duration Admission::ExpectedWait(const Arrival& arrival) const {
+  const auto own = flows_.find(arrival.workspace);
+  const int own_queued = own == flows_.end() ? 0 : own->second.queued;
+  double weights = own == flows_.end() ? arrival.weight : 0;
+  for (const auto& [name, flow] : flows_) weights += flow.weight;
+  const double by_share = (own_queued + 1) * weights / arrival.weight;
+  const double ahead = std::min<double>(queued_ + 1, by_share);
+  return Scaled(mean_service_, ahead / std::max(1, limit()));
+}
+
+// Takes the newest request of the workspace that holds the most of the queue
+// for its weight, if the newcomer's workspace would hold less than that.
+std::optional<Shed> Admission::Displace(const Arrival& arrival) {
+  if (flows_.empty()) return std::nullopt;
+  const auto density = [](const Flows::value_type& item) {
+    return static_cast<double>(item.second.queued) / item.second.weight;
+  };
+  const auto largest = std::ranges::max_element(flows_, {}, density);
+  const auto own = flows_.find(arrival.workspace);
+  const int own_queued = own == flows_.end() ? 0 : own->second.queued;
+  const double own_density =
+      static_cast<double>(own_queued + 1) / arrival.weight;
+  if (own_density >= density(*largest)) return std::nullopt;
+  return TakeNewest(largest, Reason::kQueueFull);
+}
+
+Shed Admission::TakeNewest(Flows::iterator flow, Reason reason) {
+  auto& queues = flow->second.queues;
+  const auto queue = std::find_if(queues.rbegin(), queues.rend(),
+                                  [](const auto& q) { return !q.empty(); });
+  const Waiting newest = queue->back();
+  queue->pop_back();
+  Leave(flow, newest);
+  return {newest.id, reason, RetryAfter()};
+}
+
+// Start-time fair queueing: the flow with the least start tag goes next, and
+// its next start is put off by the inverse of its weight.
+Admission::Waiting Admission::TakeNext() {
+  const auto start_tag = [this](const Flows::value_type& item) {
+    return std::max(virtual_time_, item.second.finish_tag);
+  };
+  const auto next = std::ranges::min_element(flows_, {}, start_tag);
+  virtual_time_ = start_tag(*next);
+  Flow& flow = next->second;
+  flow.finish_tag = virtual_time_ + 1.0 / flow.weight;
+  const auto queue = std::ranges::find_if(
+      flow.queues, [](const auto& q) { return !q.empty(); });
+  const Waiting waiting = queue->front();
+  queue->pop_front();
+  Leave(next, waiting);
+  // Tags in the past no longer matter; dropping them bounds the table.
+  if (flows_.empty()) finish_tags_.clear();
+  return waiting;
+}
+
+Admission::Progress Admission::Finish(WorkResult result, Duration took,
+                                      TimePoint now) {
+  const bool was_full = in_flight_ >= limit();
+  --in_flight_;
+  if (result == WorkResult::kServed) {
+    cold_start_.OnSuccess(was_full);
+    mean_service_ =
+        mean_service_.count() == 0
+            ? took
+            : Scaled(mean_service_, 1 - kMeanGain) + Scaled(took, kMeanGain);
+  } else if (result != WorkResult::kCancelled) {
+    cold_start_.OnFailure();
+  }
+  return Advance(now);
+}
+
+void Admission::BecomeCold() { cold_start_.BecomeCold(); }
+
+bool Admission::Remove(WorkId id) {
+  for (auto flow = flows_.begin(); flow != flows_.end(); ++flow) {
+    for (auto& queue : flow->second.queues) {
+      const auto it = std::ranges::find(queue, id, &Waiting::id);
+      if (it == queue.end()) continue;
+      const Waiting waiting = *it;
+      queue.erase(it);
+      Leave(flow, waiting);
+      return true;
+    }
+  }
+  return false;
+}
+
+Admission::Progress Admission::Advance(TimePoint now) {
+  Progress progress;
+  // 1. Shed what can no longer be served in time.
+  while (!deadlines_.empty() && deadlines_.begin()->deadline <= now) {
+    const WorkId id = deadlines_.begin()->id;
+    Remove(id);
+    progress.shed.push_back({id, Reason::kDeadlineExceeded, RetryAfter()});
+  }
+  // 2. Start what there is room for.
+  while (queued_ > 0 && in_flight_ < limit()) {
+    const Waiting waiting = TakeNext();
+    if (Starts(waiting, now, progress)) ++in_flight_;
+  }
+  return progress;
+}
+
+bool Admission::Starts(const Waiting& waiting, TimePoint now,
+                       Progress& progress) {
+  if (now + Scaled(mean_service_, kServiceShareNeeded) > waiting.deadline) {
+    progress.shed.push_back(
+        {waiting.id, Reason::kDeadlineUnreachable, RetryAfter()});
+    return false;
+  }
+  progress.start.push_back(waiting.id);
+  return true;
+}
+
+std::vector<Shed> Admission::ShedAll(Reason reason) {
+  std::vector<Shed> shed;
+  while (!flows_.empty()) shed.push_back(TakeNewest(flows_.begin(), reason));
+  return shed;
+}
+
+std::optional<TimePoint> Admission::next_deadline() const {
+  if (deadlines_.empty()) return std::nullopt;
+  return deadlines_.begin()->deadline;
+}
+
+void Admission::Leave(Flows::iterator flow, const Waiting& waiting) {
+  deadlines_.erase({waiting.deadline, waiting.id});
+  --queued_;
+  if (--flow->second.queued > 0) return;
+  finish_tags_[flow->first] = flow->second.finish_tag;
+  flows_.erase(flow);
+}
+
+// The time in which the present queue drains.
+Millis Admission::RetryAfter() const {
+  const Duration drain =
+      Scaled(mean_service_, (queued_ + 1.0) / std::max(1, limit()));
+  return std::clamp(std::chrono::duration_cast<Millis>(drain), kLeastRetryAfter,
+                    kMostRetryAfter);
+}
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/backend/agent_server.cc
@@ -0,0 +1,397 @@
+#include "backend/agent_server.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/log.h"
+
+namespace mangohold {
+namespace {
+
+// Waiting work is looked at this often, for deadlines; otherwise the state of
+// the gate is.
+constexpr Duration kQueueTick = std::chrono::milliseconds(20);
+constexpr Duration kIdleTick = std::chrono::milliseconds(250);
+// The backend server's word that it did not take a request.
+constexpr int kTooManyRequests = 429;
+constexpr int kServiceUnavailable = 503;
+
+std::string_view PriorityName(Priority priority) {
+  constexpr std::array<std::string_view, static_cast<int>(Priority::kCount)>
+      kNames = {"high", "normal", "low"};
+  return kNames[static_cast<std::size_t>(priority)];
+}
+
+void SendMessage(const Http2StreamPtr& stream, const std::string& message) {
+  stream->SendHead({{":status", "200"}, {std::string(kMessageField), message}});
+}
+
+void Answer(const Http2StreamPtr& stream, const std::string& message) {
+  SendMessage(stream, message);
+  stream->SendEnd();
+}
+
+HttpCall ToCall(const Job& job, const std::string& backend_url) {
+  HttpFields fields = {
+      {"Mangohold-Request-Id", job.request.request.value()},
+      {"Mangohold-Workspace", job.request.workspace.value()},
+      {"Mangohold-Priority", std::string(PriorityName(job.request.priority))}};
+  if (!job.request.content_type.empty()) {
+    fields.push_back({"Content-Type", job.request.content_type});
+  }
+  return {.method = job.request.method,
+          .url = backend_url + job.request.target,
+          .fields = std::move(fields),
+          .body = job.body,
+          .timeout = std::max<Duration>(job.deadline - Clock::now(), Millis(1)),
+          .fresh_connection = job.has_ticket()};
+}
+
+// An answer without a length and without chunks ends like a broken link does.
+bool IsFramed(int status, const HttpFields& fields) {
+  return status == 204 || status == 304 ||
+         !FieldValue(fields, "Content-Length").empty() ||
+         !FieldValue(fields, "Transfer-Encoding").empty();
+}
+
+}  // namespace
+
+AgentServer::AgentServer(EventLoop& loop, Options options, Counters& counters)
+    : loop_(loop),
+      options_(std::move(options)),
+      counters_(counters),
+      gate_(options_.gate),
+      http_(loop.io()),
+      monitor_(loop, http_, {.url = options_.backend_url},
+               {.on_cold = [this] { BecomeCold(); },
+                .on_leaving = [this] { BeginLeaving(); }},
+               counters),
+      server_(loop.io(),
+              [this](const Http2StreamPtr& stream) { Accept(stream); }) {}
+
+absl::Status AgentServer::Start() {
+  const absl::Status status = server_.Listen(options_.listen);
+  if (!status.ok()) return status;
+  monitor_.Start();
+  Tick();
+  return absl::OkStatus();
+}
+
+void AgentServer::SetConfiguration(ConfigurationPtr configuration) {
+  Apply(gate_.SetConfiguration(std::move(configuration), Clock::now()));
+}
+
+void AgentServer::Confirm(TimePoint as_of) { gate_.Confirm(as_of); }
+
+void AgentServer::BeginLeaving() {
+  if (gate_.ClosedReason(Clock::now()) != Reason::kBackendLeaving) {
+    Log(LogLevel::kInfo, "leaving_began");
+  }
+  Apply(gate_.BeginLeaving(Clock::now()));
+}
+
+void AgentServer::BecomeCold() {
+  counters_.Count(Event::kColdStarts);
+  gate_.BecomeCold();
+}
+
+void AgentServer::Tick() {
+  Apply(gate_.Advance(Clock::now()));
+  const bool has_queue = gate_.admission().queued() > 0;
+  loop_.After(has_queue ? kQueueTick : kIdleTick, [this] { Tick(); });
+}
+
+void AgentServer::UpdateGauges() {
+  counters_.Set(Gauge::kInFlight, gate_.admission().in_flight());
+  counters_.Set(Gauge::kQueued, gate_.admission().queued());
+  counters_.Set(Gauge::kAdmissionLimit, gate_.admission().limit());
+  counters_.Set(Gauge::kKeptAnswerBytes,
+                static_cast<std::int64_t>(gate_.tickets().kept_bytes()));
+}
+
+void AgentServer::Accept(const Http2StreamPtr& stream) {
+  const auto incoming = std::make_shared<Incoming>();
+  const std::weak_ptr<Http2Stream> weak = stream;
+  stream->SetHandlers(
+      {.on_head =
+           [incoming](const HttpFields& head) {
+             incoming->path = std::string(FieldValue(head, ":path"));
+             incoming->message = std::string(FieldValue(head, kMessageField));
+           },
+       .on_data =
+           [this, incoming, weak](std::string_view data) {
+             if (const auto open = weak.lock()) open->Consume(data.size());
+             incoming->is_too_large |=
+                 incoming->body.size() + data.size() > options_.max_body_bytes;
+             if (!incoming->is_too_large) incoming->body.append(data);
+           },
+       .on_end =
+           [this, incoming, weak](const HttpFields&) {
+             if (const auto open = weak.lock()) Dispatch(open, *incoming);
+           },
+       .on_broken = nullptr,
+       .on_writable = nullptr});
+}
+
+void AgentServer::Dispatch(const Http2StreamPtr& stream,
+                           const Incoming& incoming) {
+  if (incoming.is_too_large) {
+    stream->Reset();
+  } else if (incoming.path == kSubmitPath) {
+    OnSubmit(stream, incoming);
+  } else if (incoming.path == kTicketPath) {
+    OnTicket(stream, incoming.message);
+  } else if (incoming.path == kVoidPath) {
+    OnVoid(stream, incoming.message);
+  } else if (incoming.path == kStatusPath) {
+    OnStatus(stream, incoming.message);
+  } else {
+    stream->Reset();
+  }
+}
+
+void AgentServer::OnTicket(const Http2StreamPtr& stream,
+                           const std::string& message) {
+  const auto request = Decode<TicketRequest>(message);
+  if (!request.ok()) return stream->Reset();
+  const TicketReply reply = gate_.Mint(*request, Clock::now());
+  if (reply.reason == Reason::kNone) {
+    counters_.Count(Event::kTicketsMinted);
+  } else {
+    counters_.CountRefusal(reply.reason);
+  }
+  Answer(stream, Encode(reply));
+}
+
+void AgentServer::OnVoid(const Http2StreamPtr& stream,
+                         const std::string& message) {
+  const auto request = Decode<VoidRequest>(message);
+  if (!request.ok()) return stream->Reset();
+  const auto ticket = TicketFromText(request->ticket);
+  VoidReply reply;
+  if (ticket.ok()) reply.state = gate_.Void(*ticket);
+  if (reply.state == TicketState::kVoid) {
+    counters_.Count(Event::kTicketsVoided);
+    DropWaiting(request->ticket);
+  }
+  reply.status = gate_.Status(Clock::now());
+  Answer(stream, Encode(reply));
+}
+
+// A submission that waited under a voided ticket has left the gate.
+void AgentServer::DropWaiting(const std::string& ticket) {
+  const auto it = std::ranges::find_if(jobs_, [&ticket](const auto& item) {
+    return item.second->request.ticket == ticket;
+  });
+  if (it == jobs_.end()) return;
+  const JobPtr job = it->second;
+  jobs_.erase(it);
+  Refuse(job, Reason::kTicketVoid, /*may_have_run=*/false, Millis(0));
+}
+
+void AgentServer::OnStatus(const Http2StreamPtr& stream,
+                           const std::string& message) {
+  if (!Decode<StatusRequest>(message).ok()) return stream->Reset();
+  Answer(stream, Encode(gate_.Status(Clock::now())));
+}
+
+void AgentServer::OnSubmit(const Http2StreamPtr& stream,
+                           const Incoming& incoming) {
+  const auto request = Decode<SubmitRequest>(incoming.message);
+  if (!request.ok()) return stream->Reset();
+  const TimePoint now = Clock::now();
+  auto job = std::make_shared<Job>();
+  job->id = last_work_ = last_work_.Next();
+  job->stream = stream;
+  job->request = *request;
+  job->body = incoming.body;
+  job->deadline = now + request->deadline;
+  counters_.Count(Event::kRequests);
+  const Gate::Decision decision =
+      gate_.Submit(job->id, *request, job->body, now);
+  switch (decision.verdict) {
+    case Gate::Verdict::kRefused:
+      Refuse(job, decision.reason, decision.may_have_run, decision.retry_after);
+      return;
+    case Gate::Verdict::kReplay:
+      Replay(job, *decision.answer);
+      return;
+    default:
+      break;
+  }
+  jobs_.emplace(job->id.value(), job);
+  stream->SetHandlers({.on_head = nullptr,
+                       .on_data = nullptr,
+                       .on_end = nullptr,
+                       .on_broken =
+                           [this, weak = std::weak_ptr(job)] {
+                             if (const auto alive = weak.lock())
+                               OnSenderGone(alive);
+                           },
+                       .on_writable =
+                           [this, weak = std::weak_ptr(job)] {
+                             const auto alive = weak.lock();
+                             if (alive != nullptr && alive->call)
+                               http_.Resume(*alive->call);
+                           }});
+  if (decision.displaced) {
+    Apply({.start = {}, .shed = {*decision.displaced}});
+  }
+  if (decision.verdict == Gate::Verdict::kRun) Run(job);
+  UpdateGauges();
+}
+
+void AgentServer::Run(const JobPtr& job) {
+  job->is_running = true;
+  job->call = http_.Start(
+      ToCall(*job, options_.backend_url),
+      {.on_head =
+           [this, job](int status, const HttpFields& fields) {
+             OnBackendHead(job, status, fields);
+           },
+       .on_data = [this,
+                   job](std::string_view data) { OnBackendData(job, data); },
+       .on_done = [this,
+                   job](HttpResult result) { OnBackendDone(job, result); }});
+}
+
+// A backend server's refusal is not passed on as an answer: under a ticket,
+// 429 is its word that it did not run the request; without a ticket, 503 lets
+// the request be tried elsewhere.
+void AgentServer::OnBackendHead(const JobPtr& job, int status,
+                                const HttpFields& fields) {
+  job->http_status = status;
+  job->content_type = std::string(FieldValue(fields, "Content-Type"));
+  job->is_framed = IsFramed(status, fields);
+  const bool is_refusal = status == kTooManyRequests ||
+                          (status == kServiceUnavailable && !job->has_ticket());
+  if (is_refusal) return;
+  job->has_head = true;
+  if (job->stream == nullptr) return;
+  SendMessage(job->stream,
+              Encode(SubmitReply{.http_status = status,
+                                 .content_type = job->content_type,
+                                 .status = gate_.Status(Clock::now())}));
+}
+
+void AgentServer::OnBackendData(const JobPtr& job, std::string_view data) {
+  if (!job->has_head) return;
+  job->body_bytes += data.size();
+  if (job->has_ticket() && gate_.tickets().IsKeepable(job->body_bytes)) {
+    job->kept.append(data);
+  }
+  if (job->stream == nullptr) return;
+  job->stream->SendData(data);
+  if (job->stream->queued_bytes() > Http2Stream::kHighWaterBytes) {
+    http_.Pause(*job->call);
+  }
+}
+
+void AgentServer::OnBackendDone(const JobPtr& job, HttpResult result) {
+  job->call.reset();
+  if (result == HttpResult::kNotSent) {
+    BecomeCold();
+    monitor_.CheckNow();
+    End(job, WorkResult::kRefused, false, Reason::kBackendUnreachable);
+  } else if (result == HttpResult::kTimedOut) {
+    End(job, WorkResult::kFailed, false, Reason::kDeadlineExceeded);
+  } else if (result == HttpResult::kBroken ||
+             (job->has_head && !job->is_framed)) {
+    BecomeCold();
+    monitor_.CheckNow();
+    End(job, WorkResult::kFailed, false, Reason::kBackendFailed);
+  } else if (job->http_status == kTooManyRequests) {
+    End(job, WorkResult::kRefused, false, Reason::kBackendRefused);
+  } else if (!job->has_head) {
+    End(job, WorkResult::kFailed, false, Reason::kBackendFailed);
+  } else if (job->http_status >= 500) {
+    End(job, WorkResult::kFailed, true, Reason::kNone);
+  } else {
+    End(job, WorkResult::kServed, true, Reason::kNone);
+  }
+}
+
+// Ends a job that ran. The answer of a ticket is kept for a resubmission, also
+// when nobody listens any more.
+void AgentServer::End(const JobPtr& job, WorkResult result, bool is_complete,
+                      Reason reason) {
+  jobs_.erase(job->id.value());
+  std::optional<KeptAnswer> answer;
+  if (is_complete && job->kept.size() == job->body_bytes) {
+    answer = KeptAnswer{.http_status = job->http_status,
+                        .content_type = job->content_type,
+                        .body = std::move(job->kept)};
+  }
+  const Gate::Progress progress =
+      gate_.Finish(job->id, result, std::move(answer), Clock::now());
+  if (job->stream != nullptr && job->has_head) {
+    job->stream->SendEnd(
+        {{std::string(kMessageField),
+          Encode(SubmitEnd{.is_complete = is_complete,
+                           .reason = reason,
+                           .body_bytes = job->body_bytes,
+                           .status = gate_.Status(Clock::now())})}});
+  } else if (job->stream != nullptr) {
+    Refuse(job, reason, result != WorkResult::kRefused, Millis(0));
+  }
+  Apply(progress);
+  UpdateGauges();
+}
+
+// Work that waits is dropped for good. Work that runs goes on under a ticket,
+// whose answer may still be asked for, and is cancelled otherwise.
+void AgentServer::OnSenderGone(const JobPtr& job) {
+  job->stream = nullptr;
+  if (!job->is_running) {
+    if (gate_.Abandon(job->id)) jobs_.erase(job->id.value());
+    return;
+  }
+  if (job->has_ticket()) {
+    if (job->call) http_.Resume(*job->call);
+    return;
+  }
+  if (job->call) http_.Cancel(*job->call);
+  job->call.reset();
+  counters_.CountRefusal(Reason::kCallerGone);
+  End(job, WorkResult::kCancelled, false, Reason::kCallerGone);
+}
+
+void AgentServer::Replay(const JobPtr& job, const KeptAnswer& answer) {
+  SendMessage(job->stream,
+              Encode(SubmitReply{.http_status = answer.http_status,
+                                 .content_type = answer.content_type,
+                                 .status = gate_.Status(Clock::now())}));
+  job->stream->SendData(answer.body);
+  job->stream->SendEnd(
+      {{std::string(kMessageField),
+        Encode(SubmitEnd{.is_complete = true,
+                         .body_bytes = answer.body.size(),
+                         .status = gate_.Status(Clock::now())})}});
+}
+
+void AgentServer::Refuse(const JobPtr& job, Reason reason, bool may_have_run,
+                         Millis retry_after) {
+  counters_.CountRefusal(reason);
+  Log(LogLevel::kDebug, "refused",
+      {{"request_id", job->request.request.value()}, {"reason", Name(reason)}});
+  Answer(job->stream,
+         Encode(SubmitReply{.reason = reason,
+                            .may_have_run = may_have_run,
+                            .retry_after = retry_after,
+                            .status = gate_.Status(Clock::now())}));
+}
+
+void AgentServer::Apply(const Gate::Progress& progress) {
+  for (const WorkId id : progress.start) {
+    const auto it = jobs_.find(id.value());
+    if (it != jobs_.end()) Run(it->second);
+  }
+  for (const Shed& shed : progress.shed) {
+    const auto node = jobs_.extract(shed.id.value());
+    if (node.empty()) continue;
+    Refuse(node.mapped(), shed.reason, /*may_have_run=*/false,
+           shed.retry_after);
+  }
+}
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/backend/backend_monitor.h
@@ -0,0 +1,56 @@
+// Watches one backend server: its load reports, its boot id, and whether it is
+// still the process that proved its warmth.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "core/clock.h"
+#include "core/counters.h"
+#include "core/ids.h"
+#include "net/event_loop.h"
+#include "net/http_client.h"
+
+namespace mangohold {
+
+// A backend server's own report. It lags behind the truth.
+struct BackendReport {
+  Incarnation boot;  // changes whenever the server loses its warmth
+  int running = 0;
+  int queued = 0;
+  bool is_leaving = false;
+};
+
+class BackendMonitor {
+ public:
+  struct Options {
+    std::string url;  // of the backend server
+    Duration interval = std::chrono::milliseconds(500);
+  };
+  struct Handlers {
+    // The server lost its warmth, or may have lost it.
+    std::function<void()> on_cold;
+    std::function<void()> on_leaving;
+  };
+
+  BackendMonitor(EventLoop& loop, HttpClient& http, Options options,
+                 Handlers handlers, Counters& counters);
+
+  void Start();
+  // Asks for a report now, because something failed.
+  void CheckNow() { Poll(); }
+
+ private:
+  void Poll();
+  void OnResponse(const HttpResponse& response);
+
+  EventLoop& loop_;
+  HttpClient& http_;
+  Options options_;
+  Handlers handlers_;
+  Counters& counters_;
+  Incarnation boot_;
+  bool is_polling_ = false;
+};
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/backend/cold_start.h
@@ -0,0 +1,56 @@
+// The part of a backend server's admission limit that its warmth allows.
+#pragma once
+
+#include <algorithm>
+
+#include "config/documents.h"
+
+namespace mangohold {
+
+// Grows from a small limit with completed requests and falls back at failures.
+// The state "unknown" is the same as cold: nothing but successes proves warmth.
+class ColdStartLimit {
+ public:
+  ColdStartLimit(ColdStart options, int full_limit)
+      : options_(options), full_limit_(full_limit) {
+    BecomeCold();
+  }
+
+  // Requests that the backend server may have in progress now.
+  int limit() const { return limit_; }
+  bool is_cold() const { return limit_ < full_limit_; }
+  // Counts the change of limits by operators; progress is kept.
+  void SetOptions(ColdStart options, int full_limit) {
+    options_ = options;
+    full_limit_ = full_limit;
+    limit_ = std::min(limit_, full_limit_);
+  }
+
+  // A changed boot id, a refused connection or a fresh report: start over.
+  void BecomeCold() {
+    limit_ = std::min(options_.initial_limit, full_limit_);
+    successes_ = 0;
+  }
+  // A request was served whole. Only a server that was used up to its limit
+  // shows that it bears it, so `was_full` gates the growth.
+  void OnSuccess(bool was_full) {
+    if (!was_full || limit_ >= full_limit_) return;
+    if (++successes_ < options_.successes_per_step) return;
+    successes_ = 0;
+    ++limit_;
+  }
+  // A request failed at the backend server: halve, but not below the start.
+  void OnFailure() {
+    limit_ =
+        std::max(limit_ / 2, std::min(options_.initial_limit, full_limit_));
+    successes_ = 0;
+  }
+
+ private:
+  ColdStart options_;
+  int full_limit_;
+  int limit_ = 0;
+  int successes_ = 0;
+};
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/backend/ticket.cc
@@ -0,0 +1,159 @@
+#include "backend/ticket.h"
+
+#include <array>
+#include <charconv>
+
+#include "core/random.h"
+
+namespace mangohold {
+namespace {
+
+constexpr char kSeparator = ',';
+constexpr std::size_t kTicketParts = 4;
+
+bool IsInProgress(TicketState state) {
+  return state == TicketState::kQueued || state == TicketState::kStarted;
+}
+
+}  // namespace
+
+std::string ToText(const Ticket& ticket) {
+  return ticket.agent.value() + kSeparator + ticket.incarnation.value() +
+         kSeparator + std::to_string(ticket.sequence.value()) + kSeparator +
+         ticket.secret;
+}
+
+absl::StatusOr<Ticket> TicketFromText(std::string_view text) {
+  std::array<std::string, kTicketParts> parts;
+  for (std::size_t i = 0; i < kTicketParts; ++i) {
+    const std::size_t end = std::min(text.find(kSeparator), text.size());
+    parts[i] = std::string(text.substr(0, end));
+    text.remove_prefix(std::min(end + 1, text.size()));
+  }
+  std::uint64_t sequence = 0;
+  const char* end = parts[2].data() + parts[2].size();
+  const auto number = std::from_chars(parts[2].data(), end, sequence);
+  const bool is_whole = number.ec == std::errc() && number.ptr == end;
+  if (!is_whole || parts[0].empty() || parts[3].empty() || !text.empty()) {
+    return absl::InvalidArgumentError("not a ticket");
+  }
+  return Ticket{.agent = Endpoint(parts[0]),
+                .incarnation = Incarnation(parts[1]),
+                .sequence = TicketSequence(sequence),
+                .secret = parts[3]};
+}
+
+TicketBook::TicketBook(Options options) : options_(std::move(options)) {}
+
+std::optional<Ticket> TicketBook::Mint() {
+  if (!MakeRoom()) return std::nullopt;
+  last_ = last_.Next();
+  Ticket ticket{.agent = options_.agent,
+                .incarnation = options_.incarnation,
+                .sequence = last_,
+                .secret = RandomHex128()};
+  entries_.emplace(last_.value(), Entry{.secret = ticket.secret});
+  minted_.push_back(last_);
+  return ticket;
+}
+
+// Forgets the oldest ticket that isn't in progress. A forgotten ticket can't
+// run any more, because Submit finds no entry for it, so forgetting is safe;
+// it only costs the certainty about what became of it.
+bool TicketBook::MakeRoom() {
+  if (entries_.size() < options_.max_tickets) return true;
+  for (std::size_t i = 0; i < minted_.size(); ++i) {
+    const TicketSequence oldest = minted_.front();
+    minted_.pop_front();
+    const auto it = entries_.find(oldest.value());
+    if (!IsInProgress(it->second.state)) {
+      DropAnswer(it->second);
+      entries_.erase(it);
+      return true;
+    }
+    minted_.push_back(oldest);
+  }
+  return false;
+}
+
+TicketBook::Entry* TicketBook::Find(const Ticket& ticket) {
+  if (ticket.incarnation != options_.incarnation) return nullptr;
+  const auto it = entries_.find(ticket.sequence.value());
+  return it == entries_.end() ? nullptr : &it->second;
+}
+
+TicketBook::Submission TicketBook::Submit(const Ticket& ticket,
+                                          std::uint64_t digest) {
+  Entry* entry = Find(ticket);
+  if (entry == nullptr) return {.verdict = Verdict::kGone};
+  if (entry->secret != ticket.secret) return {.verdict = Verdict::kMismatch};
+  const bool is_first = entry->state == TicketState::kOpen;
+  if (is_first) {
+    entry->state = TicketState::kQueued;
+    entry->digest = digest;
+    return {.verdict = Verdict::kRun};
+  }
+  if (entry->state == TicketState::kVoid) return {.verdict = Verdict::kVoid};
+  if (entry->digest != digest) return {.verdict = Verdict::kMismatch};
+  if (IsInProgress(entry->state)) return {.verdict = Verdict::kInProgress};
+  if (!entry->answer) return {.verdict = Verdict::kNotKept};
+  return {.verdict = Verdict::kReplay, .answer = &*entry->answer};
+}
+
+TicketState TicketBook::Void(const Ticket& ticket) {
+  Entry* entry = Find(ticket);
+  if (entry == nullptr || entry->secret != ticket.secret) {
+    return TicketState::kGone;
+  }
+  if (entry->state == TicketState::kOpen ||
+      entry->state == TicketState::kQueued) {
+    entry->state = TicketState::kVoid;
+  }
+  return entry->state;
+}
+
+bool TicketBook::Start(TicketSequence sequence) {
+  const auto it = entries_.find(sequence.value());
+  if (it == entries_.end()) return false;
+  if (it->second.state != TicketState::kQueued) return false;
+  it->second.state = TicketState::kStarted;
+  return true;
+}
+
+void TicketBook::Revoke(TicketSequence sequence) {
+  const auto it = entries_.find(sequence.value());
+  if (it == entries_.end()) return;
+  if (it->second.state == TicketState::kStarted) {
+    it->second.state = TicketState::kVoid;
+  }
+}
+
+void TicketBook::Finish(TicketSequence sequence,
+                        std::optional<KeptAnswer> answer) {
+  const auto it = entries_.find(sequence.value());
+  if (it == entries_.end()) return;
+  Entry& entry = it->second;
+  if (entry.state != TicketState::kStarted) return;
+  entry.state = TicketState::kDone;
+  if (!answer || !IsKeepable(answer->body.size())) return;
+  kept_bytes_ += answer->body.size();
+  entry.answer = std::move(answer);
+  answered_.push_back(sequence);
+  TrimAnswers();
+}
+
+void TicketBook::DropAnswer(Entry& entry) {
+  if (!entry.answer) return;
+  kept_bytes_ -= entry.answer->body.size();
+  entry.answer.reset();
+}
+
+void TicketBook::TrimAnswers() {
+  while (kept_bytes_ > options_.max_kept_bytes && !answered_.empty()) {
+    const auto it = entries_.find(answered_.front().value());
+    answered_.pop_front();
+    if (it != entries_.end()) DropAnswer(it->second);
+  }
+}
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/core/counters.cc
@@ -0,0 +1,124 @@
+#include "core/counters.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <cstdio>
+#include <mutex>
+
+namespace mangohold {
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
+
+constexpr std::array<std::string_view, static_cast<int>(Event::kCount)>
+    kEventNames = {"requests",
+                   "tickets_minted",
+                   "tickets_voided",
+                   "late_answers_dropped",
+                   "cold_starts",
+                   "configuration_applied",
+                   "configuration_rejected",
+                   "platform_calls",
+                   "platform_failures",
+                   "peer_connects",
+                   "peer_disconnects",
+                   "backend_reports",
+                   "backend_reports_lost"};
+
+constexpr std::array<std::string_view, static_cast<int>(Gauge::kCount)>
+    kGaugeNames = {"in_flight",      "queued",        "admission_limit",
+                   "backends_known", "backends_open", "kept_answer_bytes"};
+
+using Quantiles =
+    acc::accumulator_set<double,
+                         acc::stats<acc::tag::count, acc::tag::sum,
+                                    acc::tag::extended_p_square_quantile>>;
+
+void AppendLine(std::string& out, std::string_view name, std::string_view label,
+                std::string_view label_value, double value) {
+  std::array<char, 256> line{};
+  if (label.empty()) {
+    std::snprintf(line.data(), line.size(), "mangohold_%.*s %.9g\n",
+                  static_cast<int>(name.size()), name.data(), value);
+  } else {
+    std::snprintf(
+        line.data(), line.size(), "mangohold_%.*s{%.*s=\"%.*s\"} %.9g\n",
+        static_cast<int>(name.size()), name.data(),
+        static_cast<int>(label.size()), label.data(),
+        static_cast<int>(label_value.size()), label_value.data(), value);
+  }
+  out += line.data();
+}
+
+void AppendType(std::string& out, std::string_view name,
+                std::string_view type) {
+  out.append("# TYPE mangohold_").append(name).append(" ").append(type);
+  out += '\n';
+}
+
+// Appends one labelled counter for each reason that has been counted, so the
+// page stays short; a reason that is absent stands at zero.
+template <typename Row>
+void AppendReasons(std::string& out, std::string_view name, const Row& row) {
+  AppendType(out, name, "counter");
+  for (std::size_t i = 0; i < row.size(); ++i) {
+    if (row[i] == 0) continue;
+    AppendLine(out, name, "reason", Name(static_cast<Reason>(i)),
+               static_cast<double>(row[i]));
+  }
+}
+
+}  // namespace
+
+struct Counters::Latency {
+  mutable std::mutex mutex;
+  Quantiles quantiles{acc::extended_p_square_probabilities = kQuantiles};
+};
+
+Counters::Counters() : latency_(std::make_unique<Latency>()) {}
+Counters::~Counters() = default;
+
+void Counters::RecordLatency(Duration latency) {
+  const std::lock_guard lock(latency_->mutex);
+  latency_->quantiles(ToSeconds(latency));
+}
+
+std::string Counters::PrometheusText() const {
+  std::string out;
+  for (std::size_t i = 0; i < events_.size(); ++i) {
+    const std::string name = std::string(kEventNames[i]) + "_total";
+    AppendType(out, name, "counter");
+    AppendLine(out, name, "", "", static_cast<double>(events_[i]));
+  }
+  AppendType(out, "outcomes_total", "counter");
+  for (std::size_t i = 0; i < outcomes_.size(); ++i) {
+    AppendLine(out, "outcomes_total", "outcome", Name(static_cast<Outcome>(i)),
+               static_cast<double>(outcomes_[i]));
+  }
+  AppendReasons(out, "refusals_total", refusals_);
+  AppendReasons(out, "retries_total", retries_);
+  for (std::size_t i = 0; i < gauges_.size(); ++i) {
+    AppendType(out, kGaugeNames[i], "gauge");
+    AppendLine(out, kGaugeNames[i], "", "", static_cast<double>(gauges_[i]));
+  }
+  const std::lock_guard lock(latency_->mutex);
+  AppendType(out, "request_seconds", "summary");
+  for (const double quantile : kQuantiles) {
+    std::array<char, 16> label{};
+    std::snprintf(label.data(), label.size(), "%g", quantile);
+    AppendLine(out, "request_seconds", "quantile", label.data(),
+               acc::quantile(latency_->quantiles,
+                             acc::quantile_probability = quantile));
+  }
+  AppendLine(out, "request_seconds_sum", "", "", acc::sum(latency_->quantiles));
+  AppendLine(out, "request_seconds_count", "", "",
+             static_cast<double>(acc::count(latency_->quantiles)));
+  return out;
+}
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/core/counters.h
@@ -0,0 +1,93 @@
+// Counters and latency summaries of one process, in Prometheus text form.
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "core/clock.h"
+#include "core/outcome.h"
+
+namespace mangohold {
+
+// Events that are counted besides refusals, retries and outcomes.
+enum class Event {
+  kRequests,
+  kTicketsMinted,
+  kTicketsVoided,
+  kLateAnswersDropped,
+  kColdStarts,
+  kConfigurationApplied,
+  kConfigurationRejected,
+  kPlatformCalls,
+  kPlatformFailures,
+  kPeerConnects,
+  kPeerDisconnects,
+  kBackendReports,
+  kBackendReportsLost,
+  kCount
+};
+
+// Values that rise and fall.
+enum class Gauge {
+  kInFlight,
+  kQueued,
+  kAdmissionLimit,
+  kBackendsKnown,
+  kBackendsOpen,
+  kKeptAnswerBytes,
+  kCount
+};
+
+// The metrics of one process. Counters may be raised from any thread;
+// latencies are recorded under a lock.
+class Counters {
+ public:
+  Counters();
+  ~Counters();
+  Counters(const Counters&) = delete;
+  Counters& operator=(const Counters&) = delete;
+
+  void Count(Event event) { ++events_[static_cast<std::size_t>(event)]; }
+  void CountOutcome(Outcome outcome) {
+    ++outcomes_[static_cast<std::size_t>(outcome)];
+  }
+  void CountRefusal(Reason reason) {
+    ++refusals_[static_cast<std::size_t>(reason)];
+  }
+  void CountRetry(Reason reason) {
+    ++retries_[static_cast<std::size_t>(reason)];
+  }
+  void Set(Gauge gauge, std::int64_t value) {
+    gauges_[static_cast<std::size_t>(gauge)] = value;
+  }
+  // Adds the time from a request's arrival to its last byte.
+  void RecordLatency(Duration latency);
+
+  std::uint64_t Value(Event event) const {
+    return events_[static_cast<std::size_t>(event)];
+  }
+  std::uint64_t Refusals(Reason reason) const {
+    return refusals_[static_cast<std::size_t>(reason)];
+  }
+  // All metrics in the Prometheus text exposition format.
+  std::string PrometheusText() const;
+
+ private:
+  struct Latency;
+  template <typename Enum, typename Value>
+  using Row =
+      std::array<std::atomic<Value>, static_cast<std::size_t>(Enum::kCount)>;
+
+  Row<Event, std::uint64_t> events_{};
+  Row<Outcome, std::uint64_t> outcomes_{};
+  Row<Reason, std::uint64_t> refusals_{};
+  Row<Reason, std::uint64_t> retries_{};
+  Row<Gauge, std::int64_t> gauges_{};
+  std::unique_ptr<Latency> latency_;
+};
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/core/ids.h
@@ -0,0 +1,66 @@
+// Strong types for the names and numbers that pass between modules, so that a
+// workspace can't be handed over where a service is expected.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace mangohold {
+
+// A textual identifier. `Tag` makes identifiers of different kinds distinct
+// types.
+template <typename Tag>
+class Id {
+ public:
+  Id() = default;
+  explicit Id(std::string value) : value_(std::move(value)) {}
+
+  const std::string& value() const { return value_; }
+  bool empty() const { return value_.empty(); }
+  auto operator<=>(const Id&) const = default;
+
+ private:
+  std::string value_;
+};
+
+// An ordinal identifier. It is ordered and can be advanced by one.
+template <typename Tag>
+class Number {
+ public:
+  Number() = default;
+  constexpr explicit Number(std::uint64_t value) : value_(value) {}
+
+  constexpr std::uint64_t value() const { return value_; }
+  constexpr Number Next() const { return Number(value_ + 1); }
+  auto operator<=>(const Number&) const = default;
+
+ private:
+  std::uint64_t value_ = 0;
+};
+
+using InstanceId = Id<struct InstanceIdTag>;
+using ZoneName = Id<struct ZoneNameTag>;
+using ServiceName = Id<struct ServiceNameTag>;
+using WorkspaceName = Id<struct WorkspaceNameTag>;
+using RequestId = Id<struct RequestIdTag>;
+// One process start of an agent or of a backend server.
+using Incarnation = Id<struct IncarnationTag>;
+// "host:port" of a listening socket.
+using Endpoint = Id<struct EndpointTag>;
+
+// The version that the platform's key-value service gave to a document.
+using Revision = Number<struct RevisionTag>;
+// The position of a ticket in the series that one agent incarnation minted.
+using TicketSequence = Number<struct TicketSequenceTag>;
+
+}  // namespace mangohold
+
+template <typename Tag>
+struct std::hash<mangohold::Id<Tag>> {
+  std::size_t operator()(const mangohold::Id<Tag>& id) const noexcept {
+    return std::hash<std::string>{}(id.value());
+  }
+};
--- /dev/null
+++ b/src/core/process_settings.cc
@@ -0,0 +1,83 @@
+#include "core/process_settings.h"
+
+#include "core/document_reader.h"
+
+namespace mangohold {
+namespace {
+
+constexpr Range kLeaveLimitMs = {100, 3'600'000};
+
+// Reads the members that entries and agents have in common.
+template <typename Settings>
+void ReadCommon(ObjectReader& reader, Settings& settings) {
+  reader.Required("instance", settings.instance);
+  reader.Required("zone", settings.zone);
+  reader.Required("platform_url", settings.platform_url);
+  int level = static_cast<int>(settings.log_level);
+  reader.OptionalChoice("log_level", {"debug", "info", "warning", "error"},
+                        level);
+  settings.log_level = static_cast<LogLevel>(level);
+  reader.OptionalMillis("leave_limit_ms", settings.leave_limit, kLeaveLimitMs);
+}
+
+void ReadEndpoint(ObjectReader& reader, std::string_view name,
+                  Endpoint& target) {
+  reader.Required(name, target);
+  const std::size_t colon = target.value().rfind(':');
+  const bool is_endpoint = colon != std::string::npos && colon > 0 &&
+                           target.value().find_first_not_of(
+                               "0123456789", colon + 1) == std::string::npos &&
+                           colon + 1 < target.value().size();
+  if (!target.empty() && !is_endpoint) {
+    reader.Report(name, "must be an IP address and a port, as 10.0.0.1:7000");
+  }
+}
+
+std::vector<OperatorToken> ReadOperators(ObjectReader& reader) {
+  std::vector<OperatorToken> operators;
+  for (ObjectReader& element : reader.Objects("operators")) {
+    OperatorToken token;
+    element.Required("name", token.name);
+    element.Required("token", token.token);
+    element.Required("subtree", token.subtree);
+    element.RejectUnknown();
+    operators.push_back(std::move(token));
+  }
+  return operators;
+}
+
+}  // namespace
+
+EntrySettings ParseEntrySettings(const std::string& file, std::string_view text,
+                                 Findings& findings) {
+  const JsonDocument document = JsonDocument::Parse(file, text, findings);
+  ObjectReader reader(document, "", findings);
+  EntrySettings settings;
+  ReadCommon(reader, settings);
+  ReadEndpoint(reader, "caller_address", settings.caller_address);
+  ReadEndpoint(reader, "operator_address", settings.operator_address);
+  reader.Optional("max_requests", settings.max_requests, {1, 1'000'000});
+  reader.OptionalMillis("address_max_age_ms", settings.address_max_age,
+                        {100, 3'600'000});
+  settings.operators = ReadOperators(reader);
+  reader.RejectUnknown();
+  return settings;
+}
+
+AgentSettings ParseAgentSettings(const std::string& file, std::string_view text,
+                                 Findings& findings) {
+  const JsonDocument document = JsonDocument::Parse(file, text, findings);
+  ObjectReader reader(document, "", findings);
+  AgentSettings settings;
+  ReadCommon(reader, settings);
+  reader.Required("service", settings.service);
+  ReadEndpoint(reader, "peer_address", settings.peer_address);
+  ReadEndpoint(reader, "admin_address", settings.admin_address);
+  reader.Required("backend_url", settings.backend_url);
+  reader.OptionalMillis("confirmation_limit_ms", settings.confirmation_limit,
+                        {500, 60'000});
+  reader.RejectUnknown();
+  return settings;
+}
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/entry_main.cc
@@ -0,0 +1,117 @@
+// The entry daemon: wires the control thread to the traffic thread.
+#include <cstdio>
+#include <cstdlib>
+
+#include "caller/entry_server.h"
+#include "core/command_line.h"
+#include "core/log.h"
+#include "core/process_settings.h"
+#include "core/random.h"
+#include "operator/operator_server.h"
+#include "platform/platform_feed.h"
+
+namespace mangohold {
+namespace {
+
+// How often a leaving entry looks whether it is idle.
+constexpr Duration kLeaveTick = std::chrono::milliseconds(50);
+
+// Serves on for as long as callers may use an old address list, then until the
+// last request has ended, then stops. Runs on the traffic thread.
+void FinishLeaving(EventLoop& traffic, EventLoop& control, EntryServer& server,
+                   TimePoint earliest, TimePoint latest) {
+  const TimePoint now = Clock::now();
+  if ((now >= earliest && server.is_idle()) || now >= latest) {
+    Log(LogLevel::kInfo, "stopped", {{"is_idle", server.is_idle()}});
+    // Responses that were just written leave the process first.
+    traffic.After(kLeaveTick, [&control] { control.Stop(); });
+    return;
+  }
+  traffic.After(kLeaveTick, [&traffic, &control, &server, earliest, latest] {
+    FinishLeaving(traffic, control, server, earliest, latest);
+  });
+}
+
+int Run(const EntrySettings& settings) {
+  Counters counters;
+  EventLoop control;
+  EventLoop traffic;
+  EntryServer server(traffic,
+                     {.instance = settings.instance,
+                      .zone = settings.zone,
+                      .listen = settings.caller_address,
+                      .seed = RandomSeed(),
+                      .max_requests = settings.max_requests,
+                      .address_max_age = settings.address_max_age},
+                     counters);
+  HttpClient http(control.io());
+  PlatformClient platform(http, {.url = settings.platform_url}, counters);
+  PlatformFeed feed(control, platform, {},
+                    {.on_configuration =
+                         [&](const ConfigurationPtr& configuration) {
+                           traffic.Post([&server, configuration] {
+                             server.SetConfiguration(configuration);
+                           });
+                         },
+                     .on_confirmed = [](TimePoint) {},
+                     .on_instances =
+                         [&](const std::vector<Instance>& instances) {
+                           traffic.Post([&server, instances] {
+                             server.SetInstances(instances);
+                           });
+                         }},
+                    counters);
+  OperatorServer operators(control,
+                           {.listen = settings.operator_address,
+                            .instance = settings.instance,
+                            .operators = settings.operators},
+                           feed, platform);
+  for (const absl::Status& status : {server.Start(), operators.Start()}) {
+    if (status.ok()) continue;
+    Log(LogLevel::kError, "start_failed",
+        {{"error", std::string(status.message())}});
+    return kExitUnavailable;
+  }
+  bool is_leaving = false;
+  control.OnTerminate([&] {
+    if (is_leaving) return control.Stop();
+    is_leaving = true;
+    Log(LogLevel::kInfo, "leaving_began");
+    traffic.Post([&] {
+      const TimePoint now = Clock::now();
+      server.BeginLeaving();
+      FinishLeaving(traffic, control, server, now + settings.address_max_age,
+                    now + settings.leave_limit);
+    });
+  });
+  feed.Start();
+  Log(LogLevel::kInfo, "started",
+      {{"caller_address", settings.caller_address.value()}});
+  traffic.StartThread();
+  control.Run();
+  traffic.Join();
+  // The operating system releases what is left; destroying it here would run
+  // the handlers of connections that are still open.
+  std::quick_exit(kExitOk);
+}
+
+}  // namespace
+}  // namespace mangohold
+
+int main(int argc, char** argv) {
+  using namespace mangohold;
+  int exit_code = kExitOk;
+  const auto command =
+      ParseDaemonCommand(argc, argv, "mangohold-entry", exit_code);
+  if (!command) return exit_code;
+  Findings findings;
+  const EntrySettings settings =
+      ParseEntrySettings(command->config_file, command->config_text, findings);
+  if (!findings.empty()) {
+    std::fputs(findings.ToString().c_str(), stderr);
+    return kExitData;
+  }
+  if (command->check_only) return kExitOk;
+  InitLog("mangohold-entry", settings.instance.value(), settings.log_level);
+  return Run(settings);
+}
--- /dev/null
+++ b/src/net/endpoint.cc
@@ -0,0 +1,18 @@
+#include "net/endpoint.h"
+
+#include <charconv>
+
+namespace mangohold {
+
+HostPort ParseEndpoint(const Endpoint& endpoint) {
+  const std::string& text = endpoint.value();
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return {};
+  HostPort out{.host = text.substr(0, colon)};
+  const char* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data() + colon + 1, end, out.port);
+  if (result.ec != std::errc() || result.ptr != end) out.port = 0;
+  return out;
+}
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/net/endpoint.h
@@ -0,0 +1,19 @@
+// Parsing of "host:port" texts.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "core/ids.h"
+
+namespace mangohold {
+
+// An IP address and a port. A port of 0 marks a text that couldn't be parsed.
+struct HostPort {
+  std::string host;
+  std::uint16_t port = 0;
+};
+
+HostPort ParseEndpoint(const Endpoint& endpoint);
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/operator/operator_server.cc
@@ -0,0 +1,159 @@
+#include "operator/operator_server.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+#include "core/json_types.h"
+#include "core/log.h"
+
+namespace mangohold {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kTreePrefix = "/v1/tree";
+constexpr std::string_view kBearer = "Bearer ";
+
+struct ResultRow {
+  std::string_view name;
+  int http_status;
+};
+
+constexpr std::array<ResultRow, 5> kResults = {{{"stored", 200},
+                                                {"invalid", 422},
+                                                {"conflict", 409},
+                                                {"refused", 503},
+                                                {"unknown", 504}}};
+
+void ReplyJson(const std::shared_ptr<HttpExchange>& exchange, int status,
+               const Json& body) {
+  exchange->Reply(status, {{"Content-Type", "application/json"}},
+                  body.dump(2) + '\n');
+}
+
+Json ToJson(const DocumentVersion& version) {
+  return {{"path", version.path},
+          {"revision", version.revision},
+          {"text", version.text}};
+}
+
+// A comparison whose time doesn't depend on where the texts differ.
+bool IsSameSecret(std::string_view a, std::string_view b) {
+  if (a.size() != b.size()) return false;
+  unsigned difference = 0;
+  for (std::size_t i = 0; i < a.size(); ++i) {
+    difference |=
+        static_cast<unsigned char>(a[i]) ^ static_cast<unsigned char>(b[i]);
+  }
+  return difference == 0;
+}
+
+}  // namespace
+
+OperatorServer::OperatorServer(EventLoop& loop, Options options,
+                               const PlatformFeed& feed, PlatformClient& client)
+    : options_(std::move(options)),
+      feed_(feed),
+      editor_(client),
+      http_(loop.io(), {.address = options_.listen, .max_connections = 64},
+            [this](const HttpRequest& request, const Exchange& exchange) {
+              Handle(request, exchange);
+            }) {}
+
+absl::Status OperatorServer::Start() { return http_.Listen(); }
+
+void OperatorServer::Handle(const HttpRequest& request,
+                            const Exchange& exchange) {
+  if (request.path == "/v1/status" && request.method == "GET") {
+    return HandleStatus(exchange);
+  }
+  if (!request.path.starts_with(kTreePrefix)) {
+    return ReplyJson(exchange, 404, {{"error", "no such path"}});
+  }
+  const std::string path = request.path.substr(kTreePrefix.size());
+  if (request.method == "GET" && (path.empty() || path == "/")) {
+    HandleList(exchange);
+  } else if (request.method == "GET") {
+    HandleRead(path, exchange);
+  } else if (request.method == "PUT") {
+    HandleChange(request, path, exchange);
+  } else {
+    ReplyJson(exchange, 405, {{"error", "use GET or PUT"}});
+  }
+}
+
+void OperatorServer::HandleList(const Exchange& exchange) {
+  Json documents = Json::array();
+  for (const auto& version : feed_.tree().ChangesSince(Revision()).documents) {
+    if (!version.text.empty()) documents.push_back(ToJson(version));
+  }
+  ReplyJson(exchange, 200,
+            {{"documents", documents},
+             {"complete_through", feed_.tree().complete_through()}});
+}
+
+void OperatorServer::HandleRead(const std::string& path,
+                                const Exchange& exchange) {
+  const DocumentVersion version = feed_.tree().Find(path);
+  const bool is_found = version.revision != Revision() && !version.text.empty();
+  ReplyJson(exchange, is_found ? 200 : 404, ToJson(version));
+}
+
+void OperatorServer::HandleStatus(const Exchange& exchange) {
+  ReplyJson(exchange, 200,
+            {{"instance", options_.instance},
+             {"complete_through", feed_.tree().complete_through()}});
+}
+
+const OperatorToken* OperatorServer::Authorise(const HttpRequest& request,
+                                               const std::string& path) const {
+  std::string_view token = request.Field("Authorization");
+  if (!token.starts_with(kBearer)) return nullptr;
+  token.remove_prefix(kBearer.size());
+  const auto it = std::ranges::find_if(
+      options_.operators, [&](const OperatorToken& candidate) {
+        return IsSameSecret(candidate.token, token) &&
+               path.starts_with(candidate.subtree);
+      });
+  return it == options_.operators.end() ? nullptr : &*it;
+}
+
+void OperatorServer::HandleChange(const HttpRequest& request,
+                                  const std::string& path,
+                                  const Exchange& exchange) {
+  const OperatorToken* token = Authorise(request, path);
+  if (token == nullptr) {
+    return ReplyJson(exchange, 403,
+                     {{"result", "refused"},
+                      {"detail", "no token that opens this subtree"}});
+  }
+  const std::string expected = request.QueryValue("if_revision");
+  std::uint64_t revision = 0;
+  const char* end = expected.data() + expected.size();
+  const auto number = std::from_chars(expected.data(), end, revision);
+  if (number.ec != std::errc() || number.ptr != end) {
+    return ReplyJson(
+        exchange, 400,
+        {{"result", "refused"},
+         {"detail", "if_revision is needed; 0 for a new document"}});
+  }
+  Log(LogLevel::kInfo, "change_requested",
+      {{"path", path}, {"operator", token->name}, {"if_revision", revision}});
+  editor_.Change(
+      path, request.body, Revision(revision), token->name,
+      [exchange, path, name = token->name](const ChangeReply& reply) {
+        const ResultRow& row = kResults[static_cast<std::size_t>(reply.result)];
+        Log(LogLevel::kInfo, "change_done",
+            {{"path", path},
+             {"operator", name},
+             {"result", row.name},
+             {"revision", reply.revision.value()}});
+        ReplyJson(exchange, row.http_status,
+                  {{"result", row.name},
+                   {"revision", reply.revision},
+                   {"detail", reply.detail}});
+      });
+}
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/peer/http2_session.cc
@@ -0,0 +1,578 @@
+#include "peer/http2_session.h"
+
+#include <nghttp2/nghttp2.h>
+
+#include <algorithm>
+#include <array>
+#include <asio.hpp>
+#include <cstring>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "net/endpoint.h"
+
+namespace mangohold {
+namespace {
+
+constexpr std::size_t kReadBytes = 64U << 10U;
+constexpr std::size_t kWriteBatchBytes = 64U << 10U;
+// The window of one stream bounds the bytes kept for a slow reader.
+constexpr std::int32_t kStreamWindowBytes = 64 << 10;
+// The window of the connection is left wide open, so that a slow stream can't
+// hold up the others.
+constexpr std::int32_t kConnectionWindowBytes = 1 << 30;
+constexpr std::uint32_t kMaxStreams = 10'000;
+// An idle link is pinged this often.
+constexpr Duration kPingInterval = std::chrono::milliseconds(500);
+// A link without a byte from the peer for this long is closed.
+constexpr Duration kSilenceLimit = std::chrono::seconds(3);
+
+nghttp2_nv ToNv(const HttpField& field) {
+  // nghttp2 copies both texts unless told otherwise.
+  return {
+      reinterpret_cast<std::uint8_t*>(const_cast<char*>(field.name.data())),
+      reinterpret_cast<std::uint8_t*>(const_cast<char*>(field.value.data())),
+      field.name.size(), field.value.size(), NGHTTP2_NV_FLAG_NONE};
+}
+
+std::vector<nghttp2_nv> ToNvs(const HttpFields& fields) {
+  std::vector<nghttp2_nv> out(fields.size());
+  std::ranges::transform(fields, out.begin(), ToNv);
+  return out;
+}
+
+}  // namespace
+
+struct Http2Stream::Impl {
+  std::weak_ptr<Http2Session::Impl> session;
+  std::int32_t id = 0;
+  Http2Handlers handlers;
+  HttpFields incoming;
+  bool has_head = false;
+  std::string queue;
+  bool local_end = false;
+  HttpFields trailers;
+  bool deferred = false;
+  bool closed = false;        // the stream no longer exists in nghttp2
+  bool remote_ended = false;  // all of the peer's bytes have arrived
+  bool local_sent = false;    // all of this side's bytes have been framed
+};
+
+struct Http2Session::Impl : std::enable_shared_from_this<Http2Session::Impl> {
+  Impl(asio::ip::tcp::socket connected, OnStream accept)
+      : socket(std::move(connected)),
+        ping_timer(socket.get_executor()),
+        on_stream(std::move(accept)),
+        last_read(Clock::now()) {}
+  ~Impl() { nghttp2_session_del(session); }
+
+  void Start(bool is_server) {
+    asio::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    CreateSession(is_server);
+    const std::array<nghttp2_settings_entry, 2> settings = {
+        {{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, kMaxStreams},
+         {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, kStreamWindowBytes}}};
+    nghttp2_submit_settings(session, NGHTTP2_FLAG_NONE, settings.data(),
+                            settings.size());
+    nghttp2_session_set_local_window_size(session, NGHTTP2_FLAG_NONE, 0,
+                                          kConnectionWindowBytes);
+    ScheduleWrite();
+    Read();
+    SchedulePing();
+  }
+
+  void CreateSession(bool is_server) {
+    nghttp2_session_callbacks* callbacks = nullptr;
+    nghttp2_session_callbacks_new(&callbacks);
+    nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks,
+                                                            &OnBeginHeaders);
+    nghttp2_session_callbacks_set_on_header_callback(callbacks, &OnHeader);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, &OnFrame);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks,
+                                                              &OnData);
+    nghttp2_session_callbacks_set_on_stream_close_callback(callbacks,
+                                                           &OnStreamClose);
+    nghttp2_option* option = nullptr;
+    nghttp2_option_new(&option);
+    nghttp2_option_set_no_auto_window_update(option, 1);
+    nghttp2_option_set_peer_max_concurrent_streams(option, kMaxStreams);
+    if (is_server) {
+      nghttp2_session_server_new2(&session, callbacks, this, option);
+    } else {
+      nghttp2_session_client_new2(&session, callbacks, this, option);
+    }
+    nghttp2_option_del(option);
+    nghttp2_session_callbacks_del(callbacks);
+  }
+
+  static Impl& Self(void* user_data) { return *static_cast<Impl*>(user_data); }
+
+  Http2StreamPtr Find(std::int32_t id) const {
+    const auto it = streams.find(id);
+    return it == streams.end() ? nullptr : it->second;
+  }
+
+  Http2StreamPtr AddStream(std::int32_t id) {
+    auto impl = std::make_unique<Http2Stream::Impl>();
+    impl->session = weak_from_this();
+    impl->id = id;
+    auto stream = std::make_shared<Http2Stream>(std::move(impl));
+    streams.emplace(id, stream);
+    return stream;
+  }
+
+  static int OnBeginHeaders(nghttp2_session*, const nghttp2_frame* frame,
+                            void* user_data) {
+    Impl& self = Self(user_data);
+    const std::int32_t id = frame->hd.stream_id;
+    if (self.on_stream && self.Find(id) == nullptr) {
+      self.on_stream(self.AddStream(id));
+    }
+    return 0;
+  }
+
+  static int OnHeader(nghttp2_session*, const nghttp2_frame* frame,
+                      const std::uint8_t* name, std::size_t name_size,
+                      const std::uint8_t* value, std::size_t value_size,
+                      std::uint8_t, void* user_data) {
+    const auto stream = Self(user_data).Find(frame->hd.stream_id);
+    if (stream == nullptr) return 0;
+    stream->impl_->incoming.push_back(
+        {std::string(reinterpret_cast<const char*>(name), name_size),
+         std::string(reinterpret_cast<const char*>(value), value_size)});
+    return 0;
+  }
+
+  static int OnFrame(nghttp2_session*, const nghttp2_frame* frame,
+                     void* user_data) {
+    const auto stream = Self(user_data).Find(frame->hd.stream_id);
+    if (stream == nullptr) return 0;
+    Http2Stream::Impl& impl = *stream->impl_;
+    HttpFields trailers;
+    if (frame->hd.type == NGHTTP2_HEADERS) {
+      HttpFields fields = std::move(impl.incoming);
+      impl.incoming.clear();
+      if (impl.has_head) {
+        trailers = std::move(fields);
+      } else {
+        impl.has_head = true;
+        if (impl.handlers.on_head) impl.handlers.on_head(std::move(fields));
+      }
+    }
+    const bool ends = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
+    if (ends && !impl.remote_ended && !impl.closed) {
+      impl.remote_ended = true;
+      if (impl.handlers.on_end) impl.handlers.on_end(std::move(trailers));
+    }
+    return 0;
+  }
+
+  static int OnData(nghttp2_session* session, std::uint8_t, std::int32_t id,
+                    const std::uint8_t* data, std::size_t size,
+                    void* user_data) {
+    const auto stream = Self(user_data).Find(id);
+    if (stream == nullptr || !stream->impl_->handlers.on_data) {
+      nghttp2_session_consume(session, id, size);
+      return 0;
+    }
+    stream->impl_->handlers.on_data(
+        {reinterpret_cast<const char*>(data), size});
+    return 0;
+  }
+
+  static int OnStreamClose(nghttp2_session*, std::int32_t id, std::uint32_t,
+                           void* user_data) {
+    Self(user_data).Retire(id);
+    return 0;
+  }
+
+  // Forgets a stream that has closed and tells its owner if either side's
+  // bytes weren't complete.
+  void Retire(std::int32_t id) {
+    const auto node = streams.extract(id);
+    if (node.empty()) return;
+    Http2Stream::Impl& impl = *node.mapped()->impl_;
+    impl.closed = true;
+    const Http2Handlers handlers = std::move(impl.handlers);
+    impl.handlers = {};
+    const bool is_whole = impl.remote_ended && impl.local_sent;
+    if (!is_whole && handlers.on_broken) handlers.on_broken();
+  }
+
+  static ssize_t OnRead(nghttp2_session* session, std::int32_t id,
+                        std::uint8_t* buffer, std::size_t capacity,
+                        std::uint32_t* flags, nghttp2_data_source*,
+                        void* user_data) {
+    Impl& self = Self(user_data);
+    const auto stream = self.Find(id);
+    if (stream == nullptr) return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+    Http2Stream::Impl& impl = *stream->impl_;
+    const std::size_t size = std::min(capacity, impl.queue.size());
+    if (size == 0 && !impl.local_end) {
+      impl.deferred = true;
+      return NGHTTP2_ERR_DEFERRED;
+    }
+    const bool was_above = impl.queue.size() > kLow;
+    std::memcpy(buffer, impl.queue.data(), size);
+    impl.queue.erase(0, size);
+    if (impl.queue.empty() && impl.local_end) {
+      *flags |= NGHTTP2_DATA_FLAG_EOF;
+      impl.local_sent = true;
+      if (!impl.trailers.empty()) {
+        *flags |= NGHTTP2_DATA_FLAG_NO_END_STREAM;
+        const auto nvs = ToNvs(impl.trailers);
+        nghttp2_submit_trailer(session, id, nvs.data(), nvs.size());
+      }
+    }
+    if (was_above && impl.queue.size() <= kLow) self.PostWritable(stream);
+    return static_cast<ssize_t>(size);
+  }
+
+  void PostWritable(const Http2StreamPtr& stream) {
+    asio::post(socket.get_executor(), [stream] {
+      const Http2Stream::Impl& impl = *stream->impl_;
+      if (!impl.closed && impl.handlers.on_writable) {
+        impl.handlers.on_writable();
+      }
+    });
+  }
+
+  // Sends what nghttp2 has ready. It is posted rather than called, because
+  // nghttp2 must not be entered from its own callbacks, and because frames of
+  // several streams then share one write.
+  void ScheduleWrite() {
+    if (write_scheduled || writing || closed) return;
+    write_scheduled = true;
+    asio::post(socket.get_executor(), [self = shared_from_this()] {
+      self->write_scheduled = false;
+      self->Write();
+    });
+  }
+
+  void Write() {
+    if (writing || closed) return;
+    outgoing.clear();
+    while (outgoing.size() < kWriteBatchBytes) {
+      const std::uint8_t* data = nullptr;
+      const ssize_t size = nghttp2_session_mem_send(session, &data);
+      if (size <= 0) break;
+      outgoing.append(reinterpret_cast<const char*>(data),
+                      static_cast<std::size_t>(size));
+    }
+    if (outgoing.empty()) {
+      if (nghttp2_session_want_read(session) == 0 &&
+          nghttp2_session_want_write(session) == 0) {
+        Shut();
+      }
+      return;
+    }
+    writing = true;
+    asio::async_write(
+        socket, asio::buffer(outgoing),
+        [self = shared_from_this()](const std::error_code& error, std::size_t) {
+          self->writing = false;
+          if (error) {
+            self->Shut();
+          } else {
+            self->Write();
+          }
+        });
+  }
+
+  void Read() {
+    socket.async_read_some(
+        asio::buffer(incoming),
+        [self = shared_from_this()](const std::error_code& error,
+                                    std::size_t size) {
+          if (error || self->closed) {
+            self->Shut();
+            return;
+          }
+          self->last_read = Clock::now();
+          const ssize_t taken = nghttp2_session_mem_recv(
+              self->session,
+              reinterpret_cast<const std::uint8_t*>(self->incoming.data()),
+              size);
+          if (taken < 0) {
+            self->Shut();
+            return;
+          }
+          self->ScheduleWrite();
+          self->Read();
+        });
+  }
+
+  void SchedulePing() {
+    ping_timer.expires_after(kPingInterval);
+    ping_timer.async_wait(
+        [weak = weak_from_this()](const std::error_code& error) {
+          const auto self = weak.lock();
+          if (error || self == nullptr || self->closed) return;
+          self->CheckSilence();
+        });
+  }
+
+  // A peer that is frozen or cut off closes no socket; its silence shows it.
+  // A process that was frozen itself must not blame the peer: it first reads
+  // what has arrived, which a second pass of the timer allows for.
+  void CheckSilence() {
+    const TimePoint now = Clock::now();
+    const bool was_frozen = now - last_check > 2 * kPingInterval;
+    last_check = now;
+    if (was_frozen) last_read = now;
+    if (now - last_read >= kSilenceLimit) {
+      Shut();
+      return;
+    }
+    if (now - last_read >= kPingInterval) {
+      nghttp2_submit_ping(session, NGHTTP2_FLAG_NONE, nullptr);
+      ScheduleWrite();
+    }
+    SchedulePing();
+  }
+
+  void Shut() {
+    if (closed) return;
+    closed = true;
+    const auto keep = shared_from_this();
+    asio::error_code ignored;
+    socket.close(ignored);
+    ping_timer.cancel();
+    std::vector<std::int32_t> ids;
+    for (const auto& [id, stream] : streams) ids.push_back(id);
+    for (const std::int32_t id : ids) Retire(id);
+    const auto callback = std::move(on_closed);
+    on_closed = nullptr;
+    if (callback) callback();
+  }
+
+  static constexpr std::size_t kLow = Http2Stream::kLowWaterBytes;
+
+  asio::ip::tcp::socket socket;
+  asio::steady_timer ping_timer;
+  OnStream on_stream;
+  TimePoint last_read;
+  TimePoint last_check = Clock::now();
+  nghttp2_session* session = nullptr;
+  std::unordered_map<std::int32_t, Http2StreamPtr> streams;
+  std::array<char, kReadBytes> incoming{};
+  std::string outgoing;
+  bool writing = false;
+  bool write_scheduled = false;
+  bool closed = false;
+  std::function<void()> on_closed;
+};
+
+Http2Stream::Http2Stream(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+Http2Stream::~Http2Stream() = default;
+
+void Http2Stream::SetHandlers(Http2Handlers handlers) {
+  impl_->handlers = std::move(handlers);
+}
+
+void Http2Stream::SendHead(const HttpFields& fields) {
+  const auto session = impl_->session.lock();
+  if (session == nullptr || impl_->closed) return;
+  nghttp2_data_provider provider{};
+  provider.read_callback = &Http2Session::Impl::OnRead;
+  const auto nvs = ToNvs(fields);
+  nghttp2_submit_response(session->session, impl_->id, nvs.data(), nvs.size(),
+                          &provider);
+  session->ScheduleWrite();
+}
+
+void Http2Stream::SendData(std::string_view data) {
+  if (impl_->closed || impl_->local_end) return;
+  impl_->queue.append(data);
+  const auto session = impl_->session.lock();
+  if (session == nullptr) return;
+  if (impl_->deferred) {
+    impl_->deferred = false;
+    nghttp2_session_resume_data(session->session, impl_->id);
+  }
+  session->ScheduleWrite();
+}
+
+void Http2Stream::SendEnd(HttpFields trailers) {
+  if (impl_->closed || impl_->local_end) return;
+  impl_->local_end = true;
+  impl_->trailers = std::move(trailers);
+  const auto session = impl_->session.lock();
+  if (session == nullptr) return;
+  if (impl_->deferred) {
+    impl_->deferred = false;
+    nghttp2_session_resume_data(session->session, impl_->id);
+  }
+  session->ScheduleWrite();
+}
+
+void Http2Stream::Reset() {
+  impl_->handlers = {};
+  const auto session = impl_->session.lock();
+  if (session == nullptr || impl_->closed) return;
+  nghttp2_submit_rst_stream(session->session, NGHTTP2_FLAG_NONE, impl_->id,
+                            NGHTTP2_CANCEL);
+  session->ScheduleWrite();
+}
+
+void Http2Stream::Consume(std::size_t size) {
+  const auto session = impl_->session.lock();
+  if (session == nullptr || session->closed) return;
+  if (impl_->closed) {
+    nghttp2_session_consume_connection(session->session, size);
+  } else {
+    nghttp2_session_consume(session->session, impl_->id, size);
+  }
+  session->ScheduleWrite();
+}
+
+std::size_t Http2Stream::queued_bytes() const { return impl_->queue.size(); }
+
+bool Http2Stream::is_open() const { return !impl_->closed; }
+
+Http2Session::Http2Session(std::shared_ptr<Impl> impl)
+    : impl_(std::move(impl)) {}
+
+Http2Session::~Http2Session() { impl_->Shut(); }
+
+Http2StreamPtr Http2Session::Open(const HttpFields& head,
+                                  Http2Handlers handlers) {
+  if (impl_->closed) return nullptr;
+  nghttp2_data_provider provider{};
+  provider.read_callback = &Impl::OnRead;
+  const auto nvs = ToNvs(head);
+  const std::int32_t id = nghttp2_submit_request(
+      impl_->session, nullptr, nvs.data(), nvs.size(), &provider, nullptr);
+  if (id < 0) return nullptr;
+  auto stream = impl_->AddStream(id);
+  stream->SetHandlers(std::move(handlers));
+  impl_->ScheduleWrite();
+  return stream;
+}
+
+bool Http2Session::is_open() const { return !impl_->closed; }
+
+void Http2Session::SetOnClosed(std::function<void()> on_closed) {
+  impl_->on_closed = std::move(on_closed);
+}
+
+void Http2Session::Close() { impl_->Shut(); }
+
+Duration Http2Session::SilentFor() const {
+  return Clock::now() - impl_->last_read;
+}
+
+namespace {
+
+// One connection attempt with its timer; whichever ends first decides.
+struct ConnectAttempt {
+  explicit ConnectAttempt(asio::io_context& io) : socket(io), timer(io) {}
+  asio::ip::tcp::socket socket;
+  asio::steady_timer timer;
+  std::function<void(Http2SessionPtr)> on_result;
+};
+
+std::optional<asio::ip::tcp::endpoint> ToTcpEndpoint(const Endpoint& endpoint) {
+  const HostPort parts = ParseEndpoint(endpoint);
+  asio::error_code error;
+  const auto address = asio::ip::make_address(parts.host, error);
+  if (error || parts.port == 0) return std::nullopt;
+  return asio::ip::tcp::endpoint(address, parts.port);
+}
+
+}  // namespace
+
+void ConnectHttp2(asio::io_context& io, const Endpoint& endpoint,
+                  Duration timeout,
+                  std::function<void(Http2SessionPtr)> on_result) {
+  const auto target = ToTcpEndpoint(endpoint);
+  if (!target) {
+    asio::post(io, [on_result] { on_result(nullptr); });
+    return;
+  }
+  auto attempt = std::make_shared<ConnectAttempt>(io);
+  attempt->on_result = std::move(on_result);
+  attempt->timer.expires_after(timeout);
+  attempt->timer.async_wait([attempt](const std::error_code& error) {
+    asio::error_code ignored;
+    if (!error) attempt->socket.close(ignored);
+  });
+  attempt->socket.async_connect(
+      *target, [attempt](const std::error_code& error) {
+        attempt->timer.cancel();
+        if (error) {
+          attempt->on_result(nullptr);
+          return;
+        }
+        auto impl = std::make_shared<Http2Session::Impl>(
+            std::move(attempt->socket), nullptr);
+        impl->Start(/*is_server=*/false);
+        attempt->on_result(std::make_shared<Http2Session>(std::move(impl)));
+      });
+}
+
+struct Http2Server::State : std::enable_shared_from_this<Http2Server::State> {
+  State(asio::io_context& io, Http2Session::OnStream accept)
+      : acceptor(io), on_stream(std::move(accept)) {}
+
+  void Accept() {
+    acceptor.async_accept(
+        [self = shared_from_this()](const std::error_code& error,
+                                    asio::ip::tcp::socket socket) {
+          if (error) return;
+          auto impl = std::make_shared<Http2Session::Impl>(std::move(socket),
+                                                           self->on_stream);
+          impl->Start(/*is_server=*/true);
+          self->sessions.push_back(impl);
+          std::erase_if(self->sessions,
+                        [](const auto& session) { return session.expired(); });
+          self->Accept();
+        });
+  }
+
+  asio::ip::tcp::acceptor acceptor;
+  Http2Session::OnStream on_stream;
+  std::vector<std::weak_ptr<Http2Session::Impl>> sessions;
+};
+
+Http2Server::Http2Server(asio::io_context& io, Http2Session::OnStream on_stream)
+    : state_(std::make_shared<State>(io, std::move(on_stream))) {}
+
+Http2Server::~Http2Server() {
+  StopListening();
+  for (const auto& weak : state_->sessions) {
+    if (const auto session = weak.lock()) session->Shut();
+  }
+}
+
+absl::Status Http2Server::Listen(const Endpoint& endpoint) {
+  const auto target = ToTcpEndpoint(endpoint);
+  if (!target) {
+    return absl::InvalidArgumentError("not an IP address and port: " +
+                                      endpoint.value());
+  }
+  asio::error_code error;
+  state_->acceptor.open(target->protocol(), error);
+  if (!error) {
+    state_->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) state_->acceptor.bind(*target, error);
+  if (!error) {
+    state_->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return absl::UnavailableError("cannot listen on " + endpoint.value() +
+                                  ": " + error.message());
+  }
+  state_->Accept();
+  return absl::OkStatus();
+}
+
+void Http2Server::StopListening() {
+  asio::error_code ignored;
+  state_->acceptor.close(ignored);
+}
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/routing/attempt_policy.cc
@@ -0,0 +1,168 @@
+#include "routing/attempt_policy.h"
+
+#include <algorithm>
+#include <array>
+
+namespace mangohold {
+namespace {
+
+// Refusals that another agent may not share. After any other the request is
+// at fault, or every agent would say the same.
+constexpr std::array kTryElsewhere = {
+    Reason::kTicketVoid,         Reason::kTicketUnknown,
+    Reason::kTicketMismatch,     Reason::kConfigurationUnknown,
+    Reason::kStaleConfiguration, Reason::kZoneOut,
+    Reason::kBackendLeaving,     Reason::kBackendLimit,
+    Reason::kBackendRefused,     Reason::kBackendUnreachable,
+    Reason::kQueueFull,          Reason::kDeadlineUnreachable,
+    Reason::kAgentUnreachable,   Reason::kLinkBroken,
+    Reason::kBackendFailed,
+};
+
+bool MayTryElsewhere(Reason reason) {
+  return std::ranges::find(kTryElsewhere, reason) != kTryElsewhere.end();
+}
+
+}  // namespace
+
+Action AttemptPolicy::Begin() { return Next(); }
+
+Action AttemptPolicy::Next() {
+  ++attempts_;
+  submissions_ = 0;
+  if (options_.has_caller_ticket) return SubmitTicket();
+  if (options_.is_repeatable) {
+    phase_ = Phase::kSubmitted;
+    return {.step = Step::kSubmit};
+  }
+  phase_ = Phase::kMinting;
+  return {.step = Step::kMint};
+}
+
+Action AttemptPolicy::Finish(Outcome outcome, Reason reason,
+                             Millis retry_after) {
+  phase_ = Phase::kFinished;
+  return {.step = Step::kFinish,
+          .outcome = outcome,
+          .reason = reason,
+          .retry_after = retry_after};
+}
+
+Action AttemptPolicy::Retry(Reason reason, Millis retry_after) {
+  last_reason_ = reason;
+  last_retry_after_ = retry_after;
+  const bool may_retry = MayTryElsewhere(reason) &&
+                         !options_.has_caller_ticket &&
+                         attempts_ < options_.max_attempts;
+  if (may_retry) return Next();
+  return Finish(maybe_ran_ ? Outcome::kUnknown : Outcome::kNotRun, reason,
+                retry_after);
+}
+
+Action AttemptPolicy::OnMinted() {
+  if (phase_ != Phase::kMinting) return {};
+  return SubmitTicket();
+}
+
+Action AttemptPolicy::SubmitTicket() {
+  ++submissions_;
+  phase_ = Phase::kSubmitted;
+  return {.step = Step::kSubmitTicket};
+}
+
+// A fresh ticket that its agent doesn't know was lost with the agent's earlier
+// incarnation. If this entry alone has presented it, and only now, the request
+// has not run under it.
+bool AttemptPolicy::IsCertainlyNotRun(Reason reason) const {
+  return reason == Reason::kTicketUnknown && !options_.has_caller_ticket &&
+         submissions_ == 1;
+}
+
+Action AttemptPolicy::OnRefused(Reason reason, bool may_have_run,
+                                Millis retry_after) {
+  if (phase_ != Phase::kSubmitted && phase_ != Phase::kMinting) return {};
+  if (may_have_run && !IsCertainlyNotRun(reason)) {
+    maybe_ran_ = true;
+    if (!options_.is_repeatable || options_.has_caller_ticket) {
+      return Finish(Outcome::kUnknown, reason, retry_after);
+    }
+  }
+  return Retry(reason, retry_after);
+}
+
+// A caller's ticket may have run through another entry, so that an agent out
+// of reach leaves its fate unknown. Without it nothing of this attempt ran.
+Action AttemptPolicy::OnNotSent(Reason reason, Millis retry_after) {
+  if (phase_ == Phase::kFinished) return {};
+  if (options_.has_caller_ticket) {
+    return Finish(Outcome::kUnknown, reason, retry_after);
+  }
+  return Retry(reason, retry_after);
+}
+
+Action AttemptPolicy::OnLinkBroken() {
+  switch (phase_) {
+    case Phase::kMinting:
+      return Retry(Reason::kLinkBroken, Millis(0));
+    case Phase::kSubmitted:
+      if (options_.is_repeatable && !options_.has_caller_ticket) {
+        maybe_ran_ = true;
+        return Retry(Reason::kLinkBroken, Millis(0));
+      }
+      phase_ = Phase::kVoiding;
+      return {.step = Step::kVoid};
+    case Phase::kVoiding:
+      return OnVoidFailed();
+    case Phase::kRelaying:
+      return OnEnd(/*is_complete=*/false, Reason::kLinkBroken);
+    default:
+      return {};
+  }
+}
+
+// A confirmed void means that the request has not run and never will under
+// this ticket. A request that has ended may have left its answer with the
+// agent, where presenting the ticket again fetches it.
+Action AttemptPolicy::OnVoided(TicketState state) {
+  if (phase_ != Phase::kVoiding) return {};
+  if (state == TicketState::kDone && submissions_ == 1) return SubmitTicket();
+  if (state != TicketState::kVoid) {
+    return Finish(Outcome::kUnknown, Reason::kLinkBroken);
+  }
+  return Retry(Reason::kLinkBroken, Millis(0));
+}
+
+Action AttemptPolicy::OnVoidFailed() {
+  if (phase_ != Phase::kVoiding) return {};
+  return Finish(Outcome::kUnknown, Reason::kLinkBroken);
+}
+
+Action AttemptPolicy::OnHead() {
+  if (phase_ != Phase::kSubmitted) return {};
+  phase_ = Phase::kRelaying;
+  return {.step = Step::kRelay};
+}
+
+Action AttemptPolicy::OnEnd(bool is_complete, Reason reason) {
+  if (phase_ != Phase::kRelaying) return {};
+  if (is_complete) return Finish(Outcome::kAnswered, Reason::kNone);
+  return Finish(Outcome::kUnknown, reason);
+}
+
+// A request that was submitted may run even though nobody waits for it.
+Action AttemptPolicy::OnDeadline() {
+  if (phase_ == Phase::kFinished) return {};
+  const bool may_have_run =
+      maybe_ran_ || options_.has_caller_ticket || phase_ == Phase::kSubmitted ||
+      phase_ == Phase::kVoiding || phase_ == Phase::kRelaying;
+  return Finish(may_have_run ? Outcome::kUnknown : Outcome::kNotRun,
+                Reason::kDeadlineExceeded);
+}
+
+Action AttemptPolicy::OnBudgetExhausted() {
+  if (phase_ == Phase::kFinished) return {};
+  return Finish(maybe_ran_ ? Outcome::kUnknown : Outcome::kNotRun,
+                Reason::kRetryBudget, last_retry_after_);
+}
+
+}  // namespace mangohold
--- /dev/null
+++ b/tests/harness.cc
@@ -0,0 +1,310 @@
+#include "harness.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+extern char** environ;
+
+namespace mangohold::testing {
+namespace {
+
+constexpr int kPlatformHost = 1;
+constexpr int kFirstEntryHost = 10;
+constexpr int kFirstBackendHost = 100;
+constexpr Duration kPollInterval = std::chrono::milliseconds(10);
+
+std::string Program(const std::string& name) {
+  return std::string(MANGOHOLD_BINARY_DIR) + "/" + name;
+}
+
+}  // namespace
+
+Process::Process(const std::vector<std::string>& command,
+                 const std::string& log) {
+  std::vector<char*> arguments;
+  for (const std::string& word : command) {
+    arguments.push_back(const_cast<char*>(word.c_str()));
+  }
+  arguments.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  const int error = posix_spawn(&pid_, arguments[0], &actions, nullptr,
+                                arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (error != 0) pid_ = -1;
+}
+
+Process::~Process() { Kill(); }
+
+void Process::Signal(int signal) const {
+  if (pid_ > 0) kill(pid_, signal);
+}
+
+void Process::Kill() {
+  if (pid_ <= 0) return;
+  kill(pid_, SIGKILL);
+  waitpid(pid_, nullptr, 0);
+  pid_ = -1;
+}
+
+bool Process::is_running() { return WaitForExit(Duration::zero()) < 0; }
+
+int Process::WaitForExit(Duration limit) {
+  const TimePoint end = Clock::now() + limit;
+  while (pid_ > 0) {
+    int status = 0;
+    if (waitpid(pid_, &status, WNOHANG) == pid_) {
+      pid_ = -1;
+      exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128;
+    } else if (Clock::now() >= end) {
+      return -1;
+    } else {
+      std::this_thread::sleep_for(kPollInterval);
+    }
+  }
+  return exit_code_;
+}
+
+Site::Site(SiteOptions options) : options_(std::move(options)) {
+  const int pid = getpid();
+  net_ = "127." + std::to_string(16 + pid / 250 % 200) + "." +
+         std::to_string(pid % 250) + ".";
+  directory_ = std::filesystem::temp_directory_path() /
+               ("mangohold-test-" + std::to_string(pid));
+  std::filesystem::remove_all(directory_);
+  std::filesystem::create_directories(directory_);
+  const auto plan = [this](int count, const std::string& service) {
+    for (int i = 0; i < count; ++i) {
+      plan_.push_back({options_.zones[i % options_.zones.size()], service});
+    }
+  };
+  plan(options_.engines, "drafts");
+  plan(options_.services, "bookings");
+}
+
+Site::~Site() {
+  entries_.clear();
+  agents_.clear();
+  backends_.clear();
+  platform_.reset();
+  if (std::getenv("MANGOHOLD_KEEP_LOGS") == nullptr) {
+    std::filesystem::remove_all(directory_);
+  }
+}
+
+std::string Site::Ip(int last) const { return net_ + std::to_string(last); }
+
+Endpoint Site::CallerAddress(int entry) const {
+  return Endpoint(Ip(kFirstEntryHost + entry) + ":8080");
+}
+
+std::vector<Endpoint> Site::CallerAddresses() const {
+  std::vector<Endpoint> out;
+  for (int i = 0; i < options_.entries; ++i) out.push_back(CallerAddress(i));
+  return out;
+}
+
+Endpoint Site::OperatorAddress(int entry) const {
+  return Endpoint(Ip(kFirstEntryHost + entry) + ":8081");
+}
+
+std::string Site::BackendUrl(int backend) const {
+  return "http://" + Ip(kFirstBackendHost + backend) + ":8000";
+}
+
+std::string Site::PlatformUrl() const {
+  return "http://" + Ip(kPlatformHost) + ":7000";
+}
+
+std::string Site::WriteFile(const std::string& name, const std::string& text) {
+  const std::string path = directory_ + "/" + name;
+  std::ofstream(path) << text;
+  return path;
+}
+
+void Site::StartEntry(int index) {
+  const nlohmann::json settings = {
+      {"instance", "entry-" + std::to_string(index)},
+      {"zone", options_.zones[index % options_.zones.size()]},
+      {"caller_address", CallerAddress(index).value()},
+      {"operator_address", OperatorAddress(index).value()},
+      {"platform_url", PlatformUrl()},
+      {"log_level", "debug"},
+      {"address_max_age_ms", options_.address_max_age_ms},
+      {"operators",
+       {{{"name", "lead"}, {"token", "lead"}, {"subtree", "/"}},
+        {{"name", "zones"}, {"token", "zones"}, {"subtree", "/zones/"}}}}};
+  const std::string name = "entry-" + std::to_string(index);
+  entries_[index] = std::make_unique<Process>(
+      std::vector<std::string>{Program("mangohold-entry"), "--config",
+                               WriteFile(name + ".json", settings.dump())},
+      directory_ + "/" + name + ".log");
+}
+
+void Site::StartAgent(int index) {
+  const std::string ip = Ip(kFirstBackendHost + index);
+  const nlohmann::json settings = {
+      {"instance", "backend-" + std::to_string(index)},
+      {"zone", plan_[index].zone},
+      {"service", plan_[index].service},
+      {"peer_address", ip + ":7070"},
+      {"admin_address", ip + ":7071"},
+      {"backend_url", BackendUrl(index)},
+      {"log_level", "debug"},
+      {"platform_url", PlatformUrl()}};
+  const std::string name = "agent-" + std::to_string(index);
+  agents_[index] = std::make_unique<Process>(
+      std::vector<std::string>{Program("mangohold-agent"), "--config",
+                               WriteFile(name + ".json", settings.dump())},
+      directory_ + "/" + name + ".log");
+}
+
+void Site::StartBackend(int index) {
+  const bool is_engine = plan_[index].service == "drafts";
+  std::vector<std::string> command = {
+      Program(is_engine ? "engine_standin" : "service_standin"), "--listen",
+      Ip(kFirstBackendHost + index) + ":8000"};
+  if (is_engine) {
+    command.insert(command.end(), options_.engine_options.begin(),
+                   options_.engine_options.end());
+  }
+  backends_[index] = std::make_unique<Process>(
+      command, directory_ + "/backend-" + std::to_string(index) + ".log");
+}
+
+void Site::Start() {
+  platform_ = std::make_unique<Process>(
+      std::vector<std::string>{Program("platform_standin"), "--listen",
+                               Ip(kPlatformHost) + ":7000"},
+      directory_ + "/platform.log");
+  WaitFor([this] {
+    return FetchAndWait({.url = PlatformUrl() + "/v1/instances"}).status == 200;
+  });
+  PublishInstances();
+  backends_.resize(plan_.size());
+  agents_.resize(plan_.size());
+  entries_.resize(options_.entries);
+  for (std::size_t i = 0; i < plan_.size(); ++i) {
+    StartBackend(static_cast<int>(i));
+    StartAgent(static_cast<int>(i));
+  }
+  for (int i = 0; i < options_.entries; ++i) StartEntry(i);
+  WaitFor([this] {
+    return Send(OperatorAddress(0), "GET", "/v1/status", "").status == 200;
+  });
+  PutDocument("/fleet", "{\"expected_entries\": " +
+                            std::to_string(options_.entries) + "}");
+  for (const std::string& zone : options_.zones) {
+    PutDocument("/zones/" + zone, R"({"state": "in"})");
+  }
+  PutDocument("/services/drafts", options_.drafts_document);
+  PutDocument("/services/bookings", options_.bookings_document);
+  PutDocument("/workspaces/sales", options_.workspace_document);
+  PutDocument("/workspaces/rentals", options_.workspace_document);
+  // Each entry has seen each agent open.
+  WaitFor([this] {
+    for (int i = 0; i < options_.entries; ++i) {
+      if (Metric(Metrics(i), "mangohold_backends_open") <
+          static_cast<double>(plan_.size())) {
+        return false;
+      }
+    }
+    return true;
+  });
+}
+
+int Site::PutDocument(const std::string& path, const std::string& text,
+                      int entry) {
+  const HttpResponse known =
+      Send(OperatorAddress(entry), "GET", "/v1/tree" + path, "");
+  const auto body = nlohmann::json::parse(known.body, nullptr, false);
+  const std::uint64_t revision =
+      body.is_object() ? body.value("revision", std::uint64_t{0}) : 0;
+  return Send(OperatorAddress(entry), "PUT",
+              "/v1/tree" + path + "?if_revision=" + std::to_string(revision),
+              text, {{"Authorization", "Bearer lead"}})
+      .status;
+}
+
+void Site::SetFaults(const std::string& json) {
+  FetchAndWait({.method = "POST",
+                .url = PlatformUrl() + "/standin/faults",
+                .body = json});
+}
+
+void Site::PublishInstances(const std::vector<int>& leaving_backends) {
+  nlohmann::json list = nlohmann::json::array();
+  for (int i = 0; i < options_.entries; ++i) {
+    list.push_back({{"id", "entry-" + std::to_string(i)},
+                    {"role", "entry"},
+                    {"state", "live"},
+                    {"zone", options_.zones[i % options_.zones.size()]},
+                    {"peer", Ip(kFirstEntryHost + i) + ":8082"},
+                    {"caller", CallerAddress(i).value()}});
+  }
+  for (std::size_t i = 0; i < plan_.size(); ++i) {
+    const bool is_leaving =
+        std::ranges::find(leaving_backends, static_cast<int>(i)) !=
+        leaving_backends.end();
+    list.push_back(
+        {{"id", "backend-" + std::to_string(i)},
+         {"role", "backend"},
+         {"state", is_leaving ? "leaving" : "live"},
+         {"zone", plan_[i].zone},
+         {"service", plan_[i].service},
+         {"peer", Ip(kFirstBackendHost + static_cast<int>(i)) + ":7070"}});
+  }
+  FetchAndWait({.method = "POST",
+                .url = PlatformUrl() + "/standin/instances",
+                .body = list.dump()});
+}
+
+std::string Site::Metrics(int entry) const {
+  return Send(CallerAddress(entry), "GET", "/metrics", "").body;
+}
+
+std::string Site::AgentMetrics(int backend) const {
+  return Send(Endpoint(Ip(kFirstBackendHost + backend) + ":7071"), "GET",
+              "/metrics", "")
+      .body;
+}
+
+HttpResponse Send(const Endpoint& address, const std::string& method,
+                  const std::string& path, const std::string& body,
+                  const HttpFields& fields) {
+  return FetchAndWait({.method = method,
+                       .url = "http://" + address.value() + path,
+                       .fields = fields,
+                       .body = body,
+                       .fresh_connection = true});
+}
+
+double Metric(const std::string& text, const std::string& name) {
+  const std::string start = "\n" + name + " ";
+  const std::size_t at = ("\n" + text).find(start);
+  return at == std::string::npos
+             ? 0
+             : std::strtod(text.c_str() + at + start.size() - 1, nullptr);
+}
+
+bool WaitFor(const std::function<bool()>& condition, Duration limit) {
+  const TimePoint end = Clock::now() + limit;
+  while (!condition()) {
+    if (Clock::now() >= end) return false;
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return true;
+}
+
+}  // namespace mangohold::testing
