--- a/src/agent_main.cc
+++ b/src/agent_main.cc
@@ -8,6 +8,7 @@
 #include "core/log.h"
 #include "core/process_settings.h"
 #include "core/random.h"
+#include "core/status.h"
 #include "net/http_server.h"
 #include "platform/platform_feed.h"
 
@@ -94,8 +95,7 @@
                    });
   for (const absl::Status& status : {server.Start(), admin.Listen()}) {
     if (status.ok()) continue;
-    Log(LogLevel::kError, "start_failed",
-        {{"error", std::string(status.message())}});
+    Log(LogLevel::kError, "start_failed", {{"error", MessageOf(status)}});
     return kExitUnavailable;
   }
   bool is_leaving = false;
@@ -119,11 +119,7 @@
   std::quick_exit(kExitOk);
 }
 
-}  // namespace
-}  // namespace mangohold
-
-int main(int argc, char** argv) {
-  using namespace mangohold;
+int Main(int argc, char** argv) {
   int exit_code = kExitOk;
   const auto command =
       ParseDaemonCommand(argc, argv, "mangohold-agent", exit_code);
@@ -139,3 +135,8 @@
   InitLog("mangohold-agent", settings.instance.value(), settings.log_level);
   return Run(settings);
 }
+
+}  // namespace
+}  // namespace mangohold
+
+int main(int argc, char** argv) { return mangohold::Main(argc, argv); }
--- a/src/backend/agent_server.cc
+++ b/src/backend/agent_server.cc
@@ -70,7 +70,7 @@
               [this](const Http2StreamPtr& stream) { Accept(stream); }) {}
 
 absl::Status AgentServer::Start() {
-  const absl::Status status = server_.Listen(options_.listen);
+  absl::Status status = server_.Listen(options_.listen);
   if (!status.ok()) return status;
   monitor_.Start();
   Tick();
@@ -135,9 +135,7 @@
 
 void AgentServer::Dispatch(const Http2StreamPtr& stream,
                            const Incoming& incoming) {
-  if (incoming.is_too_large) {
-    stream->Reset();
-  } else if (incoming.path == kSubmitPath) {
+  if (incoming.path == kSubmitPath && !incoming.is_too_large) {
     OnSubmit(stream, incoming);
   } else if (incoming.path == kTicketPath) {
     OnTicket(stream, incoming.message);
@@ -225,14 +223,13 @@
                        .on_end = nullptr,
                        .on_broken =
                            [this, weak = std::weak_ptr(job)] {
-                             if (const auto alive = weak.lock())
-                               OnSenderGone(alive);
+                             const auto alive = weak.lock();
+                             if (alive != nullptr) OnSenderGone(alive);
                            },
                        .on_writable =
                            [this, weak = std::weak_ptr(job)] {
                              const auto alive = weak.lock();
-                             if (alive != nullptr && alive->call)
-                               http_.Resume(*alive->call);
+                             if (alive != nullptr) http_.Resume(alive->call);
                            }});
   if (decision.displaced) {
     Apply({.start = {}, .shed = {*decision.displaced}});
@@ -283,12 +280,12 @@
   if (job->stream == nullptr) return;
   job->stream->SendData(data);
   if (job->stream->queued_bytes() > Http2Stream::kHighWaterBytes) {
-    http_.Pause(*job->call);
+    http_.Pause(job->call);
   }
 }
 
 void AgentServer::OnBackendDone(const JobPtr& job, HttpResult result) {
-  job->call.reset();
+  job->call = HttpCallId();
   if (result == HttpResult::kNotSent) {
     BecomeCold();
     monitor_.CheckNow();
@@ -347,11 +344,11 @@
     return;
   }
   if (job->has_ticket()) {
-    if (job->call) http_.Resume(*job->call);
+    http_.Resume(job->call);
     return;
   }
-  if (job->call) http_.Cancel(*job->call);
-  job->call.reset();
+  http_.Cancel(job->call);
+  job->call = HttpCallId();
   counters_.CountRefusal(Reason::kCallerGone);
   End(job, WorkResult::kCancelled, false, Reason::kCallerGone);
 }
--- a/src/backend/agent_server.h
+++ b/src/backend/agent_server.h
@@ -82,7 +82,6 @@
   Http2Server server_;
   WorkId last_work_;
   std::unordered_map<std::uint64_t, JobPtr> jobs_;
-  bool is_ticking_fast_ = false;
 };
 
 }  // namespace mangohold
--- a/src/backend/gate.cc
+++ b/src/backend/gate.cc
@@ -199,9 +199,9 @@
 // Forgets work that was not started and voids its ticket.
 void Gate::DropWork(WorkId id) {
   const auto node = work_.extract(id.value());
-  if (!node.empty() && node.mapped().ticket) {
-    tickets_.Void(*node.mapped().ticket);
-  }
+  if (node.empty()) return;
+  const std::optional<Ticket>& ticket = node.mapped().ticket;
+  if (ticket.has_value()) tickets_.Void(*ticket);
 }
 
 TicketState Gate::Void(const Ticket& ticket) {
--- a/src/backend/job.h
+++ b/src/backend/job.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <memory>
-#include <optional>
 #include <string>
 
 #include "backend/gate.h"
@@ -21,7 +20,7 @@
   std::string body;
   TimePoint deadline;
   bool is_running = false;
-  std::optional<HttpCallId> call;
+  HttpCallId call;  // 0 while there is none
   // The answer so far.
   int http_status = 0;
   std::string content_type;
--- a/src/caller/entry_server.cc
+++ b/src/caller/entry_server.cc
@@ -9,6 +9,7 @@
 
 #include "core/log.h"
 #include "core/random.h"
+#include "core/status.h"
 
 namespace mangohold {
 namespace {
@@ -159,10 +160,13 @@
 }
 
 void EntryServer::HandleReady(const Exchange& exchange) {
-  if (is_leaving_) return exchange->Reply(503, {}, "leaving\n");
-  if (!has_configuration_)
-    return exchange->Reply(503, {}, "no configuration\n");
-  exchange->Reply(200, {}, "ready\n");
+  if (is_leaving_) {
+    exchange->Reply(503, {}, "leaving\n");
+  } else if (!has_configuration_) {
+    exchange->Reply(503, {}, "no configuration\n");
+  } else {
+    exchange->Reply(200, {}, "ready\n");
+  }
 }
 
 // The addresses that callers may use: live entries in zones that are in.
@@ -243,8 +247,7 @@
   Reason reason = Reason::kBadRequest;
   auto checked = ToCallerRequest(std::move(request), reason);
   if (!checked.ok()) {
-    return Refuse(id, reason, std::string(checked.status().message()),
-                  exchange);
+    return Refuse(id, reason, MessageOf(checked.status()), exchange);
   }
   checked->id = id;
   if (context_.requests >= options_.max_requests) {
--- a/src/caller/request_run.cc
+++ b/src/caller/request_run.cc
@@ -106,17 +106,19 @@
     }
     context_.counters.CountRetry(policy_.last_reason());
   }
-  const auto chosen = context_.router.Choose(
-      {.service = request_.service, .tried = tried_, .prefix = request_.prefix},
-      Clock::now());
-  const auto link =
-      chosen ? context_.links.find(*chosen) : context_.links.end();
+  const InstanceId chosen = context_.router
+                                .Choose({.service = request_.service,
+                                         .tried = tried_,
+                                         .prefix = request_.prefix},
+                                        Clock::now())
+                                .value_or(InstanceId());
+  const auto link = context_.links.find(chosen);
   if (link == context_.links.end()) {
     Do(policy_.OnNotSent(Reason::kNoBackend,
                          context_.router.RetryAfter(request_.service)));
     return false;
   }
-  agent_ = *chosen;
+  agent_ = chosen;
   link_ = link->second;
   tried_.push_back(agent_);
   has_attempt_ = true;
--- a/src/config/documents.cc
+++ b/src/config/documents.cc
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "core/document_reader.h"
+#include "core/status.h"
 
 namespace mangohold {
 namespace {
@@ -53,15 +54,15 @@
 // "/drafts".
 bool ServiceDocument::IsRepeatable(std::string_view method,
                                    std::string_view path) const {
-  return std::ranges::any_of(repeatable_calls,
-                             [method, path](const RepeatableCall& call) {
-                               if (call.method != method) return false;
-                               if (!path.starts_with(call.path_prefix))
-                                 return false;
-                               return call.path_prefix.ends_with('/') ||
-                                      path.size() == call.path_prefix.size() ||
-                                      path[call.path_prefix.size()] == '/';
-                             });
+  return std::ranges::any_of(
+      repeatable_calls, [method, path](const RepeatableCall& call) {
+        const bool is_below =
+            call.method == method && path.starts_with(call.path_prefix);
+        if (!is_below) return false;
+        return call.path_prefix.ends_with('/') ||
+               path.size() == call.path_prefix.size() ||
+               path[call.path_prefix.size()] == '/';
+      });
 }
 
 absl::StatusOr<DocumentPath> ParsePath(std::string_view path) {
@@ -167,7 +168,7 @@
     findings.Add({.file = path,
                   .pointer = "",
                   .line = 0,
-                  .message = std::string(parsed.status().message())});
+                  .message = MessageOf(parsed.status())});
     return findings;
   }
   using Check = void (*)(const std::string&, std::string_view, Findings&);
--- a/src/ctl_main.cc
+++ b/src/ctl_main.cc
@@ -76,11 +76,7 @@
   }
 }
 
-}  // namespace
-}  // namespace mangohold
-
-int main(int argc, char** argv) {
-  using namespace mangohold;
+int Main(int argc, char** argv) {
   const std::array<option, 15> kOptions = {
       {{"operator", required_argument, nullptr, 'o'},
        {"entry", required_argument, nullptr, 'e'},
@@ -114,3 +110,8 @@
   }
   return RunCtl(options, {argv + optind, argv + argc});
 }
+
+}  // namespace
+}  // namespace mangohold
+
+int main(int argc, char** argv) { return mangohold::Main(argc, argv); }
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -7,6 +7,7 @@
 #include "core/log.h"
 #include "core/process_settings.h"
 #include "core/random.h"
+#include "core/status.h"
 #include "operator/operator_server.h"
 #include "platform/platform_feed.h"
 
@@ -68,8 +69,7 @@
                            feed, platform);
   for (const absl::Status& status : {server.Start(), operators.Start()}) {
     if (status.ok()) continue;
-    Log(LogLevel::kError, "start_failed",
-        {{"error", std::string(status.message())}});
+    Log(LogLevel::kError, "start_failed", {{"error", MessageOf(status)}});
     return kExitUnavailable;
   }
   bool is_leaving = false;
@@ -95,11 +95,7 @@
   std::quick_exit(kExitOk);
 }
 
-}  // namespace
-}  // namespace mangohold
-
-int main(int argc, char** argv) {
-  using namespace mangohold;
+int Main(int argc, char** argv) {
   int exit_code = kExitOk;
   const auto command =
       ParseDaemonCommand(argc, argv, "mangohold-entry", exit_code);
@@ -115,3 +111,8 @@
   InitLog("mangohold-entry", settings.instance.value(), settings.log_level);
   return Run(settings);
 }
+
+}  // namespace
+}  // namespace mangohold
+
+int main(int argc, char** argv) { return mangohold::Main(argc, argv); }
--- a/src/platform/platform_feed.cc
+++ b/src/platform/platform_feed.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/log.h"
+#include "core/status.h"
 
 namespace mangohold {
 
@@ -39,7 +40,7 @@
   if (!update.ok()) {
     if (watch_failures_++ == 0) {
       Log(LogLevel::kWarning, "store_unreachable",
-          {{"error", std::string(update.status().message())}});
+          {{"error", MessageOf(update.status())}});
     }
     loop_.After(NextRetry(watch_failures_), [this] { Watch(); });
     return;
--- a/tests/standins/engine_standin.cc
+++ b/tests/standins/engine_standin.cc
@@ -29,6 +29,7 @@
   int served = 0;
   int cancelled = 0;
   int fallen = 0;
+  std::int64_t tokens_sent = 0;
   int most_running = 0;
   bool is_leaving = false;
 
@@ -63,9 +64,12 @@
   try {
     co_await connection.StartChunks(200, "text/event-stream");
     for (int i = 0; i < tokens && boot == engine.boot; ++i) {
-      co_await Sleep(engine.token_interval);
+      if (engine.token_interval.count() > 0) {
+        co_await Sleep(engine.token_interval);
+      }
       co_await connection.Chunk("data: {\"request\":\"" + id +
                                 "\",\"token\":" + std::to_string(i) + "}\n\n");
+      ++engine.tokens_sent;
     }
   } catch (const std::exception&) {
     --engine.running;
@@ -95,6 +99,7 @@
     state.update({{"served", engine.served},
                   {"cancelled", engine.cancelled},
                   {"fallen", engine.fallen},
+                  {"tokens_sent", engine.tokens_sent},
                   {"most_running", engine.most_running}});
     co_await connection.Reply(200, "application/json", state.dump());
   } else if (request.path == "/standin/reboot") {
