--- a/src/agent_main.cc
+++ b/src/agent_main.cc
@@ -61,7 +61,7 @@
       {.gate = {.instance = settings.instance,
                 .service = settings.service,
                 .zone = settings.zone,
-                .tickets = {.agent = settings.peer_address,
+                .tickets = {.agent = settings.instance,
                             .incarnation = Incarnation(RandomHex128())},
                 .confirmation_limit = settings.confirmation_limit},
        .listen = settings.peer_address,
--- a/src/backend/ticket.cc
+++ b/src/backend/ticket.cc
@@ -37,7 +37,7 @@
   if (!is_whole || parts[0].empty() || parts[3].empty() || !text.empty()) {
     return absl::InvalidArgumentError("not a ticket");
   }
-  return Ticket{.agent = Endpoint(parts[0]),
+  return Ticket{.agent = InstanceId(parts[0]),
                 .incarnation = Incarnation(parts[1]),
                 .sequence = TicketSequence(sequence),
                 .secret = parts[3]};
--- a/src/backend/ticket.h
+++ b/src/backend/ticket.h
@@ -20,7 +20,7 @@
 namespace mangohold {
 
 struct Ticket {
-  Endpoint agent;
+  InstanceId agent;
   Incarnation incarnation;
   TicketSequence sequence;
   std::string secret;  // 128 random bits in hexadecimal
@@ -54,7 +54,7 @@
 class TicketBook {
  public:
   struct Options {
-    Endpoint agent;
+    InstanceId agent;
     Incarnation incarnation;
     std::size_t max_tickets = 65'536;
     std::size_t max_kept_bytes = 16U << 20U;
--- a/src/caller/entry_context.h
+++ b/src/caller/entry_context.h
@@ -33,8 +33,8 @@
   int requests = 0;                        // requests in progress here
   int live_entries = 1;                    // entries in the platform's list
 
-  // The link to the agent with this address, or null.
-  AgentLinkPtr LinkByEndpoint(const Endpoint& agent) const;
+  // The link to the backend server's agent, or null.
+  AgentLinkPtr LinkTo(const InstanceId& backend) const;
 };
 
 }  // namespace mangohold
--- a/src/caller/entry_server.cc
+++ b/src/caller/entry_server.cc
@@ -205,14 +205,14 @@
 
 void EntryServer::GrantTicket(const ServiceName& service, const RequestId& id,
                               int status, const Exchange& exchange) {
-  const auto chosen =
-      context_.router.Choose({.service = service, .tried = {}}, Clock::now());
-  const auto link =
-      chosen ? context_.links.find(*chosen) : context_.links.end();
-  if (link == context_.links.end()) {
+  const InstanceId chosen =
+      context_.router.Choose({.service = service, .tried = {}}, Clock::now())
+          .value_or(InstanceId());
+  const AgentLinkPtr link = context_.LinkTo(chosen);
+  if (link == nullptr) {
     return Refuse(id, Reason::kNoBackend, "", exchange);
   }
-  link->second->Call(
+  link->Call(
       kTicketPath, Encode(TicketRequest{.service = service}),
       [this, id, status, exchange](const std::optional<std::string>& message) {
         const auto reply = Decode<TicketReply>(message.value_or(""));
--- a/src/caller/request_run.cc
+++ b/src/caller/request_run.cc
@@ -38,10 +38,8 @@
 
 }  // namespace
 
-AgentLinkPtr EntryContext::LinkByEndpoint(const Endpoint& agent) const {
-  const auto it = std::ranges::find_if(links, [&agent](const auto& item) {
-    return item.second->agent() == agent;
-  });
+AgentLinkPtr EntryContext::LinkTo(const InstanceId& backend) const {
+  const auto it = links.find(backend);
   return it == links.end() ? nullptr : it->second;
 }
 
@@ -112,14 +110,14 @@
                                          .prefix = request_.prefix},
                                         Clock::now())
                                 .value_or(InstanceId());
-  const auto link = context_.links.find(chosen);
-  if (link == context_.links.end()) {
+  const AgentLinkPtr link = context_.LinkTo(chosen);
+  if (link == nullptr) {
     Do(policy_.OnNotSent(Reason::kNoBackend,
                          context_.router.RetryAfter(request_.service)));
     return false;
   }
   agent_ = chosen;
-  link_ = link->second;
+  link_ = link;
   tried_.push_back(agent_);
   has_attempt_ = true;
   context_.router.OnSent(agent_);
@@ -175,7 +173,7 @@
       return Do(policy_.OnRefused(Reason::kTicketMismatch,
                                   /*may_have_run=*/false, Millis(0)));
     }
-    link_ = context_.LinkByEndpoint(ticket->agent);
+    link_ = context_.LinkTo(ticket->agent);
     if (link_ == nullptr) {
       return Do(policy_.OnNotSent(Reason::kAgentUnreachable, Millis(0)));
     }
--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -127,6 +127,12 @@
   return "http://" + Ip(kPlatformHost) + ":7000";
 }
 
+// Where entries connect to reach the agent.
+Endpoint Site::PeerAddress(std::size_t backend) const {
+  const std::string port = options_.has_relays ? ":7060" : ":7070";
+  return Endpoint(Ip(kFirstBackendHost + static_cast<int>(backend)) + port);
+}
+
 std::string Site::WriteFile(const std::string& name, const std::string& text) {
   const std::string path = directory_ + "/" + name;
   std::ofstream(path) << text;
@@ -199,6 +205,11 @@
     StartBackend(static_cast<int>(i));
     StartAgent(static_cast<int>(i));
   }
+  for (std::size_t i = 0; options_.has_relays && i < plan_.size(); ++i) {
+    relays_.push_back(std::make_unique<Relay>(
+        PeerAddress(i),
+        Endpoint(Ip(kFirstBackendHost + static_cast<int>(i)) + ":7070")));
+  }
   for (int i = 0; i < options_.entries; ++i) StartEntry(i);
   WaitFor([this] {
     return Send(OperatorAddress(0), "GET", "/v1/status", "").status == 200;
@@ -257,13 +268,12 @@
     const bool is_leaving =
         std::ranges::find(leaving_backends, static_cast<int>(i)) !=
         leaving_backends.end();
-    list.push_back(
-        {{"id", "backend-" + std::to_string(i)},
-         {"role", "backend"},
-         {"state", is_leaving ? "leaving" : "live"},
-         {"zone", plan_[i].zone},
-         {"service", plan_[i].service},
-         {"peer", Ip(kFirstBackendHost + static_cast<int>(i)) + ":7070"}});
+    list.push_back({{"id", "backend-" + std::to_string(i)},
+                    {"role", "backend"},
+                    {"state", is_leaving ? "leaving" : "live"},
+                    {"zone", plan_[i].zone},
+                    {"service", plan_[i].service},
+                    {"peer", PeerAddress(i).value()}});
   }
   FetchAndWait({.method = "POST",
                 .url = PlatformUrl() + "/standin/instances",
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -10,6 +10,7 @@
 
 #include "caller/caller_client.h"
 #include "net/http_client.h"
+#include "relay.h"
 
 namespace mangohold::testing {
 
@@ -49,6 +50,8 @@
     "cold_start": {"initial_limit": 8, "successes_per_step": 1}})";
   std::string workspace_document = R"({"max_in_flight": 1000})";
   int address_max_age_ms = 300;
+  // Entries reach agents through relays, which tests can cut.
+  bool has_relays = false;
 };
 
 // A running deployment on loopback addresses of its own. Zones are dealt out
@@ -72,6 +75,7 @@
   Process& agent(int index) { return *agents_[index]; }
   Process& backend(int index) { return *backends_[index]; }
   Process& platform() { return *platform_; }
+  Relay& relay(int index) { return *relays_[index]; }
   void StartAgent(int index);
   void StartBackend(int index);
   void StartEntry(int index);
@@ -93,6 +97,7 @@
   };
 
   std::string Ip(int last) const;
+  Endpoint PeerAddress(std::size_t backend) const;
   std::string WriteFile(const std::string& name, const std::string& text);
 
   SiteOptions options_;
@@ -103,6 +108,7 @@
   std::vector<std::unique_ptr<Process>> entries_;
   std::vector<std::unique_ptr<Process>> agents_;
   std::vector<std::unique_ptr<Process>> backends_;
+  std::vector<std::unique_ptr<Relay>> relays_;
 };
 
 // One request to an address, with the fields of a caller.
