--- a/src/caller/request_run.cc
+++ b/src/caller/request_run.cc
@@ -219,6 +219,7 @@
   }
   context_.router.OnStatus(agent_, reply->status, Clock::now());
   if (reply->reason != Reason::kNone) {
+    DropStream();
     EndAttempt(reply->may_have_run ? AttemptResult::kFailed
                                    : AttemptResult::kRefused);
     return Do(policy_.OnRefused(reply->reason, reply->may_have_run,
@@ -265,10 +266,20 @@
   Do(policy_.OnEnd(is_whole && !is_too_large_, reason));
 }
 
+// Forgets the present submission. A refused one ends its stream after its
+// head, when the next may be under way already; what still comes is dropped.
+void RequestRun::DropStream() {
+  if (stream_ == nullptr) return;
+  stream_->SetHandlers(
+      {.on_head = [context = shared_context_](const HttpFields&) {
+        context->counters.Count(Event::kLateAnswersDropped);
+      }});
+  stream_.reset();
+}
+
 void RequestRun::OnBroken() {
-  if (policy_.is_finished()) return;
   EndAttempt(AttemptResult::kFailed);
-  stream_.reset();
+  DropStream();
   Do(policy_.OnLinkBroken());
 }
 
@@ -291,6 +302,7 @@
   if (policy_.is_finished()) return;
   context_.counters.CountRefusal(Reason::kCallerGone);
   if (stream_ != nullptr) stream_->Reset();
+  stream_.reset();
   EndAttempt(AttemptResult::kRefused);
   const Action end = policy_.OnDeadline();
   context_.counters.CountOutcome(end.outcome);
@@ -303,6 +315,7 @@
   if (policy_.is_finished()) return;
   const auto keep = shared_from_this();
   if (stream_ != nullptr) stream_->Reset();
+  stream_.reset();
   EndAttempt(AttemptResult::kFailed);
   Do(policy_.OnDeadline());
 }
--- a/src/caller/request_run.h
+++ b/src/caller/request_run.h
@@ -57,6 +57,7 @@
   void OnHead(const HttpFields& head);
   void OnData(std::string_view data);
   void OnEnd(const HttpFields& trailers);
+  void DropStream();
   void OnBroken();
   void OnCallerGone();
   void OnDeadline();
--- a/src/peer/http2_session.cc
+++ b/src/peer/http2_session.cc
@@ -47,7 +47,10 @@
 struct Http2Stream::Impl {
   std::weak_ptr<Http2Session::Impl> session;
   std::int32_t id = 0;
-  Http2Handlers handlers;
+  // A handler may replace the handlers, itself included, so a call holds on to
+  // those that it was made from.
+  std::shared_ptr<const Http2Handlers> handlers =
+      std::make_shared<const Http2Handlers>();
   HttpFields incoming;
   bool has_head = false;
   std::string queue;
@@ -158,13 +161,15 @@
         trailers = std::move(fields);
       } else {
         impl.has_head = true;
-        if (impl.handlers.on_head) impl.handlers.on_head(std::move(fields));
+        const auto handlers = impl.handlers;
+        if (handlers->on_head) handlers->on_head(std::move(fields));
       }
     }
     const bool ends = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
     if (ends && !impl.remote_ended && !impl.closed) {
       impl.remote_ended = true;
-      if (impl.handlers.on_end) impl.handlers.on_end(std::move(trailers));
+      const auto handlers = impl.handlers;
+      if (handlers->on_end) handlers->on_end(std::move(trailers));
     }
     return 0;
   }
@@ -173,12 +178,12 @@
                     const std::uint8_t* data, std::size_t size,
                     void* user_data) {
     const auto stream = Self(user_data).Find(id);
-    if (stream == nullptr || !stream->impl_->handlers.on_data) {
+    const auto handlers = stream == nullptr ? nullptr : stream->impl_->handlers;
+    if (handlers == nullptr || !handlers->on_data) {
       nghttp2_session_consume(session, id, size);
       return 0;
     }
-    stream->impl_->handlers.on_data(
-        {reinterpret_cast<const char*>(data), size});
+    handlers->on_data({reinterpret_cast<const char*>(data), size});
     return 0;
   }
 
@@ -195,10 +200,10 @@
     if (node.empty()) return;
     Http2Stream::Impl& impl = *node.mapped()->impl_;
     impl.closed = true;
-    const Http2Handlers handlers = std::move(impl.handlers);
-    impl.handlers = {};
+    const auto handlers = std::move(impl.handlers);
+    impl.handlers = std::make_shared<const Http2Handlers>();
     const bool is_whole = impl.remote_ended && impl.local_sent;
-    if (!is_whole && handlers.on_broken) handlers.on_broken();
+    if (!is_whole && handlers->on_broken) handlers->on_broken();
   }
 
   static ssize_t OnRead(nghttp2_session* session, std::int32_t id,
@@ -233,9 +238,8 @@
   void PostWritable(const Http2StreamPtr& stream) {
     asio::post(socket.get_executor(), [stream] {
       const Http2Stream::Impl& impl = *stream->impl_;
-      if (!impl.closed && impl.handlers.on_writable) {
-        impl.handlers.on_writable();
-      }
+      const auto handlers = impl.handlers;
+      if (!impl.closed && handlers->on_writable) handlers->on_writable();
     });
   }
 
@@ -369,7 +373,7 @@
 Http2Stream::~Http2Stream() = default;
 
 void Http2Stream::SetHandlers(Http2Handlers handlers) {
-  impl_->handlers = std::move(handlers);
+  impl_->handlers = std::make_shared<const Http2Handlers>(std::move(handlers));
 }
 
 void Http2Stream::SendHead(const HttpFields& fields) {
@@ -409,7 +413,7 @@
 }
 
 void Http2Stream::Reset() {
-  impl_->handlers = {};
+  SetHandlers({});
   const auto session = impl_->session.lock();
   if (session == nullptr || impl_->closed) return;
   nghttp2_submit_rst_stream(session->session, NGHTTP2_FLAG_NONE, impl_->id,
