Count a higher cold-start limit from the settings at once

Each agent began with the built-in limit of 1, because taking in the settings only ever lowered the limit, and had to grow from there.

Ruled out: shedding by deadline, and the retry budget, whose refusals were the consequence.

Change: ColdStartLimit::SetOptions raises the limit to the settings' start.

--- a/src/backend/cold_start.h
+++ b/src/backend/cold_start.h
@@ -20,23 +20,24 @@
   // Requests that the backend server may have in progress now.
   int limit() const { return limit_; }
   bool is_cold() const { return limit_ < full_limit_; }
-  // Counts the change of limits by operators; progress is kept.
+  // Takes a change of limits by operators; progress is kept, and a higher start
+  // counts at once.
   void SetOptions(ColdStart options, int full_limit) {
     options_ = options;
     full_limit_ = full_limit;
-    limit_ = std::min(limit_, full_limit_);
+    limit_ = std::clamp(limit_, StartLimit(), full_limit_);
   }
 
   // A changed boot id, a refused connection or a fresh report: start over.
   void BecomeCold() {
-    limit_ = std::min(options_.initial_limit, full_limit_);
+    limit_ = StartLimit();
     successes_ = 0;
     proven_limit_.reset();
   }
   // The server may have restarted: keep to the start until a report tells.
   void Suspect() {
     if (!proven_limit_) proven_limit_ = limit_;
-    limit_ = std::min(options_.initial_limit, full_limit_);
+    limit_ = StartLimit();
   }
   // The server is still the one that proved its warmth.
   void Trust() {
@@ -53,12 +54,15 @@
   }
   // A request failed at the backend server: halve, but not below the start.
   void OnFailure() {
-    limit_ =
-        std::max(limit_ / 2, std::min(options_.initial_limit, full_limit_));
+    limit_ = std::max(limit_ / 2, StartLimit());
     successes_ = 0;
   }
 
  private:
+  int StartLimit() const {
+    return std::min(options_.initial_limit, full_limit_);
+  }
+
   ColdStart options_;
   int full_limit_;
   int limit_ = 0;
--- a/tests/unit/cold_start_test.cc
+++ b/tests/unit/cold_start_test.cc
@@ -151,6 +151,14 @@
   EXPECT_GT(served, 2 * kSeeds * (kRun / Millis(70)));
 }
 
+TEST(ColdStart, ASettingOfAHigherStartCountsAtOnce) {
+  ColdStartLimit limit({.initial_limit = 1, .successes_per_step = 4}, 16);
+  limit.SetOptions({.initial_limit = 6, .successes_per_step = 4}, 16);
+  EXPECT_EQ(limit.limit(), 6);
+  limit.SetOptions({.initial_limit = 6, .successes_per_step = 4}, 4);
+  EXPECT_EQ(limit.limit(), 4);
+}
+
 TEST(ColdStart, ASuspectedServerKeepsToItsStartUntilItIsTrusted) {
   ColdStartLimit limit({.initial_limit = 2, .successes_per_step = 1}, 16);
   for (int i = 0; i < 6; ++i) limit.OnSuccess(/*was_full=*/true);
