Spread settings between processes; accept changes by majority

Cause: every process watched the store itself, so calls on it grew with the fleet, nothing could be confirmed while it was down, and a change was reported as done before anybody else knew it.

Change: package spread. A few entries of each zone watch the store (rendezvous hash over the instance list); all others learn by questions that a peer holds until there is news. Confirmation travels as ages: from the store, from a confirmed peer, or from a majority of the entries. A change needs an entry that hears a majority, and is accepted once a majority is known to have it. AgentLink became PeerLink for both uses.

Ruled out: counting a newcomer as soon as it has learnt from a majority. Its predecessor may have acknowledged a change that was not accepted yet; a newcomer without the store counts only after every change in progress at its start has been accepted or given up (5 s).

--- a/bench/load.sh
+++ b/bench/load.sh
@@ -17,13 +17,13 @@
 host=127.3.0.1
 cat >"$dir/instances.json" <<JSON
 [{"id": "entry", "role": "entry", "state": "live", "zone": "suva",
-  "caller": "$host:8080", "peer": "$host:8082"},
+  "caller": "$host:8080", "control": "$host:8082"},
  {"id": "backend", "role": "backend", "state": "live", "zone": "suva",
   "service": "drafts", "peer": "$host:7070"}]
 JSON
 cat >"$dir/entry.json" <<JSON
 {"instance": "entry", "zone": "suva", "caller_address": "$host:8080",
- "operator_address": "$host:8081", "platform_url": "http://$host:7000",
+ "operator_address": "$host:8081", "control_address": "$host:8082", "platform_url": "http://$host:7000",
  "log_level": "warning",
  "operators": [{"name": "lead", "token": "lead", "subtree": "/"}]}
 JSON
@@ -53,10 +53,9 @@
 pids+=($entry)
 ctl="$build/mangoholdctl -o $host:8081 -e $host:8080 -t lead"
 for _ in $(seq 1 100); do
-  $ctl status >/dev/null 2>&1 && break
+  $ctl import "$dir/tree" >/dev/null 2>&1 && break
   sleep 0.1
 done
-$ctl import "$dir/tree" >/dev/null
 sleep 1.5
 awk '/VmRSS/ {printf "{\"idle_entry_rss_mb\": %.1f}\n", $2 / 1024}' "/proc/$entry/status"
 "$build/bench/load_tool" --rate "$rate" --seconds "$seconds" --rounds 3 \
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -38,17 +38,20 @@
 
 ctl="$build/mangoholdctl --operator 127.1.1.1:8081 --entry 127.1.1.1:8080,127.1.1.2:8080"
 export MANGOHOLD_TOKEN=example-lead
-for _ in $(seq 1 100); do
-  $ctl status >/dev/null 2>&1 && break
-  sleep 0.1
-done
 echo "== an operator brings in the settings tree"
-$ctl import $site/tree >/dev/null
-for _ in $(seq 1 100); do
-  $ctl --workspace head-office --path /v1/generate --data '{"tokens": 1}' \
-    --repeatable --deadline-ms 500 call listing-assistant >/dev/null 2>&1 && break
-  sleep 0.1
-done
+until_done() {
+  for _ in $(seq 1 100); do
+    "$@" >/dev/null 2>&1 && return
+    sleep 0.1
+  done
+  echo "gave up on: $*" >&2
+  exit 1
+}
+until_done $ctl import $site/tree
+until_done $ctl --workspace head-office --path /v1/generate \
+  --data '{"tokens": 1}' --repeatable --deadline-ms 500 call listing-assistant
+until_done $ctl --workspace head-office --path /listings --method GET \
+  --repeatable --deadline-ms 500 call bookings
 echo "== the addresses that callers may use"
 $ctl entries
 echo "== a draft, streamed: caller -> entry -> agent -> engine"
--- a/src/agent_main.cc
+++ b/src/agent_main.cc
@@ -9,8 +9,9 @@
 #include "core/process_settings.h"
 #include "core/random.h"
 #include "core/status.h"
+#include "net/endpoint.h"
 #include "net/http_server.h"
-#include "platform/platform_feed.h"
+#include "spread/spread_node.h"
 
 namespace mangohold {
 namespace {
@@ -69,8 +70,15 @@
       counters);
   HttpClient http(control.io());
   PlatformClient platform(http, {.url = settings.platform_url}, counters);
-  PlatformFeed feed(
-      control, platform, {},
+  SpreadNode node(
+      control, platform,
+      {.spread = {.instance = settings.instance,
+                  .role = InstanceRole::kBackend,
+                  .zone = settings.zone,
+                  .incarnation = Incarnation(RandomHex128()),
+                  .started_at = Clock::now()},
+       .listen = Endpoint(),
+       .seeds = ToEndpoints(settings.seeds)},
       {.on_configuration =
            [&](const ConfigurationPtr& configuration) {
              traffic.Post([&server, configuration] {
@@ -93,7 +101,8 @@
                                const std::shared_ptr<HttpExchange>& exchange) {
                      HandleAdmin(request, *exchange, counters);
                    });
-  for (const absl::Status& status : {server.Start(), admin.Listen()}) {
+  for (const absl::Status& status :
+       {server.Start(), node.Start(), admin.Listen()}) {
     if (status.ok()) continue;
     Log(LogLevel::kError, "start_failed", {{"error", MessageOf(status)}});
     return kExitUnavailable;
@@ -108,7 +117,6 @@
                     Clock::now() + settings.leave_limit);
     });
   });
-  feed.Start();
   Log(LogLevel::kInfo, "started",
       {{"peer_address", settings.peer_address.value()}});
   traffic.StartThread();
--- a/src/caller/entry_context.h
+++ b/src/caller/entry_context.h
@@ -9,7 +9,7 @@
 #include "core/counters.h"
 #include "core/ids.h"
 #include "net/event_loop.h"
-#include "peer/agent_link.h"
+#include "peer/peer_link.h"
 #include "routing/retry_budget.h"
 #include "routing/router.h"
 
@@ -27,14 +27,14 @@
   Counters& counters;
   Router router;
   ConfigurationPtr configuration;
-  std::unordered_map<InstanceId, AgentLinkPtr> links;
+  std::unordered_map<InstanceId, PeerLinkPtr> links;
   std::map<BudgetKey, RetryBudget> budgets;
   std::map<WorkspaceName, int> in_flight;  // requests of each workspace here
   int requests = 0;                        // requests in progress here
   int live_entries = 1;                    // entries in the platform's list
 
   // The link to the backend server's agent, or null.
-  AgentLinkPtr LinkTo(const InstanceId& backend) const;
+  PeerLinkPtr LinkTo(const InstanceId& backend) const;
 };
 
 }  // namespace mangohold
--- a/src/caller/entry_server.cc
+++ b/src/caller/entry_server.cc
@@ -19,6 +19,7 @@
 // The part of a prompt that prefix affinity goes by.
 constexpr std::size_t kPrefixBytes = 512;
 constexpr std::size_t kMostRequestIdBytes = 128;
+constexpr Duration kStatusInterval = std::chrono::milliseconds(500);
 
 constexpr std::array<std::string_view, static_cast<int>(Priority::kCount)>
     kPriorities = {"high", "normal", "low"};
@@ -80,7 +81,24 @@
               Handle(std::move(request), exchange);
             }) {}
 
-absl::Status EntryServer::Start() { return http_.Listen(); }
+absl::Status EntryServer::Start() {
+  loop_.Every(kStatusInterval, [this] {
+    for (const auto& [id, link] : context_.links) AskStatus(id);
+  });
+  return http_.Listen();
+}
+
+// Answers carry the status too; asking covers servers that get no work.
+void EntryServer::AskStatus(const InstanceId& backend) {
+  const PeerLinkPtr link = context_.LinkTo(backend);
+  if (link == nullptr || !link->is_up()) return;
+  link->Call(kStatusPath, Encode(StatusRequest{.instance = options_.instance}),
+             [this, backend](const std::optional<std::string>& reply) {
+               const auto status = Decode<AgentStatus>(reply.value_or(""));
+               if (!status.ok()) return;
+               context_.router.OnStatus(backend, *status, Clock::now());
+             });
+}
 
 void EntryServer::SetConfiguration(ConfigurationPtr configuration) {
   has_configuration_ = true;
@@ -106,7 +124,7 @@
     });
   };
   std::erase_if(context_.links, [&wanted](const auto& item) {
-    if (wanted(item.first, item.second->agent())) return false;
+    if (wanted(item.first, item.second->peer())) return false;
     item.second->Stop();
     return true;
   });
@@ -114,16 +132,12 @@
     if (instance.role != InstanceRole::kBackend) continue;
     if (context_.links.contains(instance.id)) continue;
     const InstanceId id = instance.id;
-    auto link = std::make_shared<AgentLink>(
-        loop_,
-        AgentLink::Options{.entry = options_.instance, .agent = instance.peer},
-        AgentLink::Handlers{
-            .on_link = [this,
-                        id](bool is_up) { context_.router.OnLink(id, is_up); },
-            .on_status =
-                [this, id](const AgentStatus& status) {
-                  context_.router.OnStatus(id, status, Clock::now());
-                }},
+    auto link = std::make_shared<PeerLink>(
+        loop_, PeerLink::Options{.peer = instance.peer},
+        [this, id](bool is_up) {
+          context_.router.OnLink(id, is_up);
+          if (is_up) AskStatus(id);
+        },
         counters_);
     context_.links.emplace(id, link);
     link->Start();
@@ -208,7 +222,7 @@
   const InstanceId chosen =
       context_.router.Choose({.service = service, .tried = {}}, Clock::now())
           .value_or(InstanceId());
-  const AgentLinkPtr link = context_.LinkTo(chosen);
+  const PeerLinkPtr link = context_.LinkTo(chosen);
   if (link == nullptr) {
     return Refuse(id, Reason::kNoBackend, "", exchange);
   }
--- a/src/caller/entry_server.h
+++ b/src/caller/entry_server.h
@@ -61,6 +61,7 @@
               const Exchange& exchange);
   bool IsOverWorkspaceLimit(const WorkspaceName& workspace) const;
   void SyncLinks();
+  void AskStatus(const InstanceId& backend);
 
   EventLoop& loop_;
   Options options_;
--- a/src/caller/request_run.cc
+++ b/src/caller/request_run.cc
@@ -38,7 +38,7 @@
 
 }  // namespace
 
-AgentLinkPtr EntryContext::LinkTo(const InstanceId& backend) const {
+PeerLinkPtr EntryContext::LinkTo(const InstanceId& backend) const {
   const auto it = links.find(backend);
   return it == links.end() ? nullptr : it->second;
 }
@@ -110,7 +110,7 @@
                                          .prefix = request_.prefix},
                                         Clock::now())
                                 .value_or(InstanceId());
-  const AgentLinkPtr link = context_.LinkTo(chosen);
+  const PeerLinkPtr link = context_.LinkTo(chosen);
   if (link == nullptr) {
     Do(policy_.OnNotSent(Reason::kNoBackend,
                          context_.router.RetryAfter(request_.service)));
--- a/src/caller/request_run.h
+++ b/src/caller/request_run.h
@@ -82,7 +82,7 @@
   std::vector<InstanceId> tried_;
   InstanceId agent_;  // of the attempt in progress
   bool has_attempt_ = false;
-  AgentLinkPtr link_;
+  PeerLinkPtr link_;
   std::string ticket_;
   Http2StreamPtr stream_;
   // The answer: an event stream is relayed as it comes, any other is gathered
--- a/src/config/documents.h
+++ b/src/config/documents.h
@@ -70,7 +70,9 @@
 
 // /fleet
 struct FleetDocument {
-  int expected_entries = 6;  // entry instances that normally run
+  // Entry instances that normally run; no fewer than ever run at once, since
+  // majorities are counted over them. 0: not set yet.
+  int expected_entries = 0;
 };
 
 // The subtree that a document path belongs to.
--- a/src/core/process_settings.cc
+++ b/src/core/process_settings.cc
@@ -18,6 +18,7 @@
                         level);
   settings.log_level = static_cast<LogLevel>(level);
   reader.OptionalMillis("leave_limit_ms", settings.leave_limit, kLeaveLimitMs);
+  reader.Optional("seeds", settings.seeds);
 }
 
 void ReadEndpoint(ObjectReader& reader, std::string_view name,
@@ -56,6 +57,7 @@
   ReadCommon(reader, settings);
   ReadEndpoint(reader, "caller_address", settings.caller_address);
   ReadEndpoint(reader, "operator_address", settings.operator_address);
+  ReadEndpoint(reader, "control_address", settings.control_address);
   reader.Optional("max_requests", settings.max_requests, {1, 1'000'000});
   reader.OptionalMillis("address_max_age_ms", settings.address_max_age,
                         {100, 3'600'000});
--- a/src/core/process_settings.h
+++ b/src/core/process_settings.h
@@ -22,8 +22,10 @@
 struct EntrySettings {
   InstanceId instance;
   ZoneName zone;
-  Endpoint caller_address;    // callers' HTTP
-  Endpoint operator_address;  // operators' HTTP
+  Endpoint caller_address;         // callers' HTTP
+  Endpoint operator_address;       // operators' HTTP
+  Endpoint control_address;        // other processes ask for settings here
+  std::vector<std::string> seeds;  // entries' control addresses
   std::string platform_url;
   LogLevel log_level = LogLevel::kInfo;
   int max_requests = 2'000;
@@ -37,8 +39,9 @@
   InstanceId instance;
   ZoneName zone;
   ServiceName service;
-  Endpoint peer_address;   // entries connect here
-  Endpoint admin_address;  // health and metrics
+  Endpoint peer_address;           // entries connect here
+  Endpoint admin_address;          // health and metrics
+  std::vector<std::string> seeds;  // entries' control addresses
   std::string backend_url;
   std::string platform_url;
   LogLevel log_level = LogLevel::kInfo;
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -8,8 +8,9 @@
 #include "core/process_settings.h"
 #include "core/random.h"
 #include "core/status.h"
+#include "net/endpoint.h"
 #include "operator/operator_server.h"
-#include "platform/platform_feed.h"
+#include "spread/spread_node.h"
 
 namespace mangohold {
 namespace {
@@ -47,27 +48,35 @@
                      counters);
   HttpClient http(control.io());
   PlatformClient platform(http, {.url = settings.platform_url}, counters);
-  PlatformFeed feed(control, platform, {},
-                    {.on_configuration =
-                         [&](const ConfigurationPtr& configuration) {
-                           traffic.Post([&server, configuration] {
-                             server.SetConfiguration(configuration);
-                           });
-                         },
-                     .on_confirmed = [](TimePoint) {},
-                     .on_instances =
-                         [&](const std::vector<Instance>& instances) {
-                           traffic.Post([&server, instances] {
-                             server.SetInstances(instances);
-                           });
-                         }},
-                    counters);
+  SpreadNode node(control, platform,
+                  {.spread = {.instance = settings.instance,
+                              .role = InstanceRole::kEntry,
+                              .zone = settings.zone,
+                              .incarnation = Incarnation(RandomHex128()),
+                              .started_at = Clock::now()},
+                   .listen = settings.control_address,
+                   .seeds = ToEndpoints(settings.seeds)},
+                  {.on_configuration =
+                       [&](const ConfigurationPtr& configuration) {
+                         traffic.Post([&server, configuration] {
+                           server.SetConfiguration(configuration);
+                         });
+                       },
+                   .on_confirmed = [](TimePoint) {},
+                   .on_instances =
+                       [&](const std::vector<Instance>& instances) {
+                         traffic.Post([&server, instances] {
+                           server.SetInstances(instances);
+                         });
+                       }},
+                  counters);
   OperatorServer operators(control,
                            {.listen = settings.operator_address,
                             .instance = settings.instance,
                             .operators = settings.operators},
-                           feed, platform);
-  for (const absl::Status& status : {server.Start(), operators.Start()}) {
+                           node, platform);
+  for (const absl::Status& status :
+       {server.Start(), node.Start(), operators.Start()}) {
     if (status.ok()) continue;
     Log(LogLevel::kError, "start_failed", {{"error", MessageOf(status)}});
     return kExitUnavailable;
@@ -77,6 +86,7 @@
     if (is_leaving) return control.Stop();
     is_leaving = true;
     Log(LogLevel::kInfo, "leaving_began");
+    node.BeginLeaving();
     traffic.Post([&] {
       const TimePoint now = Clock::now();
       server.BeginLeaving();
@@ -84,7 +94,6 @@
                     now + settings.leave_limit);
     });
   });
-  feed.Start();
   Log(LogLevel::kInfo, "started",
       {{"caller_address", settings.caller_address.value()}});
   traffic.StartThread();
--- a/src/net/endpoint.cc
+++ b/src/net/endpoint.cc
@@ -15,4 +15,10 @@
   return out;
 }
 
+std::vector<Endpoint> ToEndpoints(const std::vector<std::string>& texts) {
+  std::vector<Endpoint> out;
+  for (const std::string& text : texts) out.emplace_back(text);
+  return out;
+}
+
 }  // namespace mangohold
--- a/src/net/endpoint.h
+++ b/src/net/endpoint.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "core/ids.h"
 
@@ -15,5 +16,6 @@
 };
 
 HostPort ParseEndpoint(const Endpoint& endpoint);
+std::vector<Endpoint> ToEndpoints(const std::vector<std::string>& texts);
 
 }  // namespace mangohold
--- a/src/operator/operator_server.cc
+++ b/src/operator/operator_server.cc
@@ -20,7 +20,7 @@
   int http_status;
 };
 
-constexpr std::array<ResultRow, 5> kResults = {{{"stored", 200},
+constexpr std::array<ResultRow, 5> kResults = {{{"accepted", 200},
                                                 {"invalid", 422},
                                                 {"conflict", 409},
                                                 {"refused", 503},
@@ -52,9 +52,9 @@
 }  // namespace
 
 OperatorServer::OperatorServer(EventLoop& loop, Options options,
-                               const PlatformFeed& feed, PlatformClient& client)
+                               SpreadNode& node, PlatformClient& client)
     : options_(std::move(options)),
-      feed_(feed),
+      node_(node),
       editor_(client),
       http_(loop.io(), {.address = options_.listen, .max_connections = 64},
             [this](const HttpRequest& request, const Exchange& exchange) {
@@ -85,25 +85,51 @@
 
 void OperatorServer::HandleList(const Exchange& exchange) {
   Json documents = Json::array();
-  for (const auto& version : feed_.tree().ChangesSince(Revision()).documents) {
+  for (const auto& version : node_.tree().ChangesSince(Revision()).documents) {
     if (!version.text.empty()) documents.push_back(ToJson(version));
   }
   ReplyJson(exchange, 200,
             {{"documents", documents},
-             {"complete_through", feed_.tree().complete_through()}});
+             {"complete_through", node_.tree().complete_through()}});
 }
 
 void OperatorServer::HandleRead(const std::string& path,
                                 const Exchange& exchange) {
-  const DocumentVersion version = feed_.tree().Find(path);
+  const DocumentVersion version = node_.tree().Find(path);
   const bool is_found = version.revision != Revision() && !version.text.empty();
   ReplyJson(exchange, is_found ? 200 : 404, ToJson(version));
 }
 
+// What is in force here and at the processes that this entry hears.
 void OperatorServer::HandleStatus(const Exchange& exchange) {
-  ReplyJson(exchange, 200,
-            {{"instance", options_.instance},
-             {"complete_through", feed_.tree().complete_through()}});
+  const Spread& spread = node_.spread();
+  const TimePoint now = Clock::now();
+  const auto as_of = spread.confirmed_as_of(now);
+  Json instances = Json::array();
+  for (const auto& [id, peer] : spread.peers()) {
+    instances.push_back({{"instance", id},
+                         {"role", "entry"},
+                         {"revision", peer.complete_through},
+                         {"heard_ms_ago", ToMillis(now - peer.heard_at)},
+                         {"qualified", peer.is_qualified},
+                         {"leaving", peer.is_leaving}});
+  }
+  for (const auto& [id, asker] : spread.askers()) {
+    if (spread.peers().contains(id)) continue;
+    instances.push_back({{"instance", id},
+                         {"role", "agent"},
+                         {"revision", asker.complete_through},
+                         {"heard_ms_ago", ToMillis(now - asker.asked_at)}});
+  }
+  ReplyJson(
+      exchange, 200,
+      {{"instance", options_.instance},
+       {"revision", spread.tree().complete_through()},
+       {"confirmed_ms_ago", as_of ? Json(ToMillis(now - *as_of)) : Json()},
+       {"qualified", spread.is_qualified()},
+       {"hears_majority", spread.HearsMajority(now)},
+       {"watches_store", spread.ShouldWatch(now)},
+       {"instances", instances}});
 }
 
 const OperatorToken* OperatorServer::Authorise(const HttpRequest& request,
@@ -140,19 +166,46 @@
   }
   Log(LogLevel::kInfo, "change_requested",
       {{"path", path}, {"operator", token->name}, {"if_revision", revision}});
-  editor_.Change(
-      path, request.body, Revision(revision), token->name,
-      [exchange, path, name = token->name](const ChangeReply& reply) {
-        const ResultRow& row = kResults[static_cast<std::size_t>(reply.result)];
-        Log(LogLevel::kInfo, "change_done",
-            {{"path", path},
-             {"operator", name},
-             {"result", row.name},
-             {"revision", reply.revision.value()}});
-        ReplyJson(exchange, row.http_status,
-                  {{"result", row.name},
-                   {"revision", reply.revision},
-                   {"detail", reply.detail}});
+  const auto on_reply = [exchange, path,
+                         name = token->name](const ChangeReply& reply) {
+    const ResultRow& row = kResults[static_cast<std::size_t>(reply.result)];
+    Log(LogLevel::kInfo, "change_done",
+        {{"path", path},
+         {"operator", name},
+         {"result", row.name},
+         {"revision", reply.revision.value()}});
+    ReplyJson(exchange, row.http_status,
+              {{"result", row.name},
+               {"revision", reply.revision},
+               {"detail", reply.detail}});
+  };
+  if (!node_.spread().HearsMajority(Clock::now())) {
+    return on_reply({.result = ChangeResult::kRefused,
+                     .detail = "this entry hears no majority of the entries"});
+  }
+  const TimePoint sent_at = Clock::now();
+  editor_.Change(path, request.body, Revision(revision), token->name,
+                 [this, sent_at, on_reply](const ChangeReply& reply) {
+                   if (reply.result != ChangeResult::kStored) {
+                     return on_reply(reply);
+                   }
+                   Follow(reply, sent_at, on_reply);
+                 });
+}
+
+void OperatorServer::Follow(const ChangeReply& stored, TimePoint sent_at,
+                            std::function<void(ChangeReply)> on_reply) {
+  node_.ReadStore([] {});
+  node_.WhenAccepted(
+      stored.revision, sent_at + Spread::kAcceptLimit,
+      [stored, on_reply = std::move(on_reply)](bool is_accepted) {
+        ChangeReply reply = stored;
+        if (!is_accepted) {
+          reply.result = ChangeResult::kUnknown;
+          reply.detail =
+              "stored, but not known to be in force at a majority of entries";
+        }
+        on_reply(reply);
       });
 }
 
--- a/src/operator/operator_server.h
+++ b/src/operator/operator_server.h
@@ -2,6 +2,7 @@
 // tree.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -11,7 +12,7 @@
 #include "net/event_loop.h"
 #include "net/http_server.h"
 #include "operator/tree_editor.h"
-#include "platform/platform_feed.h"
+#include "spread/spread_node.h"
 
 namespace mangohold {
 
@@ -24,7 +25,7 @@
     std::vector<OperatorToken> operators;
   };
 
-  OperatorServer(EventLoop& loop, Options options, const PlatformFeed& feed,
+  OperatorServer(EventLoop& loop, Options options, SpreadNode& node,
                  PlatformClient& client);
 
   absl::Status Start();
@@ -37,13 +38,16 @@
   void HandleList(const Exchange& exchange);
   void HandleChange(const HttpRequest& request, const std::string& path,
                     const Exchange& exchange);
+  // Waits for a stored change to come into force at a majority.
+  void Follow(const ChangeReply& stored, TimePoint sent_at,
+              std::function<void(ChangeReply)> on_reply);
   void HandleStatus(const Exchange& exchange);
   // The operator whose token opens `path`, or null.
   const OperatorToken* Authorise(const HttpRequest& request,
                                  const std::string& path) const;
 
   Options options_;
-  const PlatformFeed& feed_;
+  SpreadNode& node_;
   TreeEditor editor_;
   HttpServer http_;
 };
--- a/src/peer/http2_session.h
+++ b/src/peer/http2_session.h
@@ -37,6 +37,9 @@
   std::function<void()> on_writable;
 };
 
+// The header field that carries a message between the system's processes.
+inline constexpr std::string_view kMessageField = "mh-message";
+
 // One stream. All calls belong to the session's event loop.
 class Http2Stream {
  public:
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -17,9 +17,6 @@
 
 namespace mangohold {
 
-// The header field that carries a message.
-inline constexpr std::string_view kMessageField = "mh-message";
-
 // The kinds of streams, as HTTP/2 paths.
 inline constexpr std::string_view kTicketPath = "/ticket";
 inline constexpr std::string_view kSubmitPath = "/submit";
--- a/src/peer/agent_link.cc
+++ b/src/peer/peer_link.cc
@@ -1,4 +1,4 @@
-#include "peer/agent_link.h"
+#include "peer/peer_link.h"
 
 #include <algorithm>
 
@@ -14,6 +14,16 @@
   std::optional<std::string> message;
   std::function<void(std::optional<std::string>)> on_reply;
 
+  std::weak_ptr<Http2Stream> stream;
+
+  void Take(std::string_view data) {
+    message->append(data);
+    if (const auto open = stream.lock()) open->Consume(data.size());
+  }
+  void Fail() {
+    message.reset();
+    Finish();
+  }
   void Finish() {
     const auto callback = std::move(on_reply);
     on_reply = nullptr;
@@ -23,33 +33,33 @@
 
 }  // namespace
 
-AgentLink::AgentLink(EventLoop& loop, Options options, Handlers handlers,
-                     Counters& counters)
+PeerLink::PeerLink(EventLoop& loop, Options options,
+                   std::function<void(bool is_up)> on_link, Counters& counters)
     : loop_(loop),
       options_(std::move(options)),
-      handlers_(std::move(handlers)),
+      on_link_(std::move(on_link)),
       counters_(counters) {}
 
-void AgentLink::Start() { Connect(); }
+void PeerLink::Start() { Connect(); }
 
-void AgentLink::Stop() {
+void PeerLink::Stop() {
   is_stopped_ = true;
   if (session_ != nullptr) session_->Close();
 }
 
-void AgentLink::Connect() {
+void PeerLink::Connect() {
   if (is_stopped_) return;
-  ConnectHttp2(loop_.io(), options_.agent, options_.connect_timeout,
+  ConnectHttp2(loop_.io(), options_.peer, options_.connect_timeout,
                [weak = weak_from_this()](Http2SessionPtr session) {
                  const auto self = weak.lock();
                  if (self != nullptr) self->OnConnected(std::move(session));
                });
 }
 
-void AgentLink::OnConnected(Http2SessionPtr session) {
+void PeerLink::OnConnected(Http2SessionPtr session) {
   if (is_stopped_) return;
   if (session == nullptr) {
-    if (failures_++ == 0) handlers_.on_link(false);
+    if (failures_++ == 0) on_link_(false);
     ScheduleConnect();
     return;
   }
@@ -60,16 +70,15 @@
     const auto self = weak.lock();
     if (self == nullptr || self->is_stopped_) return;
     self->counters_.Count(Event::kPeerDisconnects);
-    self->handlers_.on_link(false);
+    self->on_link_(false);
     self->Connect();
   });
-  handlers_.on_link(true);
-  AskStatus(session_);
+  on_link_(true);
 }
 
 // Half of the delay is random, so that entries don't reconnect to a returning
 // agent in step.
-void AgentLink::ScheduleConnect() {
+void PeerLink::ScheduleConnect() {
   const int doublings = std::min(failures_, 6);
   const Duration bound =
       std::min(options_.first_retry * (1 << doublings), options_.longest_retry);
@@ -81,39 +90,19 @@
   });
 }
 
-// Asks again and again while `session` is the link's present one.
-void AgentLink::AskStatus(const Http2SessionPtr& session) {
-  if (is_stopped_ || session_ != session || !is_up()) return;
-  const std::weak_ptr<Http2Session> asked = session;
-  Call(kStatusPath, Encode(StatusRequest{.instance = options_.entry}),
-       [weak = weak_from_this(),
-        asked](const std::optional<std::string>& reply) {
-         const auto self = weak.lock();
-         if (self == nullptr || !reply) return;
-         const auto status = Decode<AgentStatus>(*reply);
-         if (status.ok()) self->handlers_.on_status(*status);
-         self->loop_.After(self->options_.status_interval, [weak, asked] {
-           const auto alive = weak.lock();
-           const auto same = asked.lock();
-           if (alive != nullptr && same != nullptr) alive->AskStatus(same);
-         });
-       });
-}
-
-Http2StreamPtr AgentLink::Open(std::string_view path,
-                               const std::string& message,
-                               Http2Handlers handlers) {
+Http2StreamPtr PeerLink::Open(std::string_view path, const std::string& message,
+                              Http2Handlers handlers) {
   if (!is_up()) return nullptr;
   return session_->Open({{":method", "POST"},
                          {":scheme", "http"},
-                         {":authority", options_.agent.value()},
+                         {":authority", options_.peer.value()},
                          {":path", std::string(path)},
                          {std::string(kMessageField), message}},
                         std::move(handlers));
 }
 
-void AgentLink::Call(std::string_view path, const std::string& message,
-                     std::function<void(std::optional<std::string>)> on_reply) {
+void PeerLink::Call(std::string_view path, const std::string& message,
+                    std::function<void(std::optional<std::string>)> on_reply) {
   auto pending = std::make_shared<PendingReply>();
   pending->on_reply = std::move(on_reply);
   const auto stream = Open(
@@ -124,20 +113,38 @@
            },
        .on_data = nullptr,
        .on_end = [pending](const HttpFields&) { pending->Finish(); },
-       .on_broken =
-           [pending] {
-             pending->message.reset();
-             pending->Finish();
-           },
+       .on_broken = [pending] { pending->Fail(); },
+       .on_writable = nullptr});
+  if (stream == nullptr) {
+    loop_.Post([pending] { pending->Fail(); });
+    return;
+  }
+  stream->SendEnd();
+}
+
+void PeerLink::CallWithBody(
+    std::string_view path, const std::string& body,
+    std::function<void(std::optional<std::string>)> on_reply) {
+  auto pending = std::make_shared<PendingReply>();
+  pending->on_reply = std::move(on_reply);
+  pending->message.emplace();
+  const auto stream = Open(
+      path, "",
+      {.on_head = nullptr,
+       .on_data = [pending](std::string_view data) { pending->Take(data); },
+       .on_end = [pending](const HttpFields&) { pending->Finish(); },
+       .on_broken = [pending] { pending->Fail(); },
        .on_writable = nullptr});
   if (stream == nullptr) {
-    loop_.Post([pending] { pending->Finish(); });
+    loop_.Post([pending] { pending->Fail(); });
     return;
   }
+  pending->stream = stream;
+  stream->SendData(body);
   stream->SendEnd();
 }
 
-void AgentLink::WhenUp(Duration limit, std::function<void(bool)> on_up) {
+void PeerLink::WhenUp(Duration limit, std::function<void(bool)> on_up) {
   if (is_up() || limit <= Duration::zero()) {
     on_up(is_up());
     return;
--- a/src/peer/agent_link.h
+++ b/src/peer/peer_link.h
@@ -1,5 +1,5 @@
-// An entry's connection to one agent: it reconnects by itself, asks for the
-// agent's status, and carries the streams of requests.
+// A connection to another process of the system that reconnects by itself and
+// carries the streams of calls.
 #pragma once
 
 #include <functional>
@@ -13,41 +13,37 @@
 #include "core/ids.h"
 #include "net/event_loop.h"
 #include "peer/http2_session.h"
-#include "peer/messages.h"
 
 namespace mangohold {
 
-class AgentLink : public std::enable_shared_from_this<AgentLink> {
+class PeerLink : public std::enable_shared_from_this<PeerLink> {
  public:
   struct Options {
-    InstanceId entry;  // this process
-    Endpoint agent;
+    Endpoint peer;
     Duration connect_timeout = std::chrono::milliseconds(500);
-    Duration status_interval = std::chrono::milliseconds(500);
     Duration first_retry = std::chrono::milliseconds(50);
     Duration longest_retry = std::chrono::milliseconds(1'000);
   };
-  struct Handlers {
-    std::function<void(bool is_up)> on_link;
-    std::function<void(const AgentStatus&)> on_status;
-  };
-
-  AgentLink(EventLoop& loop, Options options, Handlers handlers,
-            Counters& counters);
+  // `on_link` hears of the link's coming up and going down.
+  PeerLink(EventLoop& loop, Options options,
+           std::function<void(bool is_up)> on_link, Counters& counters);
 
   void Start();
   // Closes the connection and stops reconnecting.
   void Stop();
   bool is_up() const { return session_ != nullptr && session_->is_open(); }
-  const Endpoint& agent() const { return options_.agent; }
+  const Endpoint& peer() const { return options_.peer; }
 
   // Opens a stream with a message. Returns null while the link is down.
   Http2StreamPtr Open(std::string_view path, const std::string& message,
                       Http2Handlers handlers);
-  // Sends a message and gives the reply's message, or nothing if the link
-  // broke.
+  // Sends a message in the head and gives the reply's message, or nothing if
+  // the link broke.
   void Call(std::string_view path, const std::string& message,
             std::function<void(std::optional<std::string>)> on_reply);
+  // The same with messages of any size, as stream data.
+  void CallWithBody(std::string_view path, const std::string& body,
+                    std::function<void(std::optional<std::string>)> on_reply);
   // Calls back as soon as the link is up, or with false after `limit`.
   void WhenUp(Duration limit, std::function<void(bool)> on_up);
 
@@ -55,17 +51,16 @@
   void Connect();
   void OnConnected(Http2SessionPtr session);
   void ScheduleConnect();
-  void AskStatus(const Http2SessionPtr& session);
 
   EventLoop& loop_;
   Options options_;
-  Handlers handlers_;
+  std::function<void(bool is_up)> on_link_;
   Counters& counters_;
   Http2SessionPtr session_;
   int failures_ = 0;
   bool is_stopped_ = false;
 };
 
-using AgentLinkPtr = std::shared_ptr<AgentLink>;
+using PeerLinkPtr = std::shared_ptr<PeerLink>;
 
 }  // namespace mangohold
--- a/src/platform/instance.h
+++ b/src/platform/instance.h
@@ -14,7 +14,8 @@
   InstanceState state = InstanceState::kLive;
   ZoneName zone;
   ServiceName service;  // for backend servers
-  Endpoint peer;        // where the system's own processes connect
+  Endpoint peer;        // where entries connect to an agent, for traffic
+  Endpoint control;     // where processes connect to an entry, for settings
   Endpoint caller;      // where callers connect, for entries
 };
 
--- a/src/platform/platform_client.cc
+++ b/src/platform/platform_client.cc
@@ -1,29 +1,12 @@
 #include "platform/platform_client.h"
 
-#include <array>
-
-#include "core/json_types.h"
+#include "platform/instance_json.h"
 
 namespace mangohold {
 namespace {
 
 using Json = nlohmann::json;
 
-constexpr std::array<std::string_view, static_cast<int>(InstanceRole::kCount)>
-    kRoles = {"entry", "backend"};
-constexpr std::array<std::string_view, static_cast<int>(InstanceState::kCount)>
-    kStates = {"live", "leaving"};
-
-template <typename Enum, std::size_t N>
-Enum FromName(const std::array<std::string_view, N>& names,
-              const std::string& name) {
-  const auto* it = std::ranges::find(names, name);
-  if (it == names.end()) {
-    throw Json::other_error::create(501, "unknown word: " + name, nullptr);
-  }
-  return static_cast<Enum>(it - names.begin());
-}
-
 DocumentVersion ToDocument(const Json& item) {
   return {.path = item.at("path").get<std::string>(),
           .revision = item.at("revision").get<Revision>(),
@@ -40,19 +23,7 @@
 }
 
 std::vector<Instance> ToInstances(const Json& reply) {
-  std::vector<Instance> out;
-  for (const Json& item : reply.at("instances")) {
-    Instance instance;
-    instance.id = item.at("id").get<InstanceId>();
-    instance.role = FromName<InstanceRole>(kRoles, item.at("role"));
-    instance.state = FromName<InstanceState>(kStates, item.at("state"));
-    instance.zone = item.at("zone").get<ZoneName>();
-    instance.service = ServiceName(item.value("service", ""));
-    instance.peer = Endpoint(item.value("peer", ""));
-    instance.caller = Endpoint(item.value("caller", ""));
-    out.push_back(std::move(instance));
-  }
-  return out;
+  return reply.at("instances").get<std::vector<Instance>>();
 }
 
 // Turns a response into a value, or into a status that says what was wrong.
--- /dev/null
+++ b/src/spread/spread.cc
@@ -0,0 +1,272 @@
+#include "spread/spread.h"
+
+#include <algorithm>
+#include <functional>
+#include <ranges>
+
+namespace mangohold {
+namespace {
+
+// A documents' worth of one answer; a peer that lacks more asks again.
+constexpr std::size_t kMostReplyBytes = 512U << 10U;
+
+// FNV-1a: the same on every process, unlike std::hash.
+std::uint64_t StableHash(std::string_view text) {
+  constexpr std::uint64_t kOffset = 14'695'981'039'346'656'037U;
+  constexpr std::uint64_t kPrime = 1'099'511'628'211U;
+  std::uint64_t hash = kOffset;
+  for (const char c : text) {
+    hash = (hash ^ static_cast<unsigned char>(c)) * kPrime;
+  }
+  // The last characters must reach the high bits, by which ranks compare.
+  hash ^= hash >> 32U;
+  return hash * kPrime;
+}
+
+std::uint64_t DigestOf(const std::vector<Instance>& instances) {
+  std::uint64_t digest = 1;
+  for (const Instance& instance : instances) {
+    digest += StableHash(
+        instance.id.value() + '|' + instance.zone.value() + '|' +
+        instance.service.value() + '|' + instance.peer.value() + '|' +
+        instance.control.value() + '|' + instance.caller.value() + '|' +
+        std::to_string(static_cast<int>(instance.state)));
+  }
+  return digest;
+}
+
+// Cuts an update at a size. What is left out has the higher revisions, and the
+// update is then complete only through the last one that is in it.
+TreeUpdate Bounded(TreeUpdate update) {
+  std::ranges::sort(update.documents, {}, &DocumentVersion::revision);
+  std::size_t bytes = 0;
+  const auto end = std::ranges::find_if(
+      update.documents, [&bytes](const DocumentVersion& document) {
+        bytes += document.text.size() + document.path.size();
+        return bytes > kMostReplyBytes;
+      });
+  if (end == update.documents.end() || end == update.documents.begin()) {
+    return update;
+  }
+  update.documents.erase(end, update.documents.end());
+  update.complete_through = update.documents.back().revision;
+  return update;
+}
+
+Millis AgeAt(TimePoint now, const std::optional<TimePoint>& as_of) {
+  if (!as_of) return Millis(-1);
+  return std::chrono::ceil<Millis>(std::max(now - *as_of, Duration::zero()));
+}
+
+}  // namespace
+
+Spread::Spread(Options options) : options_(std::move(options)) {}
+
+bool Spread::OnStoreUpdate(const TreeUpdate& update, TimePoint sent_at) {
+  if (update.complete_through < tree_.complete_through()) return false;
+  tree_.Apply(update);
+  is_qualified_ = true;
+  confirmed_as_of_ = std::max(sent_at, confirmed_as_of_.value_or(sent_at));
+  return true;
+}
+
+void Spread::OnInstances(std::vector<Instance> instances, TimePoint sent_at) {
+  TakeInstances(std::move(instances), sent_at);
+}
+
+void Spread::TakeInstances(std::vector<Instance> instances, TimePoint as_of) {
+  list_digest_ = DigestOf(instances);
+  instances_ = std::move(instances);
+  list_as_of_ = as_of;
+  const auto is_unlisted = [this](const auto& item) {
+    return std::ranges::find(instances_, item.first, &Instance::id) ==
+           instances_.end();
+  };
+  std::erase_if(peers_, is_unlisted);
+  std::erase_if(askers_, is_unlisted);
+}
+
+SyncRequest Spread::MakeRequest(Millis wait) const {
+  return {.instance = options_.instance,
+          .is_qualified = is_qualified_,
+          .complete_through = tree_.complete_through(),
+          .list_digest = list_digest_,
+          .wait = wait};
+}
+
+void Spread::OnRequest(const SyncRequest& request, TimePoint now) {
+  askers_[request.instance] = {.complete_through = request.complete_through,
+                               .is_qualified = request.is_qualified,
+                               .asked_at = now};
+}
+
+bool Spread::HasNewsFor(const SyncRequest& request) const {
+  return tree_.complete_through() > request.complete_through ||
+         (list_as_of_ && list_digest_ != request.list_digest);
+}
+
+SyncReply Spread::MakeReply(const SyncRequest& request, Millis held,
+                            TimePoint now) const {
+  SyncReply reply{
+      .instance = options_.instance,
+      .incarnation = options_.incarnation,
+      .is_qualified = is_qualified_,
+      .is_whole = false,
+      .is_leaving = is_leaving_,
+      .held = held,
+      .confirmed_age = AgeAt(now, confirmed_as_of(now)),
+      .update = Bounded(tree_.ChangesSince(request.complete_through)),
+      .list_digest = list_digest_,
+      .list_age = AgeAt(now, list_as_of_)};
+  reply.is_whole = reply.update.complete_through == tree_.complete_through();
+  reply.has_instances = list_as_of_ && list_digest_ != request.list_digest;
+  if (reply.has_instances) reply.instances = instances_;
+  return reply;
+}
+
+// The peer answered `held` after the question arrived, so its ages count from
+// no earlier than `sent_at` + `held`. A part of an update says nothing of what
+// the peer knows besides.
+void Spread::OnReply(const SyncReply& reply, TimePoint sent_at, TimePoint now) {
+  const TimePoint answered_at = sent_at + reply.held;
+  tree_.Apply(reply.update);
+  if (reply.is_whole) {
+    peers_[reply.instance] = {.incarnation = reply.incarnation,
+                              .complete_through = reply.update.complete_through,
+                              .heard_at = answered_at,
+                              .is_qualified = reply.is_qualified,
+                              .is_leaving = reply.is_leaving};
+    if (reply.confirmed_age.count() >= 0) {
+      const TimePoint as_of = answered_at - reply.confirmed_age;
+      confirmed_as_of_ = std::max(as_of, confirmed_as_of_.value_or(as_of));
+    }
+  }
+  const auto majority = MajorityAsOf(now);
+  is_qualified_ = is_qualified_ ||
+                  (majority && *majority >= options_.started_at + kAcceptLimit);
+  if (!reply.has_instances || reply.list_age.count() < 0) return;
+  const TimePoint list_as_of = answered_at - reply.list_age;
+  if (!list_as_of_ || list_as_of > *list_as_of_) {
+    TakeInstances(reply.instances, list_as_of);
+  }
+}
+
+// The time after which a majority was asked and has answered: of the times of
+// the entries heard, latest first, the one that completes the majority. An
+// entry counts itself once it is qualified.
+std::optional<TimePoint> Spread::MajorityAsOf(TimePoint now) const {
+  if (options_.role != InstanceRole::kEntry) return std::nullopt;
+  std::vector<TimePoint> heard;
+  if (is_qualified_) heard.push_back(now);
+  for (const auto& [id, peer] : peers_) {
+    if (peer.is_qualified) heard.push_back(peer.heard_at);
+  }
+  const auto needed = static_cast<std::size_t>(Majority());
+  if (heard.size() < needed) return std::nullopt;
+  std::ranges::sort(heard, std::greater<>());
+  return heard[needed - 1];
+}
+
+std::optional<TimePoint> Spread::confirmed_as_of(TimePoint now) const {
+  const auto majority = MajorityAsOf(now);
+  if (!majority) return confirmed_as_of_;
+  return std::max(*majority, confirmed_as_of_.value_or(*majority));
+}
+
+int Spread::Majority() const {
+  const auto listed = static_cast<int>(std::ranges::count(
+      instances_, InstanceRole::kEntry, &Instance::role));
+  const int expected = tree_.configuration()->fleet.expected_entries;
+  return std::max(expected, listed) / 2 + 1;
+}
+
+bool Spread::HearsMajority(TimePoint now) const {
+  const auto as_of = MajorityAsOf(now);
+  return as_of && now - *as_of < options_.suspect_after;
+}
+
+// What an entry knows shows in its answers and, sooner, in its questions.
+int Spread::CountEntriesAt(Revision revision) const {
+  const auto has_it = [this, revision](const Instance& instance) {
+    if (instance.role != InstanceRole::kEntry) return false;
+    if (instance.id == options_.instance) {
+      return is_qualified_ && tree_.complete_through() >= revision;
+    }
+    const auto peer = peers_.find(instance.id);
+    const auto asker = askers_.find(instance.id);
+    return (peer != peers_.end() && peer->second.is_qualified &&
+            peer->second.complete_through >= revision) ||
+           (asker != askers_.end() && asker->second.is_qualified &&
+            asker->second.complete_through >= revision);
+  };
+  return static_cast<int>(std::ranges::count_if(instances_, has_it));
+}
+
+bool Spread::IsSuspected(const InstanceId& entry, TimePoint now) const {
+  const auto it = peers_.find(entry);
+  if (it == peers_.end()) return false;
+  return it->second.is_leaving ||
+         now - it->second.heard_at > options_.suspect_after;
+}
+
+// Highest random weight: each process ranks the entries by the hash of their
+// name with its key, so that all agree without an election and a change of the
+// list moves little.
+std::vector<Instance> Spread::RankedEntries(const ZoneName& zone,
+                                            const std::string& key) const {
+  std::vector<Instance> entries;
+  std::ranges::copy_if(instances_, std::back_inserter(entries),
+                       [&zone](const Instance& instance) {
+                         return instance.role == InstanceRole::kEntry &&
+                                instance.state == InstanceState::kLive &&
+                                instance.zone == zone;
+                       });
+  std::ranges::sort(entries, std::greater<>(), [&key](const Instance& entry) {
+    return StableHash(key + entry.id.value());
+  });
+  return entries;
+}
+
+bool Spread::IsWatcher() const {
+  const auto ranked = RankedEntries(options_.zone, "watch");
+  const auto count = std::min<std::size_t>(
+      ranked.size(), static_cast<std::size_t>(options_.watchers_per_zone));
+  const auto it = std::ranges::find(ranked, options_.instance, &Instance::id);
+  return it - ranked.begin() < static_cast<std::ptrdiff_t>(count);
+}
+
+bool Spread::ShouldWatch(TimePoint now) const {
+  if (options_.role != InstanceRole::kEntry) return false;
+  if (IsWatcher()) return true;
+  return !confirmed_as_of_ || now - *confirmed_as_of_ > options_.watch_after;
+}
+
+std::vector<Instance> Spread::PeersToAsk() const {
+  std::vector<Instance> out;
+  if (options_.role == InstanceRole::kEntry) {
+    std::ranges::copy_if(instances_, std::back_inserter(out),
+                         [this](const Instance& instance) {
+                           return instance.role == InstanceRole::kEntry &&
+                                  instance.id != options_.instance;
+                         });
+    return out;
+  }
+  out = RankedEntries(options_.zone, options_.instance.value());
+  const auto wanted = static_cast<std::size_t>(options_.entries_per_agent);
+  if (out.size() > wanted) out.resize(wanted);
+  // One entry of another zone, in case that the own zone's are all gone.
+  const auto is_elsewhere = [this](const Instance& instance) {
+    return instance.role == InstanceRole::kEntry &&
+           instance.zone != options_.zone;
+  };
+  std::vector<Instance> others;
+  std::ranges::copy_if(instances_, std::back_inserter(others), is_elsewhere);
+  const auto best =
+      std::ranges::max_element(others, {}, [this](const Instance& entry) {
+        return StableHash(options_.instance.value() + entry.id.value());
+      });
+  if (best != others.end()) out.push_back(*best);
+  return out;
+}
+
+}  // namespace mangohold
--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -145,6 +145,7 @@
       {"zone", options_.zones[index % options_.zones.size()]},
       {"caller_address", CallerAddress(index).value()},
       {"operator_address", OperatorAddress(index).value()},
+      {"control_address", Ip(kFirstEntryHost + index) + ":8082"},
       {"platform_url", PlatformUrl()},
       {"log_level", "debug"},
       {"address_max_age_ms", options_.address_max_age_ms},
@@ -212,7 +213,9 @@
   }
   for (int i = 0; i < options_.entries; ++i) StartEntry(i);
   WaitFor([this] {
-    return Send(OperatorAddress(0), "GET", "/v1/status", "").status == 200;
+    const auto status = nlohmann::json::parse(
+        Send(OperatorAddress(0), "GET", "/v1/status", "").body, nullptr, false);
+    return status.is_object() && status.value("hears_majority", false);
   });
   PutDocument("/fleet", "{\"expected_entries\": " +
                             std::to_string(options_.entries) + "}");
@@ -261,7 +264,7 @@
                     {"role", "entry"},
                     {"state", "live"},
                     {"zone", options_.zones[i % options_.zones.size()]},
-                    {"peer", Ip(kFirstEntryHost + i) + ":8082"},
+                    {"control", Ip(kFirstEntryHost + i) + ":8082"},
                     {"caller", CallerAddress(i).value()}});
   }
   for (std::size_t i = 0; i < plan_.size(); ++i) {
