--- a/src/agent_main.cc
+++ b/src/agent_main.cc
@@ -69,7 +69,9 @@
        .backend_url = settings.backend_url},
       counters);
   HttpClient http(control.io());
-  PlatformClient platform(http, {.url = settings.platform_url}, counters);
+  PlatformClient platform(
+      http, {.url = settings.platform_url, .instance = settings.instance},
+      counters);
   SpreadNode node(
       control, platform,
       {.spread = {.instance = settings.instance,
--- a/src/backend/gate.cc
+++ b/src/backend/gate.cc
@@ -9,6 +9,9 @@
 // back after this time; entries try another agent at once.
 constexpr Millis kClosedRetryAfter{1'000};
 
+// A stale sender learns what it lacks within this time.
+constexpr Millis kStaleRetryAfter{100};
+
 std::uint64_t Digest(const SubmitRequest& request, std::string_view body) {
   const std::string head = request.workspace.value() + '\n' + request.method +
                            '\n' + request.target + '\n';
@@ -130,7 +133,7 @@
   }
   // 3. The sender must not have decided by older documents.
   const Reason stale = CheckVersions(request);
-  if (stale != Reason::kNone) return refuse(stale, Millis(0));
+  if (stale != Reason::kNone) return refuse(stale, kStaleRetryAfter);
   // 4. Admission.
   const auto workspace = configuration_->workspaces.find(request.workspace);
   const int weight = workspace == configuration_->workspaces.end()
--- a/src/core/counters.cc
+++ b/src/core/counters.cc
@@ -27,6 +27,7 @@
                    "platform_failures",
                    "peer_connects",
                    "peer_disconnects",
+                   "control_bytes",
                    "backend_reports",
                    "backend_reports_lost"};
 
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -26,6 +26,7 @@
   kPlatformFailures,
   kPeerConnects,
   kPeerDisconnects,
+  kControlBytes,
   kBackendReports,
   kBackendReportsLost,
   kCount
@@ -52,6 +53,9 @@
   Counters& operator=(const Counters&) = delete;
 
   void Count(Event event) { ++events_[static_cast<std::size_t>(event)]; }
+  void Count(Event event, std::uint64_t amount) {
+    events_[static_cast<std::size_t>(event)] += amount;
+  }
   void CountOutcome(Outcome outcome) {
     ++outcomes_[static_cast<std::size_t>(outcome)];
   }
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -47,7 +47,9 @@
                       .address_max_age = settings.address_max_age},
                      counters);
   HttpClient http(control.io());
-  PlatformClient platform(http, {.url = settings.platform_url}, counters);
+  PlatformClient platform(
+      http, {.url = settings.platform_url, .instance = settings.instance},
+      counters);
   SpreadNode node(control, platform,
                   {.spread = {.instance = settings.instance,
                               .role = InstanceRole::kEntry,
--- a/src/platform/platform_client.cc
+++ b/src/platform/platform_client.cc
@@ -54,6 +54,7 @@
 void PlatformClient::Call(HttpCall call,
                           std::function<void(HttpResponse)> on_response) {
   call.url = options_.url + call.url;
+  call.fields.push_back({"Mangohold-Instance", options_.instance.value()});
   counters_.Count(Event::kPlatformCalls);
   Fetch(http_, std::move(call),
         [this, on_response = std::move(on_response)](HttpResponse response) {
--- a/src/platform/platform_client.h
+++ b/src/platform/platform_client.h
@@ -33,7 +33,8 @@
 class PlatformClient {
  public:
   struct Options {
-    std::string url;  // e.g. "http://127.0.0.1:7000"
+    std::string url;      // e.g. "http://127.0.0.1:7000"
+    InstanceId instance;  // named in each call, for the platform's accounts
     Duration timeout = std::chrono::seconds(2);
   };
 
--- a/src/spread/spread.cc
+++ b/src/spread/spread.cc
@@ -174,8 +174,8 @@
 }
 
 int Spread::Majority() const {
-  const auto listed = static_cast<int>(std::ranges::count(
-      instances_, InstanceRole::kEntry, &Instance::role));
+  const auto listed = static_cast<int>(
+      std::ranges::count(instances_, InstanceRole::kEntry, &Instance::role));
   const int expected = tree_.configuration()->fleet.expected_entries;
   return std::max(expected, listed) / 2 + 1;
 }
--- a/src/spread/spread_node.cc
+++ b/src/spread/spread_node.cc
@@ -87,8 +87,10 @@
   const auto time_held =
       std::chrono::duration_cast<Millis>(now - held.arrived_at);
   held.stream->SendHead({{":status", "200"}});
-  held.stream->SendData(
-      EncodeSync(spread_.MakeReply(held.request, time_held, now)));
+  const std::string reply =
+      EncodeSync(spread_.MakeReply(held.request, time_held, now));
+  counters_.Count(Event::kControlBytes, reply.size());
+  held.stream->SendData(reply);
   held.stream->SendEnd();
 }
 
@@ -108,8 +110,10 @@
   if (it == links_.end()) return;
   const PeerLinkPtr link = it->second;
   const TimePoint sent_at = Clock::now();
+  const std::string request = EncodeSync(spread_.MakeRequest(options_.hold));
+  counters_.Count(Event::kControlBytes, request.size());
   link->CallWithBody(
-      kSyncPath, EncodeSync(spread_.MakeRequest(options_.hold)),
+      kSyncPath, request,
       [this, peer, sent_at](const std::optional<std::string>& body) {
         const auto reply = DecodeSyncReply(body.value_or(std::string()));
         if (!reply.ok()) {
--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -127,6 +127,14 @@
   return "http://" + Ip(kPlatformHost) + ":7000";
 }
 
+std::vector<std::string> Site::Seeds() const {
+  std::vector<std::string> out;
+  for (int i = 0; i < options_.entries; ++i) {
+    out.push_back(Ip(kFirstEntryHost + i) + ":8082");
+  }
+  return out;
+}
+
 // Where entries connect to reach the agent.
 Endpoint Site::PeerAddress(std::size_t backend) const {
   const std::string port = options_.has_relays ? ":7060" : ":7070";
@@ -147,8 +155,9 @@
       {"operator_address", OperatorAddress(index).value()},
       {"control_address", Ip(kFirstEntryHost + index) + ":8082"},
       {"platform_url", PlatformUrl()},
-      {"log_level", "debug"},
+      {"log_level", options_.log_level},
       {"address_max_age_ms", options_.address_max_age_ms},
+      {"seeds", Seeds()},
       {"operators",
        {{{"name", "lead"}, {"token", "lead"}, {"subtree", "/"}},
         {{"name", "zones"}, {"token", "zones"}, {"subtree", "/zones/"}}}}};
@@ -167,8 +176,9 @@
       {"service", plan_[index].service},
       {"peer_address", ip + ":7070"},
       {"admin_address", ip + ":7071"},
-      {"backend_url", BackendUrl(index)},
-      {"log_level", "debug"},
+      {"backend_url", BackendUrl(options_.has_one_backend ? 0 : index)},
+      {"log_level", options_.log_level},
+      {"seeds", Seeds()},
       {"platform_url", PlatformUrl()}};
   const std::string name = "agent-" + std::to_string(index);
   agents_[index] = std::make_unique<Process>(
@@ -203,7 +213,7 @@
   agents_.resize(plan_.size());
   entries_.resize(options_.entries);
   for (std::size_t i = 0; i < plan_.size(); ++i) {
-    StartBackend(static_cast<int>(i));
+    if (i == 0 || !options_.has_one_backend) StartBackend(static_cast<int>(i));
     StartAgent(static_cast<int>(i));
   }
   for (std::size_t i = 0; options_.has_relays && i < plan_.size(); ++i) {
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -28,6 +28,7 @@
   // Waits up to `limit` for the end; the exit code, or -1 if it still runs.
   int WaitForExit(Duration limit);
   bool is_running();
+  pid_t pid() const { return pid_; }
 
  private:
   pid_t pid_ = -1;
@@ -50,6 +51,9 @@
     "cold_start": {"initial_limit": 8, "successes_per_step": 1}})";
   std::string workspace_document = R"({"max_in_flight": 1000})";
   int address_max_age_ms = 300;
+  std::string log_level = "debug";
+  // All agents stand before backend server 0, which saves processes.
+  bool has_one_backend = false;
   // Entries reach agents through relays, which tests can cut.
   bool has_relays = false;
 };
@@ -97,6 +101,7 @@
   };
 
   std::string Ip(int last) const;
+  std::vector<std::string> Seeds() const;
   Endpoint PeerAddress(std::size_t backend) const;
   std::string WriteFile(const std::string& name, const std::string& text);
 
--- a/tests/standins/platform_standin.cc
+++ b/tests/standins/platform_standin.cc
@@ -1,7 +1,9 @@
 // Stands in for the platform: a key-value service with compare-and-swap, leases
 // and watches, and a lagging list of instances. POST /standin/faults takes
 // {"down": bool, "delay_ms": n, "lose_answers": n}: while down every call gets
-// 503; a lost answer closes the connection after the write took effect.
+// 503; a lost answer closes the connection after the write took effect. "cut"
+// lists instances that get 503; "restore_old" takes the store back in time.
+#include <algorithm>
 #include <fstream>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -34,6 +36,7 @@
   bool is_down = false;
   int delay_ms = 0;
   int lose_answers = 0;
+  std::vector<std::string> cut;  // instances that can't reach the platform
   std::uint64_t calls = 0;
 };
 
@@ -70,6 +73,12 @@
   co_await connection.Reply(status, "application/json", body.dump());
 }
 
+bool IsCut(const Store& store, const HttpRequest& request) {
+  const std::string_view instance = request.Field("Mangohold-Instance");
+  return store.is_down || std::find(store.cut.begin(), store.cut.end(),
+                                    instance) != store.cut.end();
+}
+
 asio::awaitable<void> Watch(Store& store, const HttpRequest& request,
                             Connection& connection) {
   constexpr milliseconds kStep{2};
@@ -77,10 +86,10 @@
   const auto end = std::chrono::steady_clock::now() +
                    milliseconds(ToNumber(request.QueryValue("wait_ms")));
   while (store.revision <= after && std::chrono::steady_clock::now() < end &&
-         !store.is_down) {
+         !IsCut(store, request)) {
     co_await Sleep(kStep);
   }
-  if (store.is_down) {
+  if (IsCut(store, request)) {
     co_await connection.Reply(503, "application/json", "{}");
     co_return;
   }
@@ -131,6 +140,14 @@
   });
 }
 
+// The store comes back from an old copy: its first half.
+void RestoreOld(Store& store) {
+  store.revision /= 2;
+  std::erase_if(store.values, [&store](const auto& item) {
+    return item.second.revision > store.revision;
+  });
+}
+
 asio::awaitable<void> Control(Store& store, asio::io_context& io,
                               const HttpRequest& request,
                               Connection& connection) {
@@ -139,6 +156,8 @@
     store.is_down = body.value("down", store.is_down);
     store.delay_ms = body.value("delay_ms", store.delay_ms);
     store.lose_answers = body.value("lose_answers", store.lose_answers);
+    store.cut = body.value("cut", store.cut);
+    if (body.value("restore_old", false)) RestoreOld(store);
   } else if (request.path == "/standin/instances") {
     PublishLater(store, io, Json::parse(request.body));
   }
@@ -156,7 +175,7 @@
   }
   ++store.calls;
   if (store.delay_ms > 0) co_await Sleep(milliseconds(store.delay_ms));
-  if (store.is_down) {
+  if (IsCut(store, request)) {
     co_await connection.Reply(503, "application/json", "{}");
   } else if (request.path == "/v1/instances") {
     const Json list = InstanceList(store);
--- /dev/null
+++ b/tests/system/configuration_test.cc
@@ -0,0 +1,187 @@
+// Changes of the settings under store outages, lost answers, races, cuts and
+// frozen processes.
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "harness.h"
+
+namespace mangohold::testing {
+namespace {
+
+const HttpFields kSales = {{"Mangohold-Workspace", "sales"}};
+const HttpFields kLead = {{"Authorization", "Bearer lead"}};
+constexpr char kOut[] = R"({"state": "out"})";
+// The stated bound: a few seconds after an availability zone was taken out it
+// receives no new work.
+constexpr std::chrono::seconds kFewSeconds{3};
+
+HttpResponse Book(const Site& site, int entry) {
+  return Send(site.CallerAddress(entry), "POST",
+              "/v1/services/bookings/viewings", "", kSales);
+}
+
+std::size_t RunsAt(const Site& site, int backend) {
+  return nlohmann::json::parse(
+             FetchAndWait({.url = site.BackendUrl(backend) + "/standin/runs"})
+                 .body)
+      .size();
+}
+
+nlohmann::json Status(const Site& site, int entry) {
+  return nlohmann::json::parse(
+      Send(site.OperatorAddress(entry), "GET", "/v1/status", "").body);
+}
+
+TEST(Configuration, AnOutageRefusesChangesAndStopsNoWork) {
+  Site site({.entries = 3, .services = 3});
+  site.Start();
+  site.SetFaults(R"({"down": true})");
+  // Longer than an agent works without any confirmation.
+  std::this_thread::sleep_for(std::chrono::seconds(4));
+  for (int i = 0; i < 9; ++i) EXPECT_EQ(Book(site, i % 3).status, 200);
+  EXPECT_EQ(site.PutDocument("/zones/suva", kOut), 503);
+  site.SetFaults(R"({"down": false})");
+  EXPECT_TRUE(
+      WaitFor([&] { return site.PutDocument("/zones/suva", kOut) == 200; }));
+}
+
+TEST(Configuration, ALostAnswerIsSettledByReadingBack) {
+  Site site({.entries = 1, .services = 1});
+  site.Start();
+  site.SetFaults(R"({"lose_answers": 1})");
+  EXPECT_EQ(site.PutDocument("/zones/suva", kOut), 200);
+  const auto document = nlohmann::json::parse(
+      Send(site.OperatorAddress(0), "GET", "/v1/tree/zones/suva", "").body);
+  EXPECT_NE(document["text"].get<std::string>().find("out"), std::string::npos);
+}
+
+TEST(Configuration, ARaceHasOneWinnerAndTellsTheLoser) {
+  Site site({.entries = 2, .services = 1});
+  site.Start();
+  const std::string path = "/v1/tree/workspaces/new?if_revision=0";
+  std::vector<HttpResponse> responses(2);
+  std::vector<std::thread> operators;
+  for (int i = 0; i < 2; ++i) {
+    operators.emplace_back([&, i] {
+      responses[i] = Send(site.OperatorAddress(i), "PUT", path,
+                          "{\"weight\": " + std::to_string(i + 1) + "}", kLead);
+    });
+  }
+  for (std::thread& thread : operators) thread.join();
+  const int winner = responses[0].status == 200 ? 0 : 1;
+  EXPECT_EQ(responses[winner].status, 200);
+  EXPECT_EQ(responses[1 - winner].status, 409);
+  const auto won = nlohmann::json::parse(responses[winner].body);
+  const auto lost = nlohmann::json::parse(responses[1 - winner].body);
+  EXPECT_EQ(won["revision"], lost["revision"]);
+}
+
+TEST(Configuration, ATokenOpensItsSubtreeOnly) {
+  Site site({.entries = 1, .services = 1});
+  site.Start();
+  const HttpFields zones = {{"Authorization", "Bearer zones"}};
+  EXPECT_EQ(Send(site.OperatorAddress(0), "PUT",
+                 "/v1/tree/zones/new?if_revision=0", "{}", zones)
+                .status,
+            200);
+  EXPECT_EQ(Send(site.OperatorAddress(0), "PUT",
+                 "/v1/tree/workspaces/new?if_revision=0", "{}", zones)
+                .status,
+            403);
+  const HttpResponse invalid =
+      Send(site.OperatorAddress(0), "PUT", "/v1/tree/zones/other?if_revision=0",
+           "{\n\"state\": 1,\n\"x\": 2}", kLead);
+  EXPECT_EQ(invalid.status, 422);
+  const std::string detail = nlohmann::json::parse(invalid.body)["detail"];
+  EXPECT_NE(detail.find("/zones/other:2: /state"), std::string::npos);
+  EXPECT_NE(detail.find("/zones/other:3: /x"), std::string::npos);
+}
+
+// Two of three entries can't reach the store; the third changes it.
+TEST(Configuration, AZoneGoesOutWhileTheStoreIsDownForSome) {
+  Site site({.entries = 3, .services = 3});
+  site.Start();
+  site.SetFaults(R"({"cut": ["entry-1", "entry-2"]})");
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  EXPECT_EQ(site.PutDocument("/zones/nadi", kOut), 200);
+  std::this_thread::sleep_for(kFewSeconds);
+  const std::size_t runs = RunsAt(site, 1);
+  for (int i = 0; i < 30; ++i) EXPECT_EQ(Book(site, i % 3).status, 200);
+  EXPECT_EQ(RunsAt(site, 1), runs);
+}
+
+// The frozen entry wakes with its old view and sends to the zone at once.
+TEST(Configuration, AnEntryFrozenAcrossAChangeBringsNoWorkToTheZone) {
+  Site site({.entries = 3, .services = 3});
+  site.Start();
+  site.entry(1).Signal(SIGSTOP);
+  EXPECT_EQ(site.PutDocument("/zones/nadi", kOut), 200);
+  std::this_thread::sleep_for(kFewSeconds);
+  const std::size_t runs = RunsAt(site, 1);
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 10; ++i) {
+    callers.emplace_back([&site] { Book(site, 1); });
+  }
+  site.entry(1).Signal(SIGCONT);
+  for (std::thread& thread : callers) thread.join();
+  EXPECT_EQ(RunsAt(site, 1), runs);
+}
+
+TEST(Configuration, AKilledWatcherIsReplaced) {
+  Site site({.zones = {"suva"}, .entries = 4, .services = 1});
+  site.Start();
+  int killed = -1;
+  for (int i = 1; i < 4 && killed < 0; ++i) {
+    if (Status(site, i)["watches_store"]) killed = i;
+  }
+  ASSERT_GE(killed, 0);
+  site.entry(killed).Kill();
+  EXPECT_EQ(site.PutDocument("/workspaces/new", "{}"), 200);
+  for (int i = 0; i < 4; ++i) {
+    if (i == killed) continue;
+    EXPECT_TRUE(WaitFor([&] {
+      return Send(site.OperatorAddress(i), "GET", "/v1/tree/workspaces/new", "")
+                 .status == 200;
+    }));
+  }
+}
+
+// It learns the settings and the list from the entries that its settings name.
+TEST(Configuration, AProcessThatStartsDuringAnOutageLearnsFromItsPeers) {
+  Site site({.entries = 3, .services = 1});
+  site.Start();
+  site.SetFaults(R"({"down": true})");
+  site.entry(2).Kill();
+  site.agent(0).Kill();
+  site.StartEntry(2);
+  site.StartAgent(0);
+  EXPECT_TRUE(WaitFor([&] { return Book(site, 2).status == 200; }));
+  // After the quarantine it counts towards a majority like any other.
+  EXPECT_TRUE(WaitFor([&] {
+    const auto status = Status(site, 2);
+    return status["qualified"] && status["hears_majority"];
+  }));
+}
+
+TEST(Configuration, AStoreThatGoesBackTakesNothingBack) {
+  Site site({.entries = 2, .services = 3});
+  site.Start();
+  EXPECT_EQ(site.PutDocument("/zones/nadi", kOut), 200);
+  const auto revision = Status(site, 0)["revision"];
+  site.SetFaults(R"({"restore_old": true})");
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  for (int i = 0; i < 2; ++i) {
+    EXPECT_EQ(Status(site, i)["revision"], revision);
+    const auto list = nlohmann::json::parse(
+        Send(site.CallerAddress(i), "GET", "/v1/entries", "").body);
+    EXPECT_EQ(list["entries"].size(), 1U);
+  }
+  for (int i = 0; i < 10; ++i) EXPECT_EQ(Book(site, i % 2).status, 200);
+  EXPECT_EQ(RunsAt(site, 1), 0U);
+}
+
+}  // namespace
+}  // namespace mangohold::testing
