--- a/src/caller/entry_server.cc
+++ b/src/caller/entry_server.cc
@@ -102,6 +102,11 @@
 
 void EntryServer::SetConfiguration(ConfigurationPtr configuration) {
   has_configuration_ = true;
+  if (configuration->IsZoneIn(options_.zone)) {
+    zone_out_since_.reset();
+  } else if (!zone_out_since_) {
+    zone_out_since_ = Clock::now();
+  }
   context_.configuration = configuration;
   context_.router.SetConfiguration(std::move(configuration));
 }
@@ -270,6 +275,10 @@
   if (IsOverWorkspaceLimit(checked->workspace)) {
     return Refuse(id, Reason::kWorkspaceLimit, "", exchange);
   }
+  if (IsZoneLongOut()) {
+    return Refuse(id, Reason::kZoneOut, "ask GET /v1/entries for others",
+                  exchange);
+  }
   // A caller that says it may try again needs a ticket to do so safely.
   if (!checked->is_repeatable && has_key && checked->ticket.empty()) {
     return GrantTicket(checked->service, id,
@@ -326,6 +335,11 @@
   return out;
 }
 
+bool EntryServer::IsZoneLongOut() const {
+  return zone_out_since_ &&
+         Clock::now() - *zone_out_since_ > options_.address_max_age;
+}
+
 // Each entry keeps to an equal share of a workspace's limit.
 bool EntryServer::IsOverWorkspaceLimit(const WorkspaceName& workspace) const {
   const auto it = context_.configuration->workspaces.find(workspace);
--- a/src/caller/entry_server.h
+++ b/src/caller/entry_server.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -60,6 +61,8 @@
   void Refuse(const RequestId& id, Reason reason, std::string_view detail,
               const Exchange& exchange);
   bool IsOverWorkspaceLimit(const WorkspaceName& workspace) const;
+  // Its zone has been out for as long as callers may use an old address list.
+  bool IsZoneLongOut() const;
   void SyncLinks();
   void AskStatus(const InstanceId& backend);
 
@@ -72,6 +75,8 @@
   std::vector<Instance> instances_;
   bool has_configuration_ = false;
   bool is_leaving_ = false;
+  // When this entry's own zone went out, while it is out.
+  std::optional<TimePoint> zone_out_since_;
 };
 
 }  // namespace mangohold
--- a/src/ctl_main.cc
+++ b/src/ctl_main.cc
@@ -13,7 +13,7 @@
 namespace mangohold {
 namespace {
 
-enum LongOnly { kPriority = 1000, kDeadline, kRepeatable };
+enum LongOnly { kPriority = 1000, kDeadline, kRepeatable, kWait };
 
 std::vector<Endpoint> SplitAddresses(std::string_view list) {
   std::vector<Endpoint> out;
@@ -71,13 +71,16 @@
     case kRepeatable:
       options.is_repeatable = true;
       return true;
+    case kWait:
+      options.waits = true;
+      return true;
     default:
       return false;
   }
 }
 
 int Main(int argc, char** argv) {
-  const std::array<option, 15> kOptions = {
+  const std::array<option, 16> kOptions = {
       {{"operator", required_argument, nullptr, 'o'},
        {"entry", required_argument, nullptr, 'e'},
        {"token", required_argument, nullptr, 't'},
@@ -90,6 +93,7 @@
        {"priority", required_argument, nullptr, kPriority},
        {"deadline-ms", required_argument, nullptr, kDeadline},
        {"repeatable", no_argument, nullptr, kRepeatable},
+       {"wait", no_argument, nullptr, kWait},
        {"help", no_argument, nullptr, 'h'},
        {"version", no_argument, nullptr, 'V'},
        {nullptr, 0, nullptr, 0}}};
--- a/src/operator/ctl.cc
+++ b/src/operator/ctl.cc
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <thread>
 
 #include "caller/caller_client.h"
 #include "config/documents.h"
@@ -82,8 +83,28 @@
   return PrintResponse(AskOperator(options, "GET", "/v1/tree", ""));
 }
 
+// One entry's view of what is in force where, or null if it can't be reached.
+Json StatusAt(const Endpoint& address) {
+  const HttpResponse response =
+      FetchAndWait({.url = "http://" + address.value() + "/v1/status",
+                    .timeout = std::chrono::seconds(2)});
+  return Json::parse(response.body, nullptr, false);
+}
+
+// Asks each of the operators' addresses.
 int Status(const CtlOptions& options, const Words&) {
-  return PrintResponse(AskOperator(options, "GET", "/v1/status", ""));
+  int code = kExitOk;
+  for (const Endpoint& address : options.operators) {
+    const Json status = StatusAt(address);
+    if (status.is_object()) {
+      std::printf("%s\n", status.dump(2).c_str());
+    } else {
+      std::fprintf(stderr, "mangoholdctl: %s can't be reached\n",
+                   address.value().c_str());
+      code = kExitUnavailable;
+    }
+  }
+  return code;
 }
 
 std::optional<std::string> FileText(const CtlOptions& options) {
@@ -108,13 +129,99 @@
   return findings.empty() ? kExitOk : kExitData;
 }
 
+// Whether each instance that the entries hear has come to `revision`.
+bool IsInForceEverywhere(const CtlOptions& options, std::uint64_t revision) {
+  return std::ranges::all_of(options.operators, [&](const Endpoint& address) {
+    const Json status = StatusAt(address);
+    if (!status.is_object()) return false;
+    const auto has_it = [revision](const Json& instance) {
+      return instance.value("revision", std::uint64_t{0}) >= revision;
+    };
+    return has_it(status) && std::ranges::all_of(status["instances"], has_it);
+  });
+}
+
+// Polls until the present revision of `path` is in force everywhere.
+int WaitForRevision(const CtlOptions& options, const std::string& path) {
+  constexpr Millis kPause{100};
+  const auto revision = PresentRevision(options, path);
+  const TimePoint end = Clock::now() + options.deadline;
+  while (revision && Clock::now() < end) {
+    if (IsInForceEverywhere(options, std::stoull(*revision))) {
+      std::printf("in force at every instance that was heard\n");
+      return kExitOk;
+    }
+    std::this_thread::sleep_for(kPause);
+  }
+  std::fputs("mangoholdctl: accepted, but not yet in force everywhere\n",
+             stderr);
+  return kExitUnknown;
+}
+
 int Zone(const CtlOptions& options, const Words& words) {
   if (words[1] != "in" && words[1] != "out") {
     std::fputs("mangoholdctl: zone in|out NAME\n", stderr);
     return kExitUsage;
   }
-  return Put(options, PathOf(ZoneName(words[2])),
-             Json{{"state", words[1]}}.dump() + '\n');
+  const std::string path = PathOf(ZoneName(words[2]));
+  const int code = Put(options, path, Json{{"state", words[1]}}.dump() + '\n');
+  if (code != kExitOk || !options.waits) return code;
+  return WaitForRevision(options, path);
+}
+
+// The document that is in force, or null.
+Json Present(const CtlOptions& options, const std::string& path) {
+  return Json::parse(AskOperator(options, "GET", "/v1/tree" + path, "").body,
+                     nullptr, false);
+}
+
+Json ParseDocument(const std::string& text) {
+  return Json::parse(text, nullptr, /*allow_exceptions=*/false,
+                     /*ignore_comments=*/true);
+}
+
+// What setting the file would change, as a JSON patch (RFC 6902).
+int Diff(const CtlOptions& options, const Words& words) {
+  const auto text = FileText(options);
+  if (!text) return kExitUsage;
+  const Json present = Present(options, words[1]);
+  if (!present.is_object()) return kExitUnavailable;
+  const Json patch = Json::diff(ParseDocument(present.value("text", "{}")),
+                                ParseDocument(*text));
+  std::printf("%s\n", patch.dump(2).c_str());
+  return kExitOk;
+}
+
+// The store keeps no earlier versions; the document's last line names its last
+// change and who made it.
+int History(const CtlOptions& options, const Words& words) {
+  const Json present = Present(options, words[1]);
+  if (!present.is_object()) return kExitUnavailable;
+  const std::string text = present.value("text", "");
+  const std::size_t change = text.rfind("// change ");
+  std::printf("revision %llu: %s", present.value("revision", 0ULL),
+              change == std::string::npos ? "no change is recorded\n"
+                                          : text.c_str() + change + 3);
+  return kExitOk;
+}
+
+// Prints each document that changes, until the deadline.
+int Watch(const CtlOptions& options, const Words&) {
+  constexpr Millis kPause{250};
+  const TimePoint end = Clock::now() + options.deadline;
+  std::uint64_t seen = 0;
+  while (Clock::now() < end) {
+    const Json tree = Present(options, "");
+    if (!tree.is_object()) return kExitUnavailable;
+    for (const Json& document : tree["documents"]) {
+      if (document.value("revision", std::uint64_t{0}) <= seen) continue;
+      std::printf("%s\n", document.dump().c_str());
+    }
+    std::fflush(stdout);
+    seen = std::max(seen, tree.value("complete_through", std::uint64_t{0}));
+    std::this_thread::sleep_for(kPause);
+  }
+  return kExitOk;
 }
 
 // Sets each document of a directory tree: DIR/zones/suva.jsonc is /zones/suva.
@@ -223,7 +330,14 @@
      "validate PATH --file F    check a document; changes nothing", &Validate},
     {"import", 1, "import DIR                set each document below DIR",
      &Import},
-    {"zone", 2, "zone in|out NAME          bring a zone in or take it out",
+    {"diff", 1, "diff PATH --file F        what setting the file would change",
+     &Diff},
+    {"history", 1, "history PATH              the document's last change",
+     &History},
+    {"watch", 0, "watch                     print changes until the deadline",
+     &Watch},
+    {"zone", 2,
+     "zone in|out NAME          bring a zone in or take it out [--wait]",
      &Zone},
     {"status", 0, "status                    what is in force", &Status},
     {"entries", 0, "entries                   the addresses for callers",
@@ -257,6 +371,8 @@
          "      --priority P       high, normal or low\n"
          "      --deadline-ms N    time for the call [30000]\n"
          "      --repeatable       the call may be repeated: use no ticket\n"
+         "      --wait             zone: return once it is in force "
+         "everywhere\n"
          "  -h, --help             print this help and exit\n"
          "  -V, --version          print the version and exit\n"
          "\nExit codes: 0 accepted or answered, 1 refused or not run, "
--- a/src/operator/ctl.h
+++ b/src/operator/ctl.h
@@ -23,6 +23,7 @@
   std::string priority;
   Millis deadline{30'000};
   bool is_repeatable = false;
+  bool waits = false;  // zone: until it is in force at every instance
 };
 
 // Runs `words` (the verb and its operands). Returns an ExitCode.
--- a/src/spread/spread_node.h
+++ b/src/spread/spread_node.h
@@ -28,7 +28,7 @@
     Endpoint listen;              // entries only: where peers ask
     std::vector<Endpoint> seeds;  // entries to ask while no list is known
     // How long a question may be held until there is news.
-    Millis hold{300};
+    Millis hold{700};
     Millis watch_wait{500};
     Duration list_interval = std::chrono::milliseconds(1'000);
     // The list is fetched again if no watcher passed on a newer one.
