Ramp a zone that comes back; notice dead entries; clear the linter's findings

Cause: a zone that came back got its full load at once; callers were sent to dead entries until the platform's lagging list showed it; the linter had never run to its end.

The dead entry leaves the list within the suspicion time; the platform stand-in never removes it."

--- a/bench/virtual_fleet.cc
+++ b/bench/virtual_fleet.cc
@@ -66,7 +66,7 @@
 
 struct VirtualFleet::Server {
   InstanceId id;
-  std::optional<Gate> gate;
+  std::unique_ptr<Gate> gate;
   std::unordered_map<std::uint64_t, RequestPtr> waiting;
   // The baseline's queue.
   std::deque<RequestPtr> queue;
@@ -74,7 +74,7 @@
 };
 
 struct VirtualFleet::Entry {
-  std::optional<Router> router;
+  std::unique_ptr<Router> router;
   std::map<WorkspaceName, RetryBudget> budgets;
 };
 
@@ -86,10 +86,10 @@
     auto server = std::make_unique<Server>();
     server->id = InstanceId(std::to_string(i));
     const ZoneName zone(std::to_string(i % 3));
-    server->gate.emplace(Gate::Options{.instance = server->id,
-                                       .service = kService,
-                                       .zone = zone,
-                                       .tickets = {}});
+    server->gate = std::make_unique<Gate>(Gate::Options{.instance = server->id,
+                                                        .service = kService,
+                                                        .zone = zone,
+                                                        .tickets = {}});
     server->gate->SetConfiguration(configuration, time_.now());
     server->gate->Confirm(time_.now() + std::chrono::hours(10));
     instances.push_back({.id = server->id, .zone = zone, .service = kService});
@@ -97,7 +97,7 @@
   }
   for (int i = 0; i < options_.entries; ++i) {
     auto entry = std::make_unique<Entry>();
-    entry->router.emplace(Router::Options{
+    entry->router = std::make_unique<Router>(Router::Options{
         .zone = ZoneName(std::to_string(i % 3)),
         .seed = options_.seed * 100 + static_cast<std::uint64_t>(i)});
     entry->router->SetInstances(instances);
--- a/src/backend/gate.cc
+++ b/src/backend/gate.cc
@@ -55,6 +55,9 @@
 
 Gate::Progress Gate::SetConfiguration(ConfigurationPtr configuration,
                                       TimePoint now) {
+  // A zone that comes back ramps up like a cold start, lest it be flooded.
+  const bool was_in = configuration_->IsZoneIn(options_.zone);
+  if (!was_in && configuration->IsZoneIn(options_.zone)) BecomeCold();
   configuration_ = std::move(configuration);
   const auto it = configuration_->services.find(options_.service);
   service_ =
--- a/src/net/connection_watch.cc
+++ b/src/net/connection_watch.cc
@@ -62,7 +62,7 @@
   std::array<char, 1> byte{};
 };
 
-ConnectionWatch::ConnectionWatch(EventLoop& loop, Endpoint target,
+ConnectionWatch::ConnectionWatch(EventLoop& loop, const Endpoint& target,
                                  Duration retry, std::function<void()> on_lost)
     : state_(std::make_shared<State>(loop, target, retry, std::move(on_lost))) {
 }
--- a/src/net/connection_watch.h
+++ b/src/net/connection_watch.h
@@ -15,7 +15,7 @@
  public:
   // `on_lost` is called whenever the connection closes or can't be opened. The
   // watch then connects again, after `retry`.
-  ConnectionWatch(EventLoop& loop, Endpoint target, Duration retry,
+  ConnectionWatch(EventLoop& loop, const Endpoint& target, Duration retry,
                   std::function<void()> on_lost);
   ~ConnectionWatch();
   ConnectionWatch(const ConnectionWatch&) = delete;
--- a/src/net/endpoint.cc
+++ b/src/net/endpoint.cc
@@ -16,9 +16,7 @@
 }
 
 std::vector<Endpoint> ToEndpoints(const std::vector<std::string>& texts) {
-  std::vector<Endpoint> out;
-  for (const std::string& text : texts) out.emplace_back(text);
-  return out;
+  return {texts.begin(), texts.end()};
 }
 
 }  // namespace mangohold
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -66,7 +66,7 @@
   });
 }
 
-void EventLoop::OnTerminate(std::function<void()> on_signal) {
+void EventLoop::OnTerminate(const std::function<void()>& on_signal) {
   const auto signals =
       std::make_shared<asio::signal_set>(state_->io, SIGTERM, SIGINT);
   WaitForSignal(signals, on_signal);
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -37,7 +37,7 @@
   // Runs `task` at each `interval` until the loop ends.
   void Every(Duration interval, std::function<void()> task);
   // Calls `on_signal` on the loop's thread at each SIGTERM and SIGINT.
-  void OnTerminate(std::function<void()> on_signal);
+  void OnTerminate(const std::function<void()>& on_signal);
 
  private:
   struct State;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -11,7 +11,7 @@
 namespace mangohold {
 namespace {
 
-constexpr long kPooledConnections = 64;
+constexpr long kPooledConnections = 64;  // NOLINT(google-runtime-int)
 
 void InitCurlOnce() {
   static const CURLcode result = curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -119,6 +119,7 @@
   }
 
   // libcurl asks to be called after a delay; a negative one cancels.
+  // NOLINTNEXTLINE(google-runtime-int): libcurl's own type
   static int OnTimer(CURLM*, long delay_ms, void* self) {
     auto* state = static_cast<State*>(self);
     state->timer.cancel();
@@ -154,7 +155,7 @@
     const auto& owned = node.mapped();
     curl_multi_remove_handle(multi, owned->easy);
     if (owned->cancelled) return;
-    long sent_bytes = 0;
+    long sent_bytes = 0;  // NOLINT(google-runtime-int)
     curl_easy_getinfo(owned->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
     HttpResult result = HttpResult::kBroken;
     if (code == CURLE_OK) {
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -46,6 +46,7 @@
 
 struct ServerTraits : public restinio::default_single_thread_traits_t {
   using connection_state_listener_t = CloseListener;
+  // NOLINTNEXTLINE(readability-identifier-naming): the library's name
   static constexpr bool use_connection_count_limiter = true;
 };
 
@@ -75,7 +76,7 @@
 struct HttpExchange::Impl {
   restinio::request_handle_t request;
   std::shared_ptr<bool> close_after_reply;
-  std::optional<StreamedResponse> stream;
+  std::unique_ptr<StreamedResponse> stream;
   std::function<void()> on_closed;
   bool answered = false;
 
@@ -112,7 +113,7 @@
 }
 
 void HttpExchange::StartStream(int status, const HttpFields& fields) {
-  impl_->stream.emplace(
+  impl_->stream = std::make_unique<StreamedResponse>(
       impl_->request->create_response<restinio::chunked_output_t>(
           StatusLine(status)));
   impl_->AddFields(*impl_->stream, fields);
@@ -145,7 +146,8 @@
   std::unique_ptr<Server> server;
 };
 
-HttpServer::HttpServer(asio::io_context& io, Options options, Handler handler)
+HttpServer::HttpServer(asio::io_context& io, const Options& options,
+                       Handler handler)
     : state_(std::make_unique<State>()) {
   state_->listener->SetNotify([](HttpExchange& exchange) {
     exchange.impl_->answered = true;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -67,7 +67,7 @@
       std::function<void(HttpRequest, std::shared_ptr<HttpExchange>)>;
 
   // `handler` is called on `io`'s thread.
-  HttpServer(asio::io_context& io, Options options, Handler handler);
+  HttpServer(asio::io_context& io, const Options& options, Handler handler);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
--- a/src/operator/tree_editor.cc
+++ b/src/operator/tree_editor.cc
@@ -18,7 +18,7 @@
 
 void TreeEditor::Change(const std::string& path, const std::string& text,
                         Revision expected, const std::string& author,
-                        std::function<void(ChangeReply)> on_reply) {
+                        const std::function<void(ChangeReply)>& on_reply) {
   const Findings findings = CheckDocument(path, text);
   if (!text.empty() && !findings.empty()) {
     on_reply({.result = ChangeResult::kInvalid, .detail = findings.ToString()});
@@ -52,7 +52,7 @@
 void TreeEditor::ReadBack(const std::string& path,
                           const std::string& stored_text, Revision expected,
                           int attempts_left,
-                          std::function<void(ChangeReply)> on_reply) {
+                          const std::function<void(ChangeReply)>& on_reply) {
   client_.Read(path, [this, path, stored_text, expected, attempts_left,
                       on_reply](const absl::StatusOr<DocumentVersion>& read) {
     if (read.ok() && read->text == stored_text) {
--- a/src/operator/tree_editor.h
+++ b/src/operator/tree_editor.h
@@ -35,12 +35,12 @@
   // recognises it. `author` is the name of the operator's token.
   void Change(const std::string& path, const std::string& text,
               Revision expected, const std::string& author,
-              std::function<void(ChangeReply)> on_reply);
+              const std::function<void(ChangeReply)>& on_reply);
 
  private:
   void ReadBack(const std::string& path, const std::string& stored_text,
                 Revision expected, int attempts_left,
-                std::function<void(ChangeReply)> on_reply);
+                const std::function<void(ChangeReply)>& on_reply);
 
   PlatformClient& client_;
 };
--- a/src/peer/http2_session.cc
+++ b/src/peer/http2_session.cc
@@ -5,8 +5,8 @@
 #include <algorithm>
 #include <array>
 #include <asio.hpp>
-#include <cstring>
 #include <optional>
+#include <ranges>
 #include <unordered_map>
 #include <vector>
 
@@ -220,7 +220,7 @@
       return NGHTTP2_ERR_DEFERRED;
     }
     const bool was_above = impl.queue.size() > kLow;
-    std::memcpy(buffer, impl.queue.data(), size);
+    std::copy_n(impl.queue.data(), size, buffer);
     impl.queue.erase(0, size);
     if (impl.queue.empty() && impl.local_end) {
       *flags |= NGHTTP2_DATA_FLAG_EOF;
@@ -344,8 +344,8 @@
     asio::error_code ignored;
     socket.close(ignored);
     ping_timer.cancel();
-    std::vector<std::int32_t> ids;
-    for (const auto& [id, stream] : streams) ids.push_back(id);
+    const auto keys = streams | std::views::keys;
+    const std::vector<std::int32_t> ids(keys.begin(), keys.end());
     for (const std::int32_t id : ids) Retire(id);
     const auto callback = std::move(on_closed);
     on_closed = nullptr;
--- a/src/spread/spread.cc
+++ b/src/spread/spread.cc
@@ -23,6 +23,8 @@
   return hash * kPrime;
 }
 
+}  // namespace
+
 std::uint64_t DigestOf(const std::vector<Instance>& instances) {
   std::uint64_t digest = 1;
   for (const Instance& instance : instances) {
@@ -35,6 +37,8 @@
   return digest;
 }
 
+namespace {
+
 // Cuts an update at a size. What is left out has the higher revisions, and the
 // update is then complete only through the last one that is in it.
 TreeUpdate Bounded(TreeUpdate update) {
@@ -209,6 +213,18 @@
          now - it->second.heard_at > options_.suspect_after;
 }
 
+// The platform's list lags; what this process hears itself is newer.
+std::vector<Instance> Spread::EffectiveInstances(TimePoint now) const {
+  std::vector<Instance> out = instances_;
+  for (Instance& instance : out) {
+    if (instance.role == InstanceRole::kEntry &&
+        IsSuspected(instance.id, now)) {
+      instance.state = InstanceState::kLeaving;
+    }
+  }
+  return out;
+}
+
 // Highest random weight: each process ranks the entries by the hash of their
 // name with its key, so that all agree without an election and a change of the
 // list moves little.
--- a/src/spread/spread.h
+++ b/src/spread/spread.h
@@ -26,6 +26,9 @@
 
 namespace mangohold {
 
+// A hash that is the same on every process, in whatever order the list is.
+std::uint64_t DigestOf(const std::vector<Instance>& instances);
+
 class Spread {
  public:
   // A change that has not reached a majority this long after its write was sent
@@ -102,6 +105,8 @@
   bool HearsMajority(TimePoint now) const;
   // Entries that are leaving or haven't been heard lately although they were.
   bool IsSuspected(const InstanceId& entry, TimePoint now) const;
+  // The instance list with suspected and leaving entries marked as leaving.
+  std::vector<Instance> EffectiveInstances(TimePoint now) const;
   void BeginLeaving() { is_leaving_ = true; }
 
   const ConfigTree& tree() const { return tree_; }
--- a/src/spread/spread_node.cc
+++ b/src/spread/spread_node.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Duration kTick = std::chrono::milliseconds(50);
+// How often suspicion of silent entries is looked at.
+constexpr Duration kSuspicionTick = std::chrono::milliseconds(500);
 // The least time between two questions to one peer.
 constexpr Duration kAskGap = std::chrono::milliseconds(10);
 constexpr Duration kAskRetry = std::chrono::milliseconds(200);
@@ -43,6 +45,7 @@
     AnswerHeld();
     Publish();
   });
+  loop_.Every(kSuspicionTick, [this] { PublishInstances(); });
   return absl::OkStatus();
 }
 
@@ -216,10 +219,10 @@
 // Passes on what has changed. Settings count only once they were confirmed, so
 // that a process takes no work by what it has learnt in part.
 void SpreadNode::Publish() {
-  if (spread_.list_digest() != published_list_) {
-    published_list_ = spread_.list_digest();
-    handlers_.on_instances(spread_.instances());
+  if (spread_.list_digest() != linked_list_) {
+    linked_list_ = spread_.list_digest();
     SyncLinks();
+    PublishInstances();
     AnswerHeld();
   }
   const auto as_of = spread_.confirmed_as_of(Clock::now());
@@ -238,6 +241,14 @@
   }
 }
 
+void SpreadNode::PublishInstances() {
+  const auto instances = spread_.EffectiveInstances(Clock::now());
+  const std::uint64_t digest = DigestOf(instances);
+  if (digest == published_list_) return;
+  published_list_ = digest;
+  handlers_.on_instances(instances);
+}
+
 void SpreadNode::WhenAccepted(Revision revision, TimePoint deadline,
                               std::function<void(bool)> on_done) {
   if (Clock::now() >= deadline) return on_done(false);
--- a/src/spread/spread_node.h
+++ b/src/spread/spread_node.h
@@ -81,6 +81,7 @@
                      TimePoint sent_at);
   void FetchList();
   void Publish();
+  void PublishInstances();
   Duration NextRetry(int failures);
 
   EventLoop& loop_;
@@ -95,7 +96,8 @@
   std::list<Held> held_;
   ConfigurationPtr published_;
   std::optional<TimePoint> published_as_of_;
-  std::uint64_t published_list_ = 0;
+  std::uint64_t linked_list_ = 0;     // digest of the list that links follow
+  std::uint64_t published_list_ = 0;  // digest of what was passed on last
   std::optional<TimePoint> list_fetched_at_;
   int store_failures_ = 0;
   int list_failures_ = 0;
--- a/tests/system/configuration_test.cc
+++ b/tests/system/configuration_test.cc
@@ -144,6 +144,24 @@
   EXPECT_EQ(RunsAt(site, 1), runs);
 }
 
+// The platform's list still shows the dead entry; the others notice by
+// themselves and no longer send callers there.
+TEST(Membership, ADeadEntryLeavesTheAddressListBeforeThePlatformNotices) {
+  Site site({.entries = 3, .services = 1});
+  site.Start();
+  const auto listed = [&site] {
+    return nlohmann::json::parse(
+               Send(site.CallerAddress(0), "GET", "/v1/entries", "")
+                   .body)["entries"]
+        .size();
+  };
+  EXPECT_EQ(listed(), 3U);
+  site.entry(2).Kill();
+  EXPECT_TRUE(WaitFor([&] { return listed() == 2; }));
+  site.StartEntry(2);
+  EXPECT_TRUE(WaitFor([&] { return listed() == 3; }));
+}
+
 TEST(Configuration, AKilledWatcherIsReplaced) {
   Site site({.zones = {"suva"}, .entries = 4, .services = 1});
   site.Start();
--- a/tests/unit/cold_start_test.cc
+++ b/tests/unit/cold_start_test.cc
@@ -151,6 +151,41 @@
   EXPECT_GT(served, 2 * kSeeds * (kRun / Millis(70)));
 }
 
+TEST(ColdStart, AZoneThatComesBackRampsUp) {
+  const auto tree_with_zone = [](ConfigTree& tree, std::uint64_t revision,
+                                 const std::string& state) {
+    tree.Apply({.documents = {{.path = "/zones/suva",
+                               .revision = Revision(revision),
+                               .text = "{\"state\": \"" + state + "\"}"}},
+                .complete_through = Revision(revision)});
+    return tree.configuration();
+  };
+  ConfigTree tree;
+  tree.Apply({.documents = {{.path = "/services/drafts",
+                             .revision = Revision(1),
+                             .text = R"({"concurrency_limit": 8,
+                               "cold_start": {"initial_limit": 8}})"}},
+              .complete_through = Revision(1)});
+  const TimePoint now{std::chrono::hours(1)};
+  Gate gate({.instance = InstanceId("agent"),
+             .service = ServiceName("drafts"),
+             .zone = ZoneName("suva"),
+             .tickets = {}});
+  gate.SetConfiguration(tree.configuration(), now);
+  gate.Confirm(now);
+  EXPECT_EQ(gate.Status(now).limit, 8);
+  tree.Apply({.documents = {{.path = "/services/drafts",
+                             .revision = Revision(2),
+                             .text = R"({"concurrency_limit": 8,
+                               "cold_start": {"initial_limit": 2}})"}},
+              .complete_through = Revision(2)});
+  gate.SetConfiguration(tree_with_zone(tree, 3, "out"), now);
+  EXPECT_EQ(gate.ClosedReason(now), Reason::kZoneOut);
+  gate.SetConfiguration(tree_with_zone(tree, 4, "in"), now);
+  EXPECT_EQ(gate.ClosedReason(now), Reason::kNone);
+  EXPECT_EQ(gate.Status(now).limit, 2);
+}
+
 TEST(ColdStart, ASettingOfAHigherStartCountsAtOnce) {
   ColdStartLimit limit({.initial_limit = 1, .successes_per_step = 4}, 16);
   limit.SetOptions({.initial_limit = 6, .successes_per_step = 4}, 16);
