--- a/bench/virtual_fleet.cc
+++ b/bench/virtual_fleet.cc
@@ -15,19 +15,18 @@
 constexpr int kMaxAttempts = 3;
 constexpr int kBudgetPercent = 20;
 
-ConfigurationPtr FleetConfiguration(const FleetOptions& options) {
+TreeUpdate FleetSettings(const FleetOptions& options) {
   const std::string limit = std::to_string(options.concurrency);
-  ConfigTree tree;
-  tree.Apply(
-      {.documents = {{.path = "/services/drafts",
-                      .revision = Revision(1),
-                      .text = R"({"repeatable_calls":
-                               [{"method": "POST"}], "queue_limit": 32,
-                               "concurrency_limit": )" +
-                              limit + R"(, "cold_start": {"initial_limit": )" +
-                              limit + "}}"}},
-       .complete_through = Revision(1)});
-  return tree.configuration();
+  const std::string initial =
+      options.initial_limit > 0 ? std::to_string(options.initial_limit) : limit;
+  return {
+      .documents = {{.path = "/services/drafts",
+                     .revision = Revision(1),
+                     .text = R"({"repeatable_calls": [{"method": "POST"}],
+                           "queue_limit": 32, "concurrency_limit": )" +
+                             limit + R"(, "cold_start": {"initial_limit": )" +
+                             initial + "}}"}},
+      .complete_through = Revision(1)};
 }
 
 }  // namespace
@@ -68,6 +67,8 @@
   InstanceId id;
   std::unique_ptr<Gate> gate;
   std::unordered_map<std::uint64_t, RequestPtr> waiting;
+  std::map<std::uint64_t, RequestPtr> in_service;
+  int served = 0;  // since its warmth was last lost
   // The baseline's queue.
   std::deque<RequestPtr> queue;
   int running = 0;
@@ -80,7 +81,8 @@
 
 VirtualFleet::VirtualFleet(FleetOptions options)
     : options_(options), random_(options.seed) {
-  const ConfigurationPtr configuration = FleetConfiguration(options_);
+  tree_.Apply(FleetSettings(options_));
+  const ConfigurationPtr configuration = tree_.configuration();
   std::vector<Instance> instances;
   for (int i = 0; i < options_.servers; ++i) {
     auto server = std::make_unique<Server>();
@@ -180,7 +182,7 @@
                            .method = "POST",
                            .target = "/",
                            .deadline = left,
-                           .configuration_revision = Revision(1)},
+                           .configuration_revision = tree_.complete_through()},
                           "", time_.now());
   if (decision.displaced) {
     Progressed(index, {.start = {}, .shed = {*decision.displaced}});
@@ -191,18 +193,9 @@
     case Gate::Verdict::kQueued:
       server.waiting.emplace(id.value(), request);
       return;
-    default: {
-      const AgentStatus status = server.gate->Status(time_.now());
-      const Reason reason = decision.reason;
-      const Millis retry_after = decision.retry_after;
-      time_.After(options_.network, [=, this] {
-        Router& router = *entries_[request->entry]->router;
-        router.OnStatus(servers_[index]->id, status, time_.now());
-        router.OnEnded(servers_[index]->id, AttemptResult::kRefused,
-                       time_.now());
-        Attempt(request, request->policy.OnRefused(reason, false, retry_after));
-      });
-    }
+    default:
+      Retry(request, index, decision.reason, /*may_have_run=*/false,
+            decision.retry_after);
   }
 }
 
@@ -211,8 +204,55 @@
   return std::chrono::duration_cast<Duration>(options_.mean_service * factor);
 }
 
+int VirtualFleet::Bearing(const Server& server) const {
+  constexpr int kServedPerStep = 4;
+  if (options_.cold_bearing == 0) return options_.concurrency;
+  return std::min(options_.concurrency,
+                  options_.cold_bearing + server.served / kServedPerStep);
+}
+
+// All that was in service is lost; the agent sees its connections break.
+void VirtualFleet::FallOver(int index) {
+  Server& server = *servers_[index];
+  ++falls_;
+  server.served = 0;
+  const auto lost = std::move(server.in_service);
+  server.in_service.clear();
+  for (const auto& [id, request] : lost) {
+    server.gate->BecomeCold();
+    const auto progress = server.gate->Finish(WorkId(id), WorkResult::kFailed,
+                                              std::nullopt, time_.now());
+    Retry(request, index, Reason::kBackendFailed, /*may_have_run=*/true,
+          Millis(0));
+    Progressed(index, progress);
+  }
+}
+
+// Tells the entry that its attempt failed.
+void VirtualFleet::Retry(const RequestPtr& request, int index, Reason reason,
+                         bool may_have_run, Millis retry_after) {
+  const AgentStatus status = servers_[index]->gate->Status(time_.now());
+  time_.After(options_.network, [=, this] {
+    Router& router = *entries_[request->entry]->router;
+    router.OnStatus(servers_[index]->id, status, time_.now());
+    router.OnEnded(
+        servers_[index]->id,
+        may_have_run ? AttemptResult::kFailed : AttemptResult::kRefused,
+        time_.now());
+    Attempt(request,
+            request->policy.OnRefused(reason, may_have_run, retry_after));
+  });
+}
+
 void VirtualFleet::Serve(const RequestPtr& request, int index, WorkId id) {
+  Server& server = *servers_[index];
+  server.in_service.emplace(id.value(), request);
+  if (static_cast<int>(server.in_service.size()) > Bearing(server)) {
+    return FallOver(index);
+  }
   time_.After(ServiceTime(), [this, request, index, id] {
+    if (servers_[index]->in_service.erase(id.value()) == 0) return;  // lost
+    ++servers_[index]->served;
     Gate& gate = *servers_[index]->gate;
     const auto progress =
         gate.Finish(id, WorkResult::kServed, std::nullopt, time_.now());
@@ -228,6 +268,25 @@
   });
 }
 
+void VirtualFleet::SetZone(const std::string& zone, bool is_in) {
+  const Revision revision = tree_.complete_through().Next();
+  const std::string state = is_in ? "in" : "out";
+  tree_.Apply({.documents = {{.path = "/zones/" + zone,
+                              .revision = revision,
+                              .text = "{\"state\": \"" + state + "\"}"}},
+               .complete_through = revision});
+  for (int i = 0; i < options_.servers; ++i) {
+    Server& server = *servers_[i];
+    const bool is_returning = is_in && std::to_string(i % 3) == zone;
+    if (is_returning) server.served = 0;
+    Progressed(
+        i, server.gate->SetConfiguration(tree_.configuration(), time_.now()));
+  }
+  for (const auto& entry : entries_) {
+    entry->router->SetConfiguration(tree_.configuration());
+  }
+}
+
 void VirtualFleet::Progressed(int index, const Gate::Progress& progress) {
   Server& server = *servers_[index];
   for (const WorkId id : progress.start) {
@@ -237,13 +296,8 @@
   for (const Shed& shed : progress.shed) {
     const auto node = server.waiting.extract(shed.id.value());
     if (node.empty()) continue;
-    const RequestPtr request = node.mapped();
-    time_.After(options_.network, [=, this, reason = shed.reason,
-                                   retry_after = shed.retry_after] {
-      entries_[request->entry]->router->OnEnded(
-          servers_[index]->id, AttemptResult::kRefused, time_.now());
-      Attempt(request, request->policy.OnRefused(reason, false, retry_after));
-    });
+    Retry(node.mapped(), index, shed.reason, /*may_have_run=*/false,
+          shed.retry_after);
   }
 }
 
--- a/bench/virtual_fleet.h
+++ b/bench/virtual_fleet.h
@@ -53,6 +53,12 @@
   int concurrency = 16;
   Duration mean_service = std::chrono::milliseconds(100);
   Duration network = std::chrono::milliseconds(1);  // one way
+  // The settings' limit at a cold start; 0: the full limit, which is no ramp.
+  int initial_limit = 0;
+  // What a cold backend server really bears; it grows by one with each four
+  // requests served. A server that gets more falls over: it drops them all and
+  // is cold again. 0: servers are always warm.
+  int cold_bearing = 0;
 };
 
 // What became of the requests of one workspace.
@@ -79,6 +85,12 @@
   const Tally& AddLoad(const std::string& workspace, double rate,
                        Duration deadline, Duration lasting);
   void Run(Duration time);
+  // Operators take a zone ("0", "1", "2") out or bring it in. Its servers lose
+  // their warmth while it is out.
+  void SetZone(const std::string& zone, bool is_in);
+  // Times that a server fell over.
+  int falls() const { return falls_; }
+  TimePoint now() const { return time_.now(); }
 
  private:
   struct Request;
@@ -96,6 +108,10 @@
   void Progressed(int server, const Gate::Progress& progress);
   void End(const RequestPtr& request, const Action& action);
   Duration ServiceTime();
+  int Bearing(const Server& server) const;
+  void FallOver(int server);
+  void Retry(const RequestPtr& request, int server, Reason reason,
+             bool may_have_run, Millis retry_after);
 
   FleetOptions options_;
   VirtualTime time_;
@@ -104,6 +120,8 @@
   std::vector<std::unique_ptr<Entry>> entries_;
   std::vector<std::unique_ptr<Tally>> tallies_;
   std::uint64_t last_work_ = 0;
+  ConfigTree tree_;
+  int falls_ = 0;
 };
 
 }  // namespace mangohold::bench
--- a/src/agent_main.cc
+++ b/src/agent_main.cc
@@ -1,10 +1,9 @@
 // The agent daemon: wires the control thread to the traffic thread.
 #include <algorithm>
-#include <cstdio>
 #include <cstdlib>
 
 #include "backend/agent_server.h"
-#include "core/command_line.h"
+#include "core/daemon.h"
 #include "core/log.h"
 #include "core/process_settings.h"
 #include "core/random.h"
@@ -129,24 +128,10 @@
   std::quick_exit(kExitOk);
 }
 
-int Main(int argc, char** argv) {
-  int exit_code = kExitOk;
-  const auto command =
-      ParseDaemonCommand(argc, argv, "mangohold-agent", exit_code);
-  if (!command) return exit_code;
-  Findings findings;
-  const AgentSettings settings =
-      ParseAgentSettings(command->config_file, command->config_text, findings);
-  if (!findings.empty()) {
-    std::fputs(findings.ToString().c_str(), stderr);
-    return kExitData;
-  }
-  if (command->check_only) return kExitOk;
-  InitLog("mangohold-agent", settings.instance.value(), settings.log_level);
-  return Run(settings);
-}
-
 }  // namespace
 }  // namespace mangohold
 
-int main(int argc, char** argv) { return mangohold::Main(argc, argv); }
+int main(int argc, char** argv) {
+  return mangohold::RunDaemon(argc, argv, "mangohold-agent",
+                              &mangohold::ParseAgentSettings, &mangohold::Run);
+}
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -1,9 +1,8 @@
 // The entry daemon: wires the control thread to the traffic thread.
-#include <cstdio>
 #include <cstdlib>
 
 #include "caller/entry_server.h"
-#include "core/command_line.h"
+#include "core/daemon.h"
 #include "core/log.h"
 #include "core/process_settings.h"
 #include "core/random.h"
@@ -106,24 +105,10 @@
   std::quick_exit(kExitOk);
 }
 
-int Main(int argc, char** argv) {
-  int exit_code = kExitOk;
-  const auto command =
-      ParseDaemonCommand(argc, argv, "mangohold-entry", exit_code);
-  if (!command) return exit_code;
-  Findings findings;
-  const EntrySettings settings =
-      ParseEntrySettings(command->config_file, command->config_text, findings);
-  if (!findings.empty()) {
-    std::fputs(findings.ToString().c_str(), stderr);
-    return kExitData;
-  }
-  if (command->check_only) return kExitOk;
-  InitLog("mangohold-entry", settings.instance.value(), settings.log_level);
-  return Run(settings);
-}
-
 }  // namespace
 }  // namespace mangohold
 
-int main(int argc, char** argv) { return mangohold::Main(argc, argv); }
+int main(int argc, char** argv) {
+  return mangohold::RunDaemon(argc, argv, "mangohold-entry",
+                              &mangohold::ParseEntrySettings, &mangohold::Run);
+}
--- a/src/peer/http2_session.cc
+++ b/src/peer/http2_session.cc
@@ -60,6 +60,9 @@
   bool closed = false;        // the stream no longer exists in nghttp2
   bool remote_ended = false;  // all of the peer's bytes have arrived
   bool local_sent = false;    // all of this side's bytes have been framed
+
+  // Asks nghttp2 to come for bytes again, if it has found none before.
+  void ResumeSending();
 };
 
 struct Http2Session::Impl : std::enable_shared_from_this<Http2Session::Impl> {
@@ -369,6 +372,16 @@
   std::function<void()> on_closed;
 };
 
+void Http2Stream::Impl::ResumeSending() {
+  const auto owner = session.lock();
+  if (owner == nullptr) return;
+  if (deferred) {
+    deferred = false;
+    nghttp2_session_resume_data(owner->session, id);
+  }
+  owner->ScheduleWrite();
+}
+
 Http2Stream::Http2Stream(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
 Http2Stream::~Http2Stream() = default;
 
@@ -390,26 +403,14 @@
 void Http2Stream::SendData(std::string_view data) {
   if (impl_->closed || impl_->local_end) return;
   impl_->queue.append(data);
-  const auto session = impl_->session.lock();
-  if (session == nullptr) return;
-  if (impl_->deferred) {
-    impl_->deferred = false;
-    nghttp2_session_resume_data(session->session, impl_->id);
-  }
-  session->ScheduleWrite();
+  impl_->ResumeSending();
 }
 
 void Http2Stream::SendEnd(HttpFields trailers) {
   if (impl_->closed || impl_->local_end) return;
   impl_->local_end = true;
   impl_->trailers = std::move(trailers);
-  const auto session = impl_->session.lock();
-  if (session == nullptr) return;
-  if (impl_->deferred) {
-    impl_->deferred = false;
-    nghttp2_session_resume_data(session->session, impl_->id);
-  }
-  session->ScheduleWrite();
+  impl_->ResumeSending();
 }
 
 void Http2Stream::Reset() {
--- a/src/routing/attempt_policy.cc
+++ b/src/routing/attempt_policy.cc
@@ -97,6 +97,12 @@
   if (options_.has_caller_ticket) {
     return Finish(Outcome::kUnknown, reason, retry_after);
   }
+  // With nobody left to try, the last refusal says more than that.
+  const bool was_refused = last_reason_ != Reason::kNone;
+  if (reason == Reason::kNoBackend && was_refused) {
+    return Finish(maybe_ran_ ? Outcome::kUnknown : Outcome::kNotRun,
+                  last_reason_, std::max(retry_after, last_retry_after_));
+  }
   return Retry(reason, retry_after);
 }
 
