--- a/src/group/placement.cc
+++ b/src/group/placement.cc
@@ -10,9 +10,9 @@
 namespace {
 
 // Rounds of sharing out; each lowers the slowest rank, and the gain soon fades.
-constexpr int kShareRounds = 12;
+constexpr int kShareRounds = 8;
 // Receiving ranks that are tried for a move.
-constexpr int kReceivers = 3;
+constexpr int kReceivers = 2;
 
 std::vector<double> RankTimes(const ExpertMap& map, const LayerLoad& load) {
   std::vector<double> times(static_cast<std::size_t>(map.shape.ranks));
