--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -119,14 +119,14 @@
 void WritePlot(const std::string& file, const std::vector<Result>& results) {
   constexpr double kWidth = 720;
   constexpr double kHeight = 320;
-  constexpr double kTop = 4;  // skew at the upper edge
+  constexpr double kTop = 5;  // skew at the upper edge
   constexpr std::array kColours = {"#888888", "#cc6633", "#226699"};
   std::ofstream out(file);
   out << "<svg xmlns='http://www.w3.org/2000/svg' width='" << kWidth
       << "' height='" << kHeight << "' font-family='sans-serif'>\n"
       << "<rect width='100%' height='100%' fill='white'/>\n"
       << "<text x='8' y='16' font-size='12'>skew (slowest rank over mean) by "
-         "period, 1 at the lower edge, 4 at the upper</text>\n";
+         "period, 1 at the lower edge, 5 at the upper</text>\n";
   for (std::size_t i = 0; i < results.size(); ++i) {
     out << "<polyline fill='none' stroke='" << kColours[i] << "' points='";
     for (int period = 0; period < kPeriods; ++period) {
--- a/bench/routing_bench.cc
+++ b/bench/routing_bench.cc
@@ -29,12 +29,10 @@
   for (std::size_t i = 0; i < servers.size(); ++i) {
     const bool is_closed =
         static_cast<std::int64_t>(i * 37 % 100) < state.range(1);
-    router.OnStatus(servers[i].id,
-                    {.limit = 16,
-                     .in_flight = static_cast<int>(i * 7 % 20),
-                     .mean_service_us = 50'000,
-                     .is_closed = is_closed},
-                    now);
+    router.OnStatus(servers[i].id, {.limit = 16,
+                                    .in_flight = static_cast<int>(i * 7 % 20),
+                                    .mean_service_us = 50'000,
+                                    .is_closed = is_closed});
   }
   const ServiceName service("drafts");
   for ([[maybe_unused]] auto _ : state) {
--- a/bench/virtual_fleet.cc
+++ b/bench/virtual_fleet.cc
@@ -234,7 +234,7 @@
   const AgentStatus status = servers_[index]->gate->Status(time_.now());
   time_.After(options_.network, [=, this] {
     Router& router = *entries_[request->entry]->router;
-    router.OnStatus(servers_[index]->id, status, time_.now());
+    router.OnStatus(servers_[index]->id, status);
     router.OnEnded(
         servers_[index]->id,
         may_have_run ? AttemptResult::kFailed : AttemptResult::kRefused,
@@ -260,7 +260,7 @@
     Progressed(index, progress);
     time_.After(options_.network, [=, this] {
       Router& router = *entries_[request->entry]->router;
-      router.OnStatus(servers_[index]->id, status, time_.now());
+      router.OnStatus(servers_[index]->id, status);
       router.OnEnded(servers_[index]->id, AttemptResult::kServed, time_.now());
       request->policy.OnHead();
       End(request, request->policy.OnEnd(true, Reason::kNone));
@@ -341,8 +341,7 @@
   const std::function<void()> tell = [this, &tell] {
     for (const auto& entry : entries_) {
       for (const auto& server : servers_) {
-        entry->router->OnStatus(server->id, server->gate->Status(time_.now()),
-                                time_.now());
+        entry->router->OnStatus(server->id, server->gate->Status(time_.now()));
       }
     }
     time_.After(kStatusInterval, tell);
--- a/src/backend/backend_monitor.cc
+++ b/src/backend/backend_monitor.cc
@@ -16,8 +16,6 @@
   if (!body.is_object() || !body.contains("boot_id")) return std::nullopt;
   BackendReport report;
   report.boot = Incarnation(body.value("boot_id", ""));
-  report.running = body.value("running", 0);
-  report.queued = body.value("queued", 0);
   report.is_leaving = body.value("leaving", false);
   return report;
 }
--- a/src/backend/backend_monitor.h
+++ b/src/backend/backend_monitor.h
@@ -14,11 +14,10 @@
 
 namespace mangohold {
 
-// A backend server's own report. It lags behind the truth.
+// What an agent takes from a backend server's own report, which lags. The load
+// in it is not needed: all work passes the agent, whose own count is exact.
 struct BackendReport {
   Incarnation boot;  // changes whenever the server loses its warmth
-  int running = 0;
-  int queued = 0;
   bool is_leaving = false;
 };
 
--- a/src/caller/entry_server.cc
+++ b/src/caller/entry_server.cc
@@ -96,7 +96,7 @@
              [this, backend](const std::optional<std::string>& reply) {
                const auto status = Decode<AgentStatus>(reply.value_or(""));
                if (!status.ok()) return;
-               context_.router.OnStatus(backend, *status, Clock::now());
+               context_.router.OnStatus(backend, *status);
              });
 }
 
--- a/src/caller/request_run.cc
+++ b/src/caller/request_run.cc
@@ -149,7 +149,7 @@
     EndAttempt(AttemptResult::kFailed);
     return Do(policy_.OnLinkBroken());
   }
-  context_.router.OnStatus(agent_, reply->status, Clock::now());
+  context_.router.OnStatus(agent_, reply->status);
   if (reply->reason != Reason::kNone) {
     EndAttempt(AttemptResult::kRefused);
     return Do(policy_.OnRefused(reply->reason, /*may_have_run=*/false,
@@ -217,7 +217,7 @@
     stream_->Reset();
     return OnBroken();
   }
-  context_.router.OnStatus(agent_, reply->status, Clock::now());
+  context_.router.OnStatus(agent_, reply->status);
   if (reply->reason != Reason::kNone) {
     DropStream();
     EndAttempt(reply->may_have_run ? AttemptResult::kFailed
@@ -257,7 +257,7 @@
 void RequestRun::OnEnd(const HttpFields& trailers) {
   const auto end = Decode<SubmitEnd>(FieldValue(trailers, kMessageField));
   if (!end.ok()) return OnBroken();
-  context_.router.OnStatus(agent_, end->status, Clock::now());
+  context_.router.OnStatus(agent_, end->status);
   EndAttempt(end->is_complete ? AttemptResult::kServed
                               : AttemptResult::kFailed);
   const bool is_whole = end->is_complete && end->body_bytes == body_bytes_;
--- a/src/core/outcome.cc
+++ b/src/core/outcome.cc
@@ -32,7 +32,6 @@
     {Reason::kZoneOut, "zone_out", 503},
     {Reason::kNoBackend, "no_backend", 503},
     {Reason::kBackendLeaving, "backend_leaving", 503},
-    {Reason::kBackendLimit, "backend_limit", 503},
     {Reason::kBackendRefused, "backend_refused", 503},
     {Reason::kBackendUnreachable, "backend_unreachable", 503},
     {Reason::kBackendFailed, "backend_failed", 502},
@@ -43,7 +42,6 @@
     {Reason::kAgentUnreachable, "agent_unreachable", 503},
     {Reason::kLinkBroken, "link_broken", 502},
     {Reason::kCallerGone, "caller_gone", 499},
-    {Reason::kShuttingDown, "shutting_down", 503},
 });
 static_assert(kReasons.size() == static_cast<std::size_t>(Reason::kCount));
 
--- a/src/core/outcome.h
+++ b/src/core/outcome.h
@@ -34,7 +34,6 @@
   kZoneOut,
   kNoBackend,
   kBackendLeaving,
-  kBackendLimit,
   kBackendRefused,
   kBackendUnreachable,
   kBackendFailed,
@@ -45,7 +44,6 @@
   kAgentUnreachable,
   kLinkBroken,
   kCallerGone,
-  kShuttingDown,
   kCount
 };
 
--- a/src/group/placement.h
+++ b/src/group/placement.h
@@ -1,9 +1,10 @@
 // Which ranks of a group hold which experts, and how an expert's tokens are
 // divided between the ranks that hold it. Decisions only.
 //
-// All ranks advance in lock-step, so a layer's step takes as long as its slowest
-// rank. A map has two parts: moving an expert into a slot costs its bytes from
-// the rate-limited weight store, while new shares cost nothing to send.
+// All ranks advance in lock-step, so a layer's step takes as long as its
+// slowest rank. A map has two parts: moving an expert into a slot costs its
+// bytes from the rate-limited weight store, while new shares cost nothing to
+// send.
 #pragma once
 
 #include <array>
--- a/src/operator/operator_server.cc
+++ b/src/operator/operator_server.cc
@@ -109,6 +109,7 @@
   for (const auto& [id, peer] : spread.peers()) {
     instances.push_back({{"instance", id},
                          {"role", "entry"},
+                         {"incarnation", peer.incarnation},
                          {"revision", peer.complete_through},
                          {"heard_ms_ago", ToMillis(now - peer.heard_at)},
                          {"qualified", peer.is_qualified},
--- a/src/peer/http2_session.cc
+++ b/src/peer/http2_session.cc
@@ -465,10 +465,6 @@
 
 void Http2Session::Close() { impl_->Shut(); }
 
-Duration Http2Session::SilentFor() const {
-  return Clock::now() - impl_->last_read;
-}
-
 namespace {
 
 // One connection attempt with its timer; whichever ends first decides.
--- a/src/peer/http2_session.h
+++ b/src/peer/http2_session.h
@@ -94,8 +94,6 @@
   // Called once when the connection has closed, after its streams broke.
   void SetOnClosed(std::function<void()> on_closed);
   void Close();
-  // Time since the peer's last byte; pings go out while the link is idle.
-  Duration SilentFor() const;
 
  private:
   std::shared_ptr<Impl> impl_;
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -9,8 +9,10 @@
 
 constexpr Duration kUpCheckInterval = std::chrono::milliseconds(20);
 
+}  // namespace
+
 // What has arrived of the reply to one call.
-struct PendingReply {
+struct PeerLink::PendingReply {
   std::optional<std::string> message;
   std::function<void(std::optional<std::string>)> on_reply;
 
@@ -31,8 +33,6 @@
   }
 };
 
-}  // namespace
-
 PeerLink::PeerLink(EventLoop& loop, Options options,
                    std::function<void(bool is_up)> on_link, Counters& counters)
     : loop_(loop),
@@ -105,21 +105,10 @@
                     std::function<void(std::optional<std::string>)> on_reply) {
   auto pending = std::make_shared<PendingReply>();
   pending->on_reply = std::move(on_reply);
-  const auto stream = Open(
-      path, message,
-      {.on_head =
-           [pending](const HttpFields& head) {
-             pending->message = std::string(FieldValue(head, kMessageField));
-           },
-       .on_data = nullptr,
-       .on_end = [pending](const HttpFields&) { pending->Finish(); },
-       .on_broken = [pending] { pending->Fail(); },
-       .on_writable = nullptr});
-  if (stream == nullptr) {
-    loop_.Post([pending] { pending->Fail(); });
-    return;
-  }
-  stream->SendEnd();
+  const auto on_head = [pending](const HttpFields& head) {
+    pending->message = std::string(FieldValue(head, kMessageField));
+  };
+  Send(path, message, "", pending, {.on_head = on_head});
 }
 
 void PeerLink::CallWithBody(
@@ -128,13 +117,19 @@
   auto pending = std::make_shared<PendingReply>();
   pending->on_reply = std::move(on_reply);
   pending->message.emplace();
-  const auto stream = Open(
-      path, "",
-      {.on_head = nullptr,
-       .on_data = [pending](std::string_view data) { pending->Take(data); },
-       .on_end = [pending](const HttpFields&) { pending->Finish(); },
-       .on_broken = [pending] { pending->Fail(); },
-       .on_writable = nullptr});
+  const auto on_data = [pending](std::string_view data) {
+    pending->Take(data);
+  };
+  Send(path, "", body, pending, {.on_data = on_data});
+}
+
+void PeerLink::Send(std::string_view path, const std::string& message,
+                    const std::string& body,
+                    const std::shared_ptr<PendingReply>& pending,
+                    Http2Handlers handlers) {
+  handlers.on_end = [pending](const HttpFields&) { pending->Finish(); };
+  handlers.on_broken = [pending] { pending->Fail(); };
+  const auto stream = Open(path, message, std::move(handlers));
   if (stream == nullptr) {
     loop_.Post([pending] { pending->Fail(); });
     return;
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -48,6 +48,12 @@
   void WhenUp(Duration limit, std::function<void(bool)> on_up);
 
  private:
+  struct PendingReply;
+
+  void Send(std::string_view path, const std::string& message,
+            const std::string& body,
+            const std::shared_ptr<PendingReply>& pending,
+            Http2Handlers handlers);
   void Connect();
   void OnConnected(Http2SessionPtr session);
   void ScheduleConnect();
--- a/src/routing/attempt_policy.cc
+++ b/src/routing/attempt_policy.cc
@@ -9,14 +9,13 @@
 // Refusals that another agent may not share. After any other the request is
 // at fault, or every agent would say the same.
 constexpr std::array kTryElsewhere = {
-    Reason::kTicketVoid,         Reason::kTicketUnknown,
-    Reason::kTicketMismatch,     Reason::kConfigurationUnknown,
-    Reason::kStaleConfiguration, Reason::kZoneOut,
-    Reason::kBackendLeaving,     Reason::kBackendLimit,
-    Reason::kBackendRefused,     Reason::kBackendUnreachable,
-    Reason::kQueueFull,          Reason::kDeadlineUnreachable,
-    Reason::kAgentUnreachable,   Reason::kLinkBroken,
-    Reason::kBackendFailed,
+    Reason::kTicketVoid,          Reason::kTicketUnknown,
+    Reason::kTicketMismatch,      Reason::kConfigurationUnknown,
+    Reason::kStaleConfiguration,  Reason::kZoneOut,
+    Reason::kBackendLeaving,      Reason::kBackendRefused,
+    Reason::kBackendUnreachable,  Reason::kQueueFull,
+    Reason::kDeadlineUnreachable, Reason::kAgentUnreachable,
+    Reason::kLinkBroken,          Reason::kBackendFailed,
 };
 
 bool MayTryElsewhere(Reason reason) {
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -206,8 +206,7 @@
                                     options_.most_ejected_percent;
 }
 
-void Router::OnStatus(const InstanceId& id, const AgentStatus& status,
-                      TimePoint /*now*/) {
+void Router::OnStatus(const InstanceId& id, const AgentStatus& status) {
   const auto it = servers_.find(id);
   if (it == servers_.end()) return;
   it->second.status = status;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -60,7 +60,7 @@
   // An attempt was sent to the server / has ended there.
   void OnSent(const InstanceId& id);
   void OnEnded(const InstanceId& id, AttemptResult result, TimePoint now);
-  void OnStatus(const InstanceId& id, const AgentStatus& status, TimePoint now);
+  void OnStatus(const InstanceId& id, const AgentStatus& status);
   // The link to the server's agent came up or went down.
   void OnLink(const InstanceId& id, bool is_up);
   // Remembers which server has the prefix in its cache.
