Read a store's answer without trusting its types; clear three lint findings

Beside the brace a revision that isn't a number would have thrown out of the callback and ended the process.

Change: ToWriteReply reads the answer in one place and leaves the fate open for what it doesn't understand; a pending reply holds plain text; the ranks' slots are a span.

--- a/src/group/placement.cc
+++ b/src/group/placement.cc
@@ -5,6 +5,7 @@
 #include <numeric>
 #include <optional>
 #include <ranges>
+#include <span>
 
 namespace mangohold {
 namespace {
@@ -85,9 +86,11 @@
 }
 
 bool Holds(const ExpertMap& map, int rank, int expert) {
-  const auto first = map.expert.begin() + rank * map.shape.slots_per_rank;
-  return std::find(first, first + map.shape.slots_per_rank, expert) !=
-         first + map.shape.slots_per_rank;
+  const auto slots =
+      std::span(map.expert)
+          .subspan(static_cast<std::size_t>(rank) * map.shape.slots_per_rank,
+                   map.shape.slots_per_rank);
+  return std::ranges::find(slots, expert) != slots.end();
 }
 
 ExpertMap PlanStatic(const ExpertMap& present, const LayerLoad&,
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -13,23 +13,20 @@
 
 // What has arrived of the reply to one call.
 struct PeerLink::PendingReply {
-  std::optional<std::string> message;
+  std::string message;
   std::function<void(std::optional<std::string>)> on_reply;
-
   std::weak_ptr<Http2Stream> stream;
 
   void Take(std::string_view data) {
-    message->append(data);
+    message.append(data);
     if (const auto open = stream.lock()) open->Consume(data.size());
   }
-  void Fail() {
-    message.reset();
-    Finish();
-  }
-  void Finish() {
+  void Fail() { Give(std::nullopt); }
+  void Finish() { Give(std::move(message)); }
+  void Give(std::optional<std::string> reply) {
     const auto callback = std::move(on_reply);
     on_reply = nullptr;
-    if (callback) callback(std::move(message));
+    if (callback) callback(std::move(reply));
   }
 };
 
@@ -116,7 +113,6 @@
     std::function<void(std::optional<std::string>)> on_reply) {
   auto pending = std::make_shared<PendingReply>();
   pending->on_reply = std::move(on_reply);
-  pending->message.emplace();
   const auto on_data = [pending](std::string_view data) {
     pending->Take(data);
   };
--- a/src/platform/platform_client.cc
+++ b/src/platform/platform_client.cc
@@ -45,6 +45,29 @@
   }
 }
 
+// 503 and 400 are the store's word that it took nothing. Any other status
+// without a revision leaves the write's fate open.
+WriteReply ToWriteReply(const HttpResponse& response) {
+  WriteReply reply;
+  if (response.result == HttpResult::kNotSent) {
+    reply.result = WriteResult::kRefused;
+    return reply;
+  }
+  if (response.result != HttpResult::kComplete) return reply;
+  if (response.status == 503 || response.status == 400) {
+    reply.result = WriteResult::kRefused;
+    return reply;
+  }
+  const Json body = Json::parse(response.body, nullptr, false);
+  const bool has_revision = body.is_object() && body.contains("revision") &&
+                            body["revision"].is_number_unsigned();
+  if (!has_revision) return reply;
+  reply.revision = body["revision"].get<Revision>();
+  if (response.status == 200) reply.result = WriteResult::kWritten;
+  if (response.status == 409) reply.result = WriteResult::kConflict;
+  return reply;
+}
+
 }  // namespace
 
 PlatformClient::PlatformClient(HttpClient& http, Options options,
@@ -101,24 +124,7 @@
                 .fresh_connection = true};
   Call(std::move(call),
        [on_reply = std::move(on_reply)](const HttpResponse& response) {
-         WriteReply reply;
-         if (response.result == HttpResult::kNotSent) {
-           reply.result = WriteResult::kRefused;
-         } else if (response.result == HttpResult::kComplete) {
-           const Json body = Json::parse(response.body, nullptr, false);
-           const bool has_revision =
-               body.is_object() && body.contains("revision");
-           if (has_revision)
-             reply.revision = body.at("revision").get<Revision>();
-           if (response.status == 200 && has_revision) {
-             reply.result = WriteResult::kWritten;
-           } else if (response.status == 409) {
-             reply.result = WriteResult::kConflict;
-           } else if (response.status == 503 || response.status == 400) {
-             reply.result = WriteResult::kRefused;
-           }
-         }
-         on_reply(reply);
+         on_reply(ToWriteReply(response));
        });
 }
 
