Build the status report in two plain functions

Change: the report's parts are built by two functions without a conditional on an optional; the age is -1 where nothing was ever confirmed.

--- a/src/operator/operator_server.cc
+++ b/src/operator/operator_server.cc
@@ -49,6 +49,38 @@
   return difference == 0;
 }
 
+// Milliseconds since the settings were confirmed; -1: never.
+std::int64_t ConfirmedAgeMs(const Spread& spread, TimePoint now) {
+  const TimePoint never = now + Millis(1);
+  return ToMillis(now - spread.confirmed_as_of(now).value_or(never));
+}
+
+// The entries that were asked, and the agents that asked.
+Json HeardInstances(const Spread& spread, TimePoint now) {
+  Json instances = Json::array();
+  for (const auto& [id, peer] : spread.peers()) {
+    Json item;
+    item["instance"] = id;
+    item["role"] = "entry";
+    item["incarnation"] = peer.incarnation;
+    item["revision"] = peer.complete_through;
+    item["heard_ms_ago"] = ToMillis(now - peer.heard_at);
+    item["qualified"] = peer.is_qualified;
+    item["leaving"] = peer.is_leaving;
+    instances.push_back(std::move(item));
+  }
+  for (const auto& [id, asker] : spread.askers()) {
+    if (spread.peers().contains(id)) continue;
+    Json item;
+    item["instance"] = id;
+    item["role"] = "agent";
+    item["revision"] = asker.complete_through;
+    item["heard_ms_ago"] = ToMillis(now - asker.asked_at);
+    instances.push_back(std::move(item));
+  }
+  return instances;
+}
+
 }  // namespace
 
 OperatorServer::OperatorServer(EventLoop& loop, Options options,
@@ -104,33 +136,15 @@
 void OperatorServer::HandleStatus(const Exchange& exchange) {
   const Spread& spread = node_.spread();
   const TimePoint now = Clock::now();
-  const auto as_of = spread.confirmed_as_of(now);
-  Json instances = Json::array();
-  for (const auto& [id, peer] : spread.peers()) {
-    instances.push_back({{"instance", id},
-                         {"role", "entry"},
-                         {"incarnation", peer.incarnation},
-                         {"revision", peer.complete_through},
-                         {"heard_ms_ago", ToMillis(now - peer.heard_at)},
-                         {"qualified", peer.is_qualified},
-                         {"leaving", peer.is_leaving}});
-  }
-  for (const auto& [id, asker] : spread.askers()) {
-    if (spread.peers().contains(id)) continue;
-    instances.push_back({{"instance", id},
-                         {"role", "agent"},
-                         {"revision", asker.complete_through},
-                         {"heard_ms_ago", ToMillis(now - asker.asked_at)}});
-  }
-  ReplyJson(
-      exchange, 200,
-      {{"instance", options_.instance},
-       {"revision", spread.tree().complete_through()},
-       {"confirmed_ms_ago", as_of ? Json(ToMillis(now - *as_of)) : Json()},
-       {"qualified", spread.is_qualified()},
-       {"hears_majority", spread.HearsMajority(now)},
-       {"watches_store", spread.ShouldWatch(now)},
-       {"instances", instances}});
+  Json status;
+  status["instance"] = options_.instance;
+  status["revision"] = spread.tree().complete_through();
+  status["confirmed_ms_ago"] = ConfirmedAgeMs(spread, now);
+  status["qualified"] = spread.is_qualified();
+  status["hears_majority"] = spread.HearsMajority(now);
+  status["watches_store"] = spread.ShouldWatch(now);
+  status["instances"] = HeardInstances(spread, now);
+  ReplyJson(exchange, 200, status);
 }
 
 const OperatorToken* OperatorServer::Authorise(const HttpRequest& request,
