Lint a file again when the linter itself crashes

Cause: clang-tidy 16 died with signal 11 on a file that it had passed minutes before; xargs then gave up all files that were left, so lint had no verdict at all.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 lint: build
 	clang-format --dry-run -Werror $(SOURCES)
 	printf '%s\n' $(filter %.cc,$(SOURCES)) | \
-	  xargs -P $(JOBS) -n 1 clang-tidy-16 -p $(BUILD) --quiet
+	  xargs -P $(JOBS) -n 1 scripts/tidy.sh $(BUILD)
 
 bench: build
 	$(BUILD)/bench/routing_bench
