Clear the linter's findings in the spread of settings

Cause: lint had stopped at the linter's crash before it reached these files. Change: two braces, one reserve.

--- a/src/spread/spread_node.cc
+++ b/src/spread/spread_node.cc
@@ -59,13 +59,14 @@
                              if (open == nullptr) return;
                              open->Consume(data.size());
                              body->append(data);
-                             if (body->size() > kMostQuestionBytes)
-                               open->Reset();
+                             const bool is_too_long =
+                                 body->size() > kMostQuestionBytes;
+                             if (is_too_long) open->Reset();
                            },
                        .on_end =
                            [this, body, weak](const HttpFields&) {
-                             if (const auto open = weak.lock())
-                               OnQuestion(open, *body);
+                             const auto open = weak.lock();
+                             if (open != nullptr) OnQuestion(open, *body);
                            },
                        .on_broken = nullptr,
                        .on_writable = nullptr});
--- a/tests/unit/spread_test.cc
+++ b/tests/unit/spread_test.cc
@@ -11,6 +11,7 @@
 
 std::vector<Instance> Entries(int count, int zones = 1) {
   std::vector<Instance> out;
+  out.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     out.push_back({.id = InstanceId("entry-" + std::to_string(i)),
                    .role = InstanceRole::kEntry,
