--- a/bench/load.sh
+++ b/bench/load.sh
@@ -6,14 +6,8 @@
 build=${BUILD:-build}
 rate=${RATE:-1000}
 seconds=${SECONDS_PER_ROUND:-3}
-dir=$(mktemp -d)
-pids=()
-finish() {
-  kill -9 "${pids[@]}" 2>/dev/null || true
-  wait 2>/dev/null || true
-  rm -rf "$dir"
-}
-trap finish EXIT
+source scripts/processes.sh
+dir=$logs
 host=127.3.0.1
 cat >"$dir/instances.json" <<JSON
 [{"id": "entry", "role": "entry", "state": "live", "zone": "suva",
@@ -42,15 +36,11 @@
 echo '{"max_in_flight": 100000}' >"$dir/tree/workspaces/sales.json"
 echo '{"expected_entries": 1}' >"$dir/tree/fleet.json"
 
-"$build/platform_standin" --listen "$host:7000" --instances "$dir/instances.json" &
-pids+=($!)
-"$build/engine_standin" --listen "$host:8000" &
-pids+=($!)
-"$build/mangohold-agent" -c "$dir/agent.json" &
-pids+=($!)
-"$build/mangohold-entry" -c "$dir/entry.json" &
-entry=$!
-pids+=($entry)
+run platform "$build/platform_standin" --listen "$host:7000" --instances "$dir/instances.json"
+run engine "$build/engine_standin" --listen "$host:8000"
+run agent "$build/mangohold-agent" -c "$dir/agent.json"
+run entry "$build/mangohold-entry" -c "$dir/entry.json"
+entry=${pids[-1]}
 ctl="$build/mangoholdctl -o $host:8081 -e $host:8080 -t lead"
 for _ in $(seq 1 100); do
   $ctl import "$dir/tree" >/dev/null 2>&1 && break
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,20 +5,7 @@
 cd "$(dirname "$0")/.."
 build=${BUILD:-build}
 site=conf/naidu
-logs=$(mktemp -d)
-pids=()
-finish() {
-  kill -9 "${pids[@]}" 2>/dev/null || true
-  wait 2>/dev/null || true
-  rm -rf "$logs"
-}
-trap finish EXIT
-run() {
-  local name=$1
-  shift
-  "$@" 2>"$logs/$name.log" &
-  pids+=($!)
-}
+source scripts/processes.sh
 
 echo "== starting 1 platform stand-in, 15 backend stand-ins, 15 agents, 6 entries"
 run platform "$build/platform_standin" --listen 127.1.0.1:7000 \
--- a/src/agent_main.cc
+++ b/src/agent_main.cc
@@ -9,29 +9,13 @@
 #include "core/random.h"
 #include "core/status.h"
 #include "net/endpoint.h"
+#include "net/graceful_stop.h"
 #include "net/http_server.h"
 #include "spread/spread_node.h"
 
 namespace mangohold {
 namespace {
 
-// How often a leaving agent looks whether it is idle.
-constexpr Duration kLeaveTick = std::chrono::milliseconds(50);
-
-// Waits for work in progress, then stops. Runs on the traffic thread.
-void FinishLeaving(EventLoop& traffic, EventLoop& control, AgentServer& server,
-                   TimePoint latest) {
-  if (server.is_idle() || Clock::now() >= latest) {
-    Log(LogLevel::kInfo, "stopped", {{"is_idle", server.is_idle()}});
-    // Answers that were just written leave the process first.
-    traffic.After(kLeaveTick, [&control] { control.Stop(); });
-    return;
-  }
-  traffic.After(kLeaveTick, [&traffic, &control, &server, latest] {
-    FinishLeaving(traffic, control, server, latest);
-  });
-}
-
 // Health and metrics, on the control thread.
 void HandleAdmin(const HttpRequest& request, HttpExchange& exchange,
                  const Counters& counters) {
@@ -114,8 +98,10 @@
     is_leaving = true;
     traffic.Post([&] {
       server.BeginLeaving();
-      FinishLeaving(traffic, control, server,
-                    Clock::now() + settings.leave_limit);
+      const TimePoint now = Clock::now();
+      StopWhenIdle(
+          traffic, control, [&server] { return server.is_idle(); }, now,
+          now + settings.leave_limit);
     });
   });
   Log(LogLevel::kInfo, "started",
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -8,31 +8,13 @@
 #include "core/random.h"
 #include "core/status.h"
 #include "net/endpoint.h"
+#include "net/graceful_stop.h"
 #include "operator/operator_server.h"
 #include "spread/spread_node.h"
 
 namespace mangohold {
 namespace {
 
-// How often a leaving entry looks whether it is idle.
-constexpr Duration kLeaveTick = std::chrono::milliseconds(50);
-
-// Serves on for as long as callers may use an old address list, then until the
-// last request has ended, then stops. Runs on the traffic thread.
-void FinishLeaving(EventLoop& traffic, EventLoop& control, EntryServer& server,
-                   TimePoint earliest, TimePoint latest) {
-  const TimePoint now = Clock::now();
-  if ((now >= earliest && server.is_idle()) || now >= latest) {
-    Log(LogLevel::kInfo, "stopped", {{"is_idle", server.is_idle()}});
-    // Responses that were just written leave the process first.
-    traffic.After(kLeaveTick, [&control] { control.Stop(); });
-    return;
-  }
-  traffic.After(kLeaveTick, [&traffic, &control, &server, earliest, latest] {
-    FinishLeaving(traffic, control, server, earliest, latest);
-  });
-}
-
 int Run(const EntrySettings& settings) {
   Counters counters;
   EventLoop control;
@@ -91,8 +73,9 @@
     traffic.Post([&] {
       const TimePoint now = Clock::now();
       server.BeginLeaving();
-      FinishLeaving(traffic, control, server, now + settings.address_max_age,
-                    now + settings.leave_limit);
+      StopWhenIdle(
+          traffic, control, [&server] { return server.is_idle(); },
+          now + settings.address_max_age, now + settings.leave_limit);
     });
   });
   Log(LogLevel::kInfo, "started",
