--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	  ninja-build libasio-dev librestinio-dev libnghttp2-dev \
 	  libcurl4-openssl-dev libspdlog-dev libabsl-dev libgtest-dev \
 	  libgmock-dev libboost-dev nlohmann-json3-dev libssl-dev \
-	  libbenchmark-dev librapidcheck-dev spin clang-format clang-tidy-16
+	  libhttp-parser-dev libbenchmark-dev librapidcheck-dev spin clang-format clang-tidy-16
 	mkdir -p $(BUILD) && touch $@
 
 build: deps
--- /dev/null
+++ b/src/backend/backend_connection.cc
@@ -0,0 +1,222 @@
+#include "backend/backend_connection.h"
+
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <charconv>
+#include <utility>
+
+#include "net/endpoint.h"
+#include "net/field_rules.h"
+#include "net/socket_options.h"
+
+namespace mangohold {
+namespace {
+
+constexpr Millis kConnectTimeout{600};
+constexpr std::size_t kReadBytes = 16U << 10U;
+// An idle connection is used again for this long if the backend server doesn't
+// state a limit of its own.
+constexpr Millis kDefaultIdleLimit{3'000};
+// A stated limit is kept to with this much to spare.
+constexpr Millis kIdleMargin{600};
+constexpr int kFirstFinalStatus = 200;
+
+// The "timeout" of a Keep-Alive field, less a margin.
+Millis IdleLimitOf(const HttpFields& fields) {
+  constexpr std::string_view kName = "timeout=";
+  const std::string_view value = FieldValue(fields, "Keep-Alive");
+  const std::size_t at = value.find(kName);
+  if (at == std::string_view::npos) return kDefaultIdleLimit;
+  int seconds = 0;
+  std::from_chars(value.data() + at + kName.size(), value.data() + value.size(),
+                  seconds);
+  return std::max(Millis(0), std::chrono::seconds(seconds) - kIdleMargin);
+}
+
+}  // namespace
+
+BackendConnection::BackendConnection(asio::io_context& io,
+                                     const Endpoint& endpoint,
+                                     std::function<void()> on_closed)
+    : socket_(io),
+      connect_timer_(io),
+      endpoint_(endpoint),
+      on_closed_(std::move(on_closed)),
+      parser_(Http1Parser::Kind::kResponse, *this) {
+  read_buffer_.resize(kReadBytes);
+}
+
+void BackendConnection::Send(Exchange exchange) {
+  exchange_ = std::move(exchange);
+  has_written_ = false;
+  is_written_ = false;
+  is_paused_ = false;
+  parser_.Reset(exchange_.is_head);
+  if (phase_ == Phase::kNew) return Connect();
+  phase_ = Phase::kBusy;
+  Write();
+}
+
+void BackendConnection::Connect() {
+  phase_ = Phase::kConnecting;
+  const HostPort target = ParseEndpoint(endpoint_);
+  std::error_code error;
+  const auto address = asio::ip::make_address(target.host, error);
+  if (error) {
+    return asio::post(socket_.get_executor(),
+                      [self = shared_from_this()] { self->Fail(); });
+  }
+  connect_timer_.expires_after(kConnectTimeout);
+  connect_timer_.async_wait(
+      [self = shared_from_this()](const std::error_code& timer_error) {
+        if (timer_error || self->phase_ != Phase::kConnecting) return;
+        self->Fail();
+      });
+  socket_.async_connect(
+      {address, target.port},
+      [self = shared_from_this()](const std::error_code& connect_error) {
+        if (self->phase_ != Phase::kConnecting) return;
+        self->connect_timer_.cancel();
+        if (connect_error) return self->Fail();
+        SetPeerOptions(self->socket_);
+        self->phase_ = Phase::kBusy;
+        self->Write();
+        self->Read();
+      });
+}
+
+void BackendConnection::Write() {
+  has_written_ = true;
+  asio::async_write(socket_, asio::buffer(exchange_.request),
+                    [self = shared_from_this()](const std::error_code& error,
+                                                std::size_t size) {
+                      if (self->phase_ != Phase::kBusy) return;
+                      if (error) {
+                        if (size == 0) self->has_written_ = false;
+                        return self->Fail();
+                      }
+                      self->is_written_ = true;
+                    });
+}
+
+void BackendConnection::Read() {
+  if (is_reading_ || is_paused_ || phase_ == Phase::kClosed) return;
+  is_reading_ = true;
+  socket_.async_read_some(asio::buffer(read_buffer_),
+                          [self = shared_from_this()](
+                              const std::error_code& error, std::size_t size) {
+                            self->is_reading_ = false;
+                            self->OnRead(error, size);
+                          });
+}
+
+void BackendConnection::OnRead(const std::error_code& error, std::size_t size) {
+  if (phase_ == Phase::kClosed) return;
+  if (error) {
+    // An answer without a length ends with its connection, but never with a
+    // reset.
+    const bool is_end = error == asio::error::eof && phase_ == Phase::kBusy &&
+                        parser_.is_in_message() && parser_.FinishAtEnd() &&
+                        !is_foreign_ && !is_interim_;
+    keeps_alive_ = false;
+    if (is_end) return FinishAnswer();
+    return Fail();
+  }
+  // Bytes that no request asked for.
+  if (phase_ != Phase::kBusy) return Fail();
+  Consume(std::string_view(read_buffer_).substr(0, size));
+  Read();
+}
+
+void BackendConnection::Consume(std::string_view data) {
+  while (!data.empty() && phase_ == Phase::kBusy) {
+    has_ended_ = false;
+    data.remove_prefix(parser_.Feed(data));
+    if (phase_ != Phase::kBusy) return;
+    if (parser_.has_failed()) return Fail();
+    if (!has_ended_) continue;
+    if (is_foreign_ || is_interim_) {
+      parser_.Reset(exchange_.is_head);
+      continue;
+    }
+    // Bytes behind the answer belong to no request.
+    if (!data.empty()) keeps_alive_ = false;
+    return FinishAnswer();
+  }
+}
+
+void BackendConnection::OnHead(Http1Head head) {
+  is_interim_ = head.status < kFirstFinalStatus;
+  if (is_interim_) return;
+  const auto listener = exchange_.listener;
+  if (listener == nullptr) return;
+  is_foreign_ = !listener->IsOwnAnswer(head.status, head.fields);
+  if (is_foreign_) {
+    ++foreign_answers_;
+    keeps_alive_ = false;
+    return;
+  }
+  keeps_alive_ = keeps_alive_ && head.keeps_alive;
+  idle_limit_ = IdleLimitOf(head.fields);
+  listener->OnBackendHead(head.status, head.fields);
+}
+
+void BackendConnection::OnBody(std::string_view data) {
+  if (is_foreign_ || is_interim_ || phase_ != Phase::kBusy) return;
+  const auto listener = exchange_.listener;
+  if (listener != nullptr) listener->OnBackendBody(data);
+}
+
+void BackendConnection::OnMessageEnd() { has_ended_ = true; }
+
+// An answer that came before the whole request had left leaves the rest of the
+// request's bytes in the way of the next one.
+void BackendConnection::FinishAnswer() {
+  const auto listener = std::exchange(exchange_.listener, nullptr);
+  if (keeps_alive_ && is_written_) {
+    phase_ = Phase::kIdle;
+    idle_since_ = BootNow();
+  } else {
+    Close();
+  }
+  if (listener != nullptr) listener->OnBackendEnd();
+}
+
+void BackendConnection::Fail() {
+  if (phase_ == Phase::kClosed) return;
+  const auto listener = std::exchange(exchange_.listener, nullptr);
+  const bool was_busy = phase_ == Phase::kBusy || phase_ == Phase::kConnecting;
+  Close();
+  if (was_busy && listener != nullptr) {
+    listener->OnBackendFailure(has_written_ ? ExchangeFailure::kBroken
+                                            : ExchangeFailure::kNotSent);
+  }
+}
+
+void BackendConnection::Cancel() {
+  exchange_.listener = nullptr;
+  Close();
+}
+
+void BackendConnection::Close() {
+  if (phase_ == Phase::kClosed) return;
+  phase_ = Phase::kClosed;
+  connect_timer_.cancel();
+  CloseWithReset(socket_);
+  const auto closed = std::exchange(on_closed_, nullptr);
+  if (closed) closed();
+}
+
+void BackendConnection::Pause() { is_paused_ = true; }
+
+void BackendConnection::Resume() {
+  if (!is_paused_) return;
+  is_paused_ = false;
+  Read();
+}
+
+bool BackendConnection::IsReusable(TimePoint now) const {
+  return phase_ == Phase::kIdle && now - idle_since_ < idle_limit_;
+}
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/caller/entry_control.h
@@ -0,0 +1,68 @@
+// The control side of an entry on the direct way: follows the store, lists this
+// entry there, answers callers who ask for addresses, and tells the traffic
+// thread what it may work by.
+#pragma once
+
+#include <functional>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "caller/entry_calls.h"
+#include "core/counters.h"
+#include "net/event_loop.h"
+#include "net/http_server.h"
+#include "store/fleet_builder.h"
+#include "store/lease_keeper.h"
+#include "store/store_follower.h"
+
+namespace mangohold {
+
+// Belongs to the control thread.
+class EntryControl {
+ public:
+  struct Options {
+    Member self;
+    StoreSchema schema;
+    EntryCalls calls;
+    Endpoint ready_address;
+    Endpoint directory_address;
+    Endpoint metrics_address;
+    Millis address_max_age{1'000};
+    // The age of the last confirmation up to which this entry takes work.
+    Duration confirmation_limit = std::chrono::milliseconds(4'500);
+  };
+  struct Handlers {
+    std::function<void(FleetViewPtr)> on_view;
+    std::function<void(TimePoint as_of)> on_confirmed;
+  };
+
+  EntryControl(EventLoop& loop, Store& store, Options options,
+               Handlers handlers, Counters& counters);
+
+  absl::Status Start();
+  // Says that it isn't ready and leaves the list of addresses.
+  void BeginLeaving();
+
+ private:
+  void OnChanged(const std::vector<std::string>& keys);
+  void OnConfirmed(TimePoint as_of);
+  void Tick();
+  void Publish();
+  bool IsReady() const;
+  DirectoryAnswer Answer(const DirectoryQuestion& question) const;
+  FleetBuilder::Contact Contact() const;
+
+  EventLoop& loop_;
+  Options options_;
+  Handlers handlers_;
+  FleetBuilder builder_;
+  StoreFollower follower_;
+  LeaseKeeper lease_;
+  HttpServer ready_;
+  HttpServer directory_;
+  HttpServer metrics_;
+  TimePoint confirmed_as_of_;
+  bool is_leaving_ = false;
+};
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/caller/forward_context.h
@@ -0,0 +1,44 @@
+// What the requests in progress at one entry share on the direct way.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "backend/backend_pool.h"
+#include "caller/dialect.h"
+#include "config/fleet_view.h"
+#include "core/counters.h"
+#include "routing/dispatcher.h"
+#include "routing/shared_budget.h"
+
+namespace mangohold {
+
+// Belongs to the traffic thread.
+struct ForwardContext {
+  Counters& counters;
+  const Dialect& dialect;
+  Dispatcher dispatcher;
+  BackendPool pool;
+  SharedBudget::Options budget;
+  FleetViewPtr view;
+  std::map<ServiceName, SharedBudget> budgets;
+  // Every change acknowledged before is known here, by `BootNow`.
+  TimePoint confirmed_as_of;
+  // Requests with a key are refused while the confirmation is older.
+  Duration confirmation_limit;
+  // Asks for the dispatcher's decisions soon.
+  std::function<void()> request_decisions;
+  AttemptNumber last_attempt;
+
+  bool IsConfirmed(TimePoint now) const {
+    return now - confirmed_as_of <= confirmation_limit;
+  }
+  SharedBudget& BudgetOf(const ServiceName& service) {
+    const auto it = budgets.try_emplace(service, budget).first;
+    it->second.SetEntries(view == nullptr ? 1 : view->entries);
+    return it->second;
+  }
+};
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/caller/forward_run.cc
@@ -0,0 +1,369 @@
+#include "caller/forward_run.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include "core/log.h"
+#include "net/http1_text.h"
+
+namespace mangohold {
+namespace {
+
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr int kMostPriority = 9;
+// Answers up to this size are gathered before they go on, so that a broken one
+// can be made again elsewhere.
+constexpr std::size_t kMostGathered = 1U << 20U;
+// Callers of a stream leave when nothing comes for the longest of these.
+constexpr Millis kLeastPatience{2'000};
+constexpr int kTargetsOfPatience = 4;
+constexpr int kGapsOfPatience = 8;
+// Time that a backend server needs at the least to begin its answer.
+constexpr Millis kAnswerTime{150};
+constexpr Millis kConfirmationRetry{500};
+
+bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
+// Statuses that promise that a request has not run.
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+std::string SecondsText(Millis millis) {
+  std::array<char, 16> text{};
+  std::snprintf(text.data(), text.size(), "%.3f",
+                static_cast<double>(millis.count()) / 1000.0);
+  return text.data();
+}
+
+}  // namespace
+
+ForwardRun::ForwardRun(ForwardContext& context, CallerConnection::Ptr caller,
+                       Job job)
+    : context_(context),
+      caller_(std::move(caller)),
+      job_(std::move(job)),
+      policy_({.is_repeatable = job_.route->IsRepeatable(),
+               .max_attempts = job_.route->max_attempts}),
+      events_(job_.fields.last_event_id) {
+  const Millis longest = job_.route->timeout.count() > 0
+                             ? job_.route->timeout
+                             : Millis(std::chrono::minutes(1));
+  deadline_ = job_.message.arrived +
+              std::min(longest, job_.fields.deadline.value_or(longest));
+}
+
+void ForwardRun::Start() {
+  context_.counters.Count(Event::kRequests);
+  context_.BudgetOf(job_.service).OnRequest(BootNow());
+  caller_->SetListener({.on_gone =
+                            [weak = weak_from_this()] {
+                              if (const auto self = weak.lock())
+                                self->OnCallerGone();
+                            },
+                        .on_drained =
+                            [weak = weak_from_this()] {
+                              const auto self = weak.lock();
+                              if (self != nullptr &&
+                                  self->connection_ != nullptr) {
+                                self->connection_->Resume();
+                              }
+                            }});
+  Submit();
+}
+
+int ForwardRun::Priority() const {
+  return job_.workspace != nullptr && job_.workspace->priority
+             ? *job_.workspace->priority
+             : job_.route->priority;
+}
+
+// The time after which the first byte would find the caller gone, or leave no
+// time for the answer.
+TimePoint ForwardRun::GiveUpTime() const {
+  const Route& route = *job_.route;
+  TimePoint give_up = deadline_;
+  if (route.kind == RouteKind::kStream) {
+    const Millis patience =
+        std::max({kLeastPatience, route.target_latency * kTargetsOfPatience,
+                  route.target_gap * kGapsOfPatience});
+    give_up = std::min(give_up, job_.message.arrived + patience);
+  }
+  return give_up - kAnswerTime;
+}
+
+void ForwardRun::Submit() {
+  phase_ = Phase::kWaiting;
+  attempt_ = context_.last_attempt = context_.last_attempt.Next();
+  context_.dispatcher.Submit(
+      {.number = attempt_,
+       .service = job_.service,
+       .priority = Priority(),
+       .workspace =
+           job_.workspace == nullptr ? WorkspaceName() : job_.workspace->name,
+       .prompt_tokens = job_.fields.prompt_tokens.value_or(0),
+       .give_up = has_begun_ ? deadline_ : GiveUpTime(),
+       .tried = tried_,
+       .zones = job_.zones},
+      BootNow());
+  context_.request_decisions();
+}
+
+void ForwardRun::OnDecision(const Dispatcher::Decision& decision) {
+  if (phase_ != Phase::kWaiting) return;
+  if (!decision.backend) {
+    return GiveUp(policy_.GiveUpOutcome(), decision.reason,
+                  decision.retry_after);
+  }
+  phase_ = Phase::kSent;
+  backend_ = *decision.backend;
+  // Checked right before the send: the process may have been suspended since
+  // the request was read.
+  if (job_.workspace != nullptr && !context_.IsConfirmed(BootNow())) {
+    EndAttempt(Dispatcher::Result::kCancelled);
+    return GiveUp(policy_.GiveUpOutcome(), Reason::kConfigurationUnknown,
+                  kConfirmationRetry);
+  }
+  Send(backend_);
+}
+
+void ForwardRun::Send(const BackendRecord& backend) {
+  const TimePoint now = BootNow();
+  connection_ = context_.pool.Acquire(
+      backend.id, backend.address,
+      context_.dispatcher.MostConnections(job_.service), now);
+  if (connection_ == nullptr) {
+    EndAttempt(Dispatcher::Result::kRejected);
+    return OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendRefused);
+  }
+  if (is_retry_) context_.counters.CountRetry(Reason::kBackendFailed);
+  policy_.OnSent();
+  sent_at_ = now;
+  status_ = 0;
+  body_.clear();
+  is_relaying_ = false;
+  has_bytes_ = false;
+  std::string request = RequestText(job_.message.method, job_.message.target,
+                                    FieldsFor(backend, now));
+  request.append(job_.message.body);
+  connection_->Send({.request = std::move(request),
+                     .is_head = job_.message.method == "HEAD",
+                     .listener = shared_from_this()});
+}
+
+HttpFields ForwardRun::FieldsFor(const BackendRecord& backend,
+                                 TimePoint now) const {
+  const auto left = std::chrono::duration_cast<Millis>(deadline_ - now);
+  HttpFields fields = context_.dialect.Forward(
+      job_.message.fields,
+      {.expected = backend.id,
+       .time_left = std::max(Millis(1), left),
+       .workspace = job_.workspace == nullptr
+                        ? std::nullopt
+                        : std::optional(job_.workspace->name),
+       .priority = std::clamp(Priority(), 0, kMostPriority),
+       .last_event_id = events_.last_id(),
+       .drops_key = job_.routes->needs_keys()});
+  const bool has_body =
+      !job_.message.body.empty() ||
+      (job_.message.method != "GET" && job_.message.method != "HEAD");
+  if (has_body) {
+    fields.push_back(
+        {"Content-Length", std::to_string(job_.message.body.size())});
+  }
+  return fields;
+}
+
+bool ForwardRun::IsOwnAnswer(int status, const HttpFields& fields) const {
+  const AnswerFields answer = context_.dialect.DecodeAnswer(status, fields);
+  const bool is_own = !answer.id || *answer.id == job_.fields.id;
+  if (!is_own) {
+    context_.counters.Count(Event::kForeignAnswers);
+    Log(LogLevel::kWarning, "foreign_answer_dropped",
+        {{"request", job_.fields.id.value()},
+         {"answer", answer.id->value()},
+         {"backend", backend_.id.value()}});
+  }
+  return is_own;
+}
+
+void ForwardRun::OnBackendHead(int status, const HttpFields& fields) {
+  status_ = status;
+  answer_fields_ = context_.dialect.Return(fields);
+  answer_ = context_.dialect.DecodeAnswer(status, fields);
+  is_relaying_ = job_.route->kind == RouteKind::kStream && IsSuccess(status);
+}
+
+void ForwardRun::OnBackendBody(std::string_view data) {
+  if (phase_ != Phase::kSent) return;
+  if (!has_bytes_) {
+    has_bytes_ = true;
+    context_.dispatcher.OnAnswerBegun(attempt_, BootNow());
+  }
+  if (is_relaying_) return Relay(events_.Feed(data));
+  body_.append(data);
+  if (body_.size() <= kMostGathered || !IsSuccess(status_)) return;
+  // Too large to gather: from here on it can't be made again.
+  is_relaying_ = true;
+  caller_->BeginStream(status_, answer_fields_);
+  has_begun_ = true;
+  caller_->WriteStream(std::exchange(body_, {}));
+}
+
+void ForwardRun::Relay(std::string_view data) {
+  if (data.empty()) return;
+  if (!has_begun_) {
+    has_begun_ = true;
+    caller_->BeginStream(status_, answer_fields_);
+  }
+  caller_->WriteStream(data);
+  if (caller_->is_congested()) connection_->Pause();
+}
+
+void ForwardRun::OnBackendEnd() {
+  if (phase_ != Phase::kSent) return;
+  const auto connection = std::exchange(connection_, nullptr);
+  context_.pool.Release(backend_.id, connection, BootNow());
+  OnWholeAnswer();
+}
+
+void ForwardRun::OnWholeAnswer() {
+  if (answer_.is_certainly_not_run) {
+    EndAttempt(Dispatcher::Result::kRejected);
+    return OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendRefused);
+  }
+  const bool is_failure = status_ >= 500;
+  EndAttempt(is_failure ? Dispatcher::Result::kFailed
+                        : Dispatcher::Result::kServed);
+  if (is_failure && policy_.OnFailed() == DirectPolicy::Next::kSendAgain &&
+      context_.BudgetOf(job_.service).TryRetry(BootNow())) {
+    is_retry_ = true;
+    tried_.push_back(backend_.id);
+    return Submit();
+  }
+  Deliver();
+}
+
+// Passes the whole answer on. A stream that has begun ends here.
+void ForwardRun::Deliver() {
+  if (has_begun_) {
+    if (!is_relaying_) {
+      // A resumed stream met a failure: its head is with the caller already.
+      return GiveUp(Outcome::kUnknown, Reason::kBackendFailed, Millis(0));
+    }
+    caller_->WriteStream(events_.Finish());
+    caller_->EndStream();
+    return Finish(Outcome::kAnswered, Reason::kNone, status_);
+  }
+  if (!job_.route->IsRepeatable() && PromisesNotRun(status_)) {
+    // The backend server's status would promise what it doesn't say.
+    return GiveUp(Outcome::kUnknown, Reason::kBackendFailed, Millis(0));
+  }
+  if (is_relaying_) body_ = events_.Finish();
+  if (job_.message.method == "HEAD") {
+    caller_->ReplyHead(status_, answer_fields_, "0");
+  } else {
+    caller_->Reply(status_, answer_fields_, body_);
+  }
+  Finish(Outcome::kAnswered, Reason::kNone, status_);
+}
+
+void ForwardRun::OnBackendFailure(ExchangeFailure failure) {
+  if (phase_ != Phase::kSent) return;
+  connection_ = nullptr;
+  events_.DropPartial();
+  if (failure == ExchangeFailure::kNotSent) {
+    EndAttempt(Dispatcher::Result::kUnreachable);
+    return OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendUnreachable);
+  }
+  EndAttempt(Dispatcher::Result::kFailed);
+  OnAttemptFailed(policy_.OnFailed(), Reason::kBackendFailed);
+}
+
+void ForwardRun::OnAttemptFailed(DirectPolicy::Next next, Reason reason) {
+  const TimePoint now = BootNow();
+  const bool sends_again = next == DirectPolicy::Next::kSendAgain &&
+                           now < deadline_ &&
+                           context_.BudgetOf(job_.service).TryRetry(now);
+  Log(LogLevel::kInfo, "attempt_failed",
+      {{"request", job_.fields.id.value()},
+       {"backend", backend_.id.value()},
+       {"reason", Name(reason)},
+       {"runs", policy_.runs()},
+       {"sends_again", static_cast<int>(sends_again)}});
+  if (!sends_again) return GiveUp(policy_.GiveUpOutcome(), reason, Millis(250));
+  is_retry_ = true;
+  tried_.push_back(backend_.id);
+  if (has_begun_) context_.counters.Count(Event::kStreamsResumed);
+  Submit();
+}
+
+void ForwardRun::EndAttempt(Dispatcher::Result result) {
+  context_.dispatcher.OnEnded(attempt_, result, BootNow());
+  context_.request_decisions();
+}
+
+void ForwardRun::OnTick(TimePoint now) {
+  if (phase_ == Phase::kFinished || now < deadline_) return;
+  const bool was_sent = phase_ == Phase::kSent;
+  DropBackend();
+  GiveUp(was_sent ? Outcome::kUnknown : policy_.GiveUpOutcome(),
+         Reason::kDeadlineExceeded, Millis(0));
+}
+
+// Ends a request that can't be answered: with its reason, or, where the answer
+// has begun, by a reset.
+void ForwardRun::GiveUp(Outcome outcome, Reason reason, Millis retry_after) {
+  if (has_begun_) {
+    caller_->Abort();
+    return Finish(Outcome::kUnknown, reason, status_);
+  }
+  int status = kUnavailable;
+  if (outcome == Outcome::kUnknown) {
+    status =
+        reason == Reason::kDeadlineExceeded ? kGatewayTimeout : kBadGateway;
+  }
+  HttpFields fields;
+  if (status == kUnavailable) {
+    context_.counters.CountRefusal(reason);
+    fields.push_back({"Retry-After", SecondsText(retry_after)});
+  }
+  caller_->Reply(status, std::move(fields), std::string(Name(reason)) + "\n");
+  Finish(outcome, reason, status);
+}
+
+void ForwardRun::OnCallerGone() {
+  if (phase_ == Phase::kFinished) return;
+  DropBackend();
+  Finish(policy_.GiveUpOutcome(), Reason::kCallerGone, 0);
+}
+
+void ForwardRun::DropBackend() {
+  if (phase_ == Phase::kWaiting) context_.dispatcher.Withdraw(attempt_);
+  const auto connection = std::exchange(connection_, nullptr);
+  if (connection != nullptr) connection->Cancel();
+  if (phase_ == Phase::kSent) EndAttempt(Dispatcher::Result::kCancelled);
+}
+
+void ForwardRun::Finish(Outcome outcome, Reason reason, int status) {
+  phase_ = Phase::kFinished;
+  const Duration latency = BootNow() - job_.message.arrived;
+  context_.counters.CountOutcome(outcome);
+  context_.counters.RecordLatency(latency);
+  Log(LogLevel::kInfo, "request_ended",
+      {{"request", job_.fields.id.value()},
+       {"route", job_.route->name.value()},
+       {"version", job_.routes->deployment().version.value()},
+       {"outcome", Name(outcome)},
+       {"reason", Name(reason)},
+       {"status", status},
+       {"backend", backend_.id.value()},
+       {"sends", policy_.sends()},
+       {"events", events_.events()},
+       {"ms", ToMillis(latency)}});
+}
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/caller/forward_run.h
@@ -0,0 +1,89 @@
+// One caller's request on the direct way to a backend server, from its arrival
+// to its one final answer.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "backend/backend_connection.h"
+#include "caller/caller_connection.h"
+#include "caller/forward_context.h"
+#include "routing/direct_policy.h"
+#include "routing/event_splitter.h"
+
+namespace mangohold {
+
+class ForwardRun : public BackendListener,
+                   public std::enable_shared_from_this<ForwardRun> {
+ public:
+  // A request whose route and workspace are known.
+  struct Job {
+    CallerMessage message;
+    RequestFields fields;
+    RouteTablePtr routes;  // keeps `route` and `workspace` alive
+    const Route* route = nullptr;
+    const Workspace* workspace = nullptr;  // null without a key
+    ServiceName service;
+    std::vector<ZoneName> zones;  // where it may run; empty: everywhere
+  };
+
+  ForwardRun(ForwardContext& context, CallerConnection::Ptr caller, Job job);
+
+  void Start();
+  void OnDecision(const Dispatcher::Decision& decision);
+  // Ends the request if its time is up.
+  void OnTick(TimePoint now);
+  // The attempt in progress, by which the dispatcher names this request.
+  AttemptNumber attempt() const { return attempt_; }
+  bool is_finished() const { return phase_ == Phase::kFinished; }
+
+  bool IsOwnAnswer(int status, const HttpFields& fields) const override;
+  void OnBackendHead(int status, const HttpFields& fields) override;
+  void OnBackendBody(std::string_view data) override;
+  void OnBackendEnd() override;
+  void OnBackendFailure(ExchangeFailure failure) override;
+
+ private:
+  enum class Phase { kWaiting, kSent, kFinished };
+
+  void Submit();
+  void Send(const BackendRecord& backend);
+  HttpFields FieldsFor(const BackendRecord& backend, TimePoint now) const;
+  TimePoint GiveUpTime() const;
+  int Priority() const;
+  void Relay(std::string_view data);
+  void OnWholeAnswer();
+  void Deliver();
+  // The attempt came to nothing.
+  void OnAttemptFailed(DirectPolicy::Next next, Reason reason);
+  void EndAttempt(Dispatcher::Result result);
+  void GiveUp(Outcome outcome, Reason reason, Millis retry_after);
+  void OnCallerGone();
+  void DropBackend();
+  void Finish(Outcome outcome, Reason reason, int status);
+
+  ForwardContext& context_;
+  CallerConnection::Ptr caller_;
+  Job job_;
+  DirectPolicy policy_;
+  EventSplitter events_;
+  Phase phase_ = Phase::kWaiting;
+  TimePoint deadline_;
+  AttemptNumber attempt_;
+  bool is_retry_ = false;
+  BackendRecord backend_;  // of the attempt in progress, or the last one
+  BackendConnection::Ptr connection_;
+  std::vector<InstanceId> tried_;
+  TimePoint sent_at_;
+  // The answer in progress.
+  int status_ = 0;
+  HttpFields answer_fields_;
+  AnswerFields answer_;
+  std::string body_;
+  bool is_relaying_ = false;  // this attempt's bytes go on as they come
+  bool has_begun_ = false;    // the caller has got the head of the answer
+  bool has_bytes_ = false;    // this attempt has brought bytes of the answer
+};
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/caller/forward_server.cc
@@ -0,0 +1,237 @@
+#include "caller/forward_server.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/log.h"
+#include "net/endpoint.h"
+
+namespace mangohold {
+namespace {
+
+constexpr Millis kTick{25};
+// Connections are looked over for overdue ones once in this many ticks.
+constexpr int kTicksOfSweep = 10;
+constexpr Millis kRefusalRetry{500};
+
+}  // namespace
+
+ForwardServer::ForwardServer(EventLoop& loop, Options options,
+                             const Dialect& dialect, Counters& counters)
+    : loop_(loop),
+      options_(std::move(options)),
+      acceptor_(loop.io()),
+      context_{.counters = counters,
+               .dialect = dialect,
+               .dispatcher = Dispatcher(options_.dispatcher),
+               .pool = BackendPool(loop.io(), counters),
+               .budget = options_.budget,
+               .confirmed_as_of = TimePoint{},
+               .confirmation_limit = options_.confirmation_limit,
+               .request_decisions = [this] { RequestDecisions(); }},
+      random_(options_.dispatcher.seed) {
+  host_ = {
+      .on_request =
+          [this](const CallerConnection::Ptr& caller, CallerMessage message) {
+            OnRequest(caller, std::move(message));
+          },
+      .on_refused =
+          [this](int status) {
+            context_.counters.CountRefusal(Reason::kBadRequest);
+            Log(LogLevel::kInfo, "malformed_request", {{"status", status}});
+          },
+      .limits = [this]() -> const CallerLimits& {
+        const FleetViewPtr& view = context_.view;
+        return view == nullptr || view->routes == nullptr
+                   ? default_limits_
+                   : view->routes->deployment().limits;
+      },
+      .closes_after_answer = [this] { return is_leaving_; }};
+}
+
+absl::Status ForwardServer::Start() {
+  const HostPort target = ParseEndpoint(options_.listen);
+  std::error_code error;
+  const asio::ip::tcp::endpoint endpoint(
+      asio::ip::make_address(target.host, error), target.port);
+  if (!error) acceptor_.open(endpoint.protocol(), error);
+  if (!error) acceptor_.set_option(asio::socket_base::reuse_address(true));
+  if (!error) acceptor_.bind(endpoint, error);
+  if (!error)
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (error) {
+    return absl::UnavailableError("can't listen on " + options_.listen.value() +
+                                  ": " + error.message());
+  }
+  Accept();
+  loop_.Every(kTick, [this] { Tick(); });
+  return absl::OkStatus();
+}
+
+void ForwardServer::Accept() {
+  acceptor_.async_accept(
+      [this](const std::error_code& error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted || is_closed_) return;
+        if (!error && std::ssize(connections_) < options_.max_connections) {
+          const auto connection =
+              std::make_shared<CallerConnection>(std::move(socket), host_);
+          connections_.push_back(connection);
+          connection->Start();
+        }
+        Accept();
+      });
+}
+
+void ForwardServer::OnRequest(const CallerConnection::Ptr& caller,
+                              CallerMessage message) {
+  RequestFields fields = context_.dialect.DecodeRequest(message.fields);
+  const TimePoint now = BootNow();
+  const RouteTablePtr routes =
+      context_.view == nullptr ? nullptr : context_.view->routes;
+  if (routes == nullptr) {
+    return Refuse(caller, fields.id, Reason::kConfigurationUnknown,
+                  kRefusalRetry);
+  }
+  if (is_closed_) {
+    return Refuse(caller, fields.id, Reason::kEntryLeaving, kRefusalRetry);
+  }
+  const Route* route =
+      routes->Find(FieldValue(message.fields, "Host"), message.target);
+  // Only an entry that knows the newest deployment may say that there is no
+  // such route or key.
+  const bool is_confirmed = context_.IsConfirmed(now);
+  if (route == nullptr) {
+    return Refuse(
+        caller, fields.id,
+        is_confirmed ? Reason::kUnknownRoute : Reason::kConfigurationUnknown,
+        kRefusalRetry);
+  }
+  const Workspace* workspace = nullptr;
+  if (routes->needs_keys() && !route->is_anonymous) {
+    workspace = fields.key ? routes->FindWorkspace(*fields.key) : nullptr;
+    if (workspace == nullptr || !is_confirmed) {
+      return Refuse(
+          caller, fields.id,
+          is_confirmed ? Reason::kUnknownKey : Reason::kConfigurationUnknown,
+          kRefusalRetry);
+    }
+  }
+  const auto run = std::make_shared<ForwardRun>(
+      context_, caller,
+      ForwardRun::Job{.message = std::move(message),
+                      .fields = std::move(fields),
+                      .routes = routes,
+                      .route = route,
+                      .workspace = workspace,
+                      .service = ChooseService(*route),
+                      .zones = ZonesOf(*route)});
+  runs_.push_back(run);
+  run->Start();
+}
+
+void ForwardServer::Refuse(const CallerConnection::Ptr& caller,
+                           const RequestId& id, Reason reason,
+                           Millis retry_after) {
+  context_.counters.CountRefusal(reason);
+  Log(LogLevel::kInfo, "request_refused",
+      {{"request", id.value()},
+       {"reason", Name(reason)},
+       {"confirmed_ms_ago", ToMillis(BootNow() - context_.confirmed_as_of)}});
+  const int status = HttpStatus(reason);
+  HttpFields fields;
+  if (status == 503) {
+    const auto ms = static_cast<double>(retry_after.count());
+    fields.push_back({"Retry-After", std::to_string(ms / 1000.0)});
+  }
+  caller->Reply(status, std::move(fields), std::string(Name(reason)) + "\n");
+}
+
+// Draws a service by the weights of the route's shares.
+ServiceName ForwardServer::ChooseService(const Route& route) {
+  int total = 0;
+  for (const RouteShare& share : route.shares) total += share.weight;
+  if (total <= 0) return route.shares.front().service;
+  auto left = static_cast<int>(random_.Below(static_cast<unsigned>(total)));
+  for (const RouteShare& share : route.shares) {
+    left -= share.weight;
+    if (left < 0) return share.service;
+  }
+  return route.shares.back().service;
+}
+
+std::vector<ZoneName> ForwardServer::ZonesOf(const Route& route) const {
+  std::vector<ZoneName> zones;
+  if (route.allowed_regions.empty()) return zones;
+  for (const auto& [zone, region] : options_.regions) {
+    if (std::ranges::find(route.allowed_regions, region) !=
+        route.allowed_regions.end()) {
+      zones.push_back(zone);
+    }
+  }
+  return zones;
+}
+
+// Decisions are taken once for all events of one turn of the loop.
+void ForwardServer::RequestDecisions() {
+  if (std::exchange(has_requested_decisions_, true)) return;
+  loop_.Post([this] {
+    has_requested_decisions_ = false;
+    CarryOutDecisions();
+  });
+}
+
+void ForwardServer::CarryOutDecisions() {
+  for (const auto& decision : context_.dispatcher.Decide(BootNow())) {
+    const auto run = std::ranges::find_if(runs_, [&](const RunPtr& candidate) {
+      return candidate->attempt() == decision.number;
+    });
+    if (run != runs_.end()) RunPtr(*run)->OnDecision(decision);
+  }
+  std::erase_if(runs_, [](const RunPtr& run) { return run->is_finished(); });
+}
+
+void ForwardServer::Tick() {
+  const TimePoint now = BootNow();
+  const std::vector<RunPtr> runs = runs_;
+  for (const RunPtr& run : runs) run->OnTick(now);
+  std::erase_if(runs_, [](const RunPtr& run) { return run->is_finished(); });
+  if (context_.dispatcher.waiting() > 0) CarryOutDecisions();
+  if (++ticks_ % kTicksOfSweep != 0) return;
+  for (const auto& connection : connections_) connection->CloseIfOverdue(now);
+  std::erase_if(connections_, [](const CallerConnection::Ptr& connection) {
+    return connection->is_closed();
+  });
+  context_.pool.CloseUnused(now, [this](const InstanceId& id) {
+    return context_.dispatcher.Knows(id);
+  });
+}
+
+void ForwardServer::SetView(FleetViewPtr view) {
+  context_.view = std::move(view);
+  if (context_.view->routes != nullptr) {
+    context_.dispatcher.SetServices(
+        context_.view->routes->deployment().services);
+  }
+  context_.dispatcher.SetBackends(context_.view->backends, BootNow());
+  context_.dispatcher.SetEntries(context_.view->entries);
+  RequestDecisions();
+}
+
+void ForwardServer::Confirm(TimePoint as_of) {
+  context_.confirmed_as_of = std::max(context_.confirmed_as_of, as_of);
+}
+
+void ForwardServer::SetPeerShares(const InstanceId& peer,
+                                  const std::vector<BackendShare>& shares) {
+  context_.dispatcher.OnPeerShares(peer, shares, BootNow());
+  if (context_.dispatcher.waiting() > 0) RequestDecisions();
+}
+
+void ForwardServer::StopTaking() {
+  is_closed_ = true;
+  std::error_code ignored;  // it is given up in any case
+  acceptor_.close(ignored);
+  for (const auto& connection : connections_) connection->Retire();
+}
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/caller/forward_server.h
@@ -0,0 +1,77 @@
+// The traffic side of an entry on the direct way: callers' connections, the
+// choice of route and workspace, and the requests in progress.
+#pragma once
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "caller/caller_connection.h"
+#include "caller/forward_context.h"
+#include "caller/forward_run.h"
+#include "net/event_loop.h"
+
+namespace mangohold {
+
+// Belongs to the traffic thread, but for the constructor.
+class ForwardServer {
+ public:
+  struct Options {
+    Endpoint listen;
+    int max_connections = 3'000;
+    Dispatcher::Options dispatcher;
+    SharedBudget::Options budget;
+    Duration confirmation_limit = std::chrono::milliseconds(4'500);
+    // Regions of the zones, for routes that allow some only.
+    std::map<ZoneName, RegionName> regions;
+  };
+
+  ForwardServer(EventLoop& loop, Options options, const Dialect& dialect,
+                Counters& counters);
+
+  absl::Status Start();
+  void SetView(FleetViewPtr view);
+  void Confirm(TimePoint as_of);
+  void SetPeerShares(const InstanceId& peer,
+                     const std::vector<BackendShare>& shares);
+  std::vector<BackendShare> OwnShares() const {
+    return context_.dispatcher.OwnShares();
+  }
+  // Answers ask callers to connect elsewhere from now on.
+  void BeginLeaving() { is_leaving_ = true; }
+  // New requests are refused; those in progress go on.
+  void StopTaking();
+  bool is_idle() const { return runs_.empty(); }
+
+ private:
+  using RunPtr = std::shared_ptr<ForwardRun>;
+
+  void Accept();
+  void OnRequest(const CallerConnection::Ptr& caller, CallerMessage message);
+  void Refuse(const CallerConnection::Ptr& caller, const RequestId& id,
+              Reason reason, Millis retry_after);
+  ServiceName ChooseService(const Route& route);
+  std::vector<ZoneName> ZonesOf(const Route& route) const;
+  void RequestDecisions();
+  void CarryOutDecisions();
+  void Tick();
+
+  EventLoop& loop_;
+  Options options_;
+  asio::ip::tcp::acceptor acceptor_;
+  ForwardContext context_;
+  CallerConnection::Host host_;
+  CallerLimits default_limits_;
+  Random random_;
+  std::vector<CallerConnection::Ptr> connections_;
+  std::vector<RunPtr> runs_;
+  bool has_requested_decisions_ = false;
+  bool is_leaving_ = false;
+  bool is_closed_ = false;
+  int ticks_ = 0;
+};
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/config/fleet_view.h
@@ -0,0 +1,23 @@
+// What the control thread knows, as one immutable value for the traffic thread.
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "config/route_table.h"
+#include "core/ids.h"
+#include "store/backend_record.h"
+
+namespace mangohold {
+
+struct FleetView {
+  RouteTablePtr routes;  // null: no deployment is known yet
+  // Backend servers that new work may go to.
+  std::vector<BackendRecord> backends;
+  // The entries that may be sending to backend servers.
+  int entries = 1;
+};
+
+using FleetViewPtr = std::shared_ptr<const FleetView>;
+
+}  // namespace mangohold
--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
+#include <ctime>
 
 namespace mangohold {
 
@@ -12,6 +14,16 @@
 using Duration = Clock::duration;
 using Millis = std::chrono::milliseconds;
 
+// Time since the machine's start, time spent suspended included. Ages of what
+// others have told are measured by it, so that a machine that was suspended
+// doesn't take old news for fresh.
+inline TimePoint BootNow() {
+  std::timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return TimePoint(std::chrono::seconds(time.tv_sec) +
+                   std::chrono::nanoseconds(time.tv_nsec));
+}
+
 // Whole milliseconds in `duration`, rounded down.
 constexpr std::int64_t ToMillis(Duration duration) {
   return std::chrono::duration_cast<Millis>(duration).count();
--- a/src/core/counters.cc
+++ b/src/core/counters.cc
@@ -29,7 +29,11 @@
                    "peer_disconnects",
                    "control_bytes",
                    "backend_reports",
-                   "backend_reports_lost"};
+                   "backend_reports_lost",
+                   "backend_connects",
+                   "foreign_answers",
+                   "streams_resumed",
+                   "log_lines_dropped"};
 
 constexpr std::array<std::string_view, static_cast<int>(Gauge::kCount)>
     kGaugeNames = {"in_flight",      "queued",        "admission_limit",
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -29,6 +29,10 @@
   kControlBytes,
   kBackendReports,
   kBackendReportsLost,
+  kBackendConnects,
+  kForeignAnswers,
+  kStreamsResumed,
+  kLogLinesDropped,
   kCount
 };
 
--- a/src/core/document_reader.cc
+++ b/src/core/document_reader.cc
@@ -256,6 +256,35 @@
   target = Millis(number);
 }
 
+void ObjectReader::Optional(std::string_view name, double& target,
+                            Range range) {
+  const Json* value = Member(name);
+  if (value == nullptr) return;
+  const double number = value->is_number() ? value->get<double>() : 0;
+  if (!value->is_number() || number < static_cast<double>(range.least) ||
+      number > static_cast<double>(range.most)) {
+    Report(name, "must be a number from " + std::to_string(range.least) +
+                     " to " + std::to_string(range.most));
+    return;
+  }
+  target = number;
+}
+
+void ObjectReader::Optional(std::string_view name,
+                            std::map<std::string, std::string>& target) {
+  const Json* value = Member(name);
+  if (value == nullptr) return;
+  const bool is_map_of_strings =
+      value->is_object() && std::ranges::all_of(*value, [](const Json& member) {
+        return member.is_string();
+      });
+  if (is_map_of_strings) {
+    target = value->get<std::map<std::string, std::string>>();
+  } else {
+    Report(name, "must be an object of strings");
+  }
+}
+
 void ObjectReader::Optional(std::string_view name,
                             std::vector<std::string>& target) {
   const Json* value = Member(name);
--- a/src/core/document_reader.h
+++ b/src/core/document_reader.h
@@ -55,6 +55,11 @@
   void Optional(std::string_view name, std::string& target);
   void Optional(std::string_view name, bool& target);
   void Optional(std::string_view name, int& target, Range range);
+  // Reads a number, fractions allowed.
+  void Optional(std::string_view name, double& target, Range range);
+  // Reads an object whose members are strings.
+  void Optional(std::string_view name,
+                std::map<std::string, std::string>& target);
   // Reads a whole number of milliseconds.
   void OptionalMillis(std::string_view name, Millis& target, Range range);
   void Optional(std::string_view name, std::vector<std::string>& target);
--- a/src/core/log.cc
+++ b/src/core/log.cc
@@ -34,7 +34,7 @@
 
 void InitLog(std::string_view program, std::string_view instance,
              LogLevel level) {
-  auto logger = spdlog::stderr_logger_mt("mangohold");
+  auto logger = spdlog::stdout_logger_mt("mangohold");
   std::string pattern = R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",)";
   pattern += "\"program\":" + Quote(program);
   pattern += ",\"instance\":" + Quote(instance) + ",%v}";
--- a/src/core/outcome.cc
+++ b/src/core/outcome.cc
@@ -42,6 +42,9 @@
     {Reason::kAgentUnreachable, "agent_unreachable", 503},
     {Reason::kLinkBroken, "link_broken", 502},
     {Reason::kCallerGone, "caller_gone", 499},
+    {Reason::kUnknownRoute, "unknown_route", 404},
+    {Reason::kUnknownKey, "unknown_key", 401},
+    {Reason::kEntryLeaving, "entry_leaving", 503},
 });
 static_assert(kReasons.size() == static_cast<std::size_t>(Reason::kCount));
 
--- a/src/core/outcome.h
+++ b/src/core/outcome.h
@@ -44,6 +44,9 @@
   kAgentUnreachable,
   kLinkBroken,
   kCallerGone,
+  kUnknownRoute,
+  kUnknownKey,
+  kEntryLeaving,
   kCount
 };
 
--- a/src/core/process_settings.cc
+++ b/src/core/process_settings.cc
@@ -7,16 +7,20 @@
 
 constexpr Range kLeaveLimitMs = {100, 3'600'000};
 
+void ReadLogLevel(ObjectReader& reader, LogLevel& target) {
+  int level = static_cast<int>(target);
+  reader.OptionalChoice("log_level", {"debug", "info", "warning", "error"},
+                        level);
+  target = static_cast<LogLevel>(level);
+}
+
 // Reads the members that entries and agents have in common.
 template <typename Settings>
 void ReadCommon(ObjectReader& reader, Settings& settings) {
   reader.Required("instance", settings.instance);
   reader.Required("zone", settings.zone);
   reader.Required("platform_url", settings.platform_url);
-  int level = static_cast<int>(settings.log_level);
-  reader.OptionalChoice("log_level", {"debug", "info", "warning", "error"},
-                        level);
-  settings.log_level = static_cast<LogLevel>(level);
+  ReadLogLevel(reader, settings.log_level);
   reader.OptionalMillis("leave_limit_ms", settings.leave_limit, kLeaveLimitMs);
   reader.Optional("seeds", settings.seeds);
 }
@@ -82,4 +86,36 @@
   return settings;
 }
 
+DirectEntrySettings ParseDirectEntrySettings(const std::string& file,
+                                             std::string_view text,
+                                             Findings& findings) {
+  constexpr Range kSeconds = {0, 3'600};
+  constexpr Range kCount = {0, 1'000'000};
+  const JsonDocument document = JsonDocument::Parse(file, text, findings);
+  ObjectReader reader(document, "", findings);
+  DirectEntrySettings settings;
+  reader.Required("instance", settings.instance);
+  reader.Required("zone", settings.zone);
+  reader.Required("platform_url", settings.platform_url);
+  ReadEndpoint(reader, "caller_address", settings.caller_address);
+  ReadEndpoint(reader, "ready_address", settings.ready_address);
+  ReadEndpoint(reader, "directory_address", settings.directory_address);
+  ReadEndpoint(reader, "peer_address", settings.peer_address);
+  ReadEndpoint(reader, "metrics_address", settings.metrics_address);
+  ReadLogLevel(reader, settings.log_level);
+  reader.Optional("max_connections", settings.max_connections, {1, 1'000'000});
+  reader.OptionalMillis("address_max_age_ms", settings.address_max_age,
+                        {100, 60'000});
+  reader.OptionalMillis("revocation_ms", settings.revocation, {1'000, 60'000});
+  reader.Optional("grace_s", settings.grace_s, kSeconds);
+  reader.Optional("retry_ratio", settings.retry_ratio, {0, 1});
+  reader.Optional("retry_slack", settings.retry_slack, kCount);
+  reader.Optional("retry_window_s", settings.retry_window_s, kSeconds);
+  reader.Optional("cold_overrun", settings.cold_overrun, {0, 100});
+  reader.Optional("cold_slack", settings.cold_slack, kCount);
+  reader.Optional("regions", settings.regions);
+  reader.RejectUnknown();
+  return settings;
+}
+
 }  // namespace mangohold
--- a/src/core/process_settings.h
+++ b/src/core/process_settings.h
@@ -2,6 +2,7 @@
 // operators change while the system runs lives in the settings tree instead.
 #pragma once
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -49,10 +50,41 @@
   Millis leave_limit{60'000};
 };
 
-// Both read a whole file; faults go to `findings`.
+// An entry that sends to backend servers directly, without agents as gates.
+struct DirectEntrySettings {
+  InstanceId instance;
+  ZoneName zone;
+  std::string platform_url;
+  Endpoint caller_address;     // callers' requests
+  Endpoint ready_address;      // readiness
+  Endpoint directory_address;  // callers ask which addresses to use
+  Endpoint peer_address;       // datagrams of other processes
+  Endpoint metrics_address;
+  LogLevel log_level = LogLevel::kInfo;
+  int max_connections = 3'000;
+  Millis address_max_age{1'000};
+  // A key that operators took away opens nothing after this.
+  Millis revocation{5'000};
+  double grace_s = 8;  // from SIGTERM to the end of the process
+  // Retries of all entries together: a part of the requests, and some more, in
+  // any window of this length.
+  double retry_ratio = 0.2;
+  double retry_slack = 0;
+  double retry_window_s = 10;
+  // All entries together send a cold backend server this times its rate, and
+  // some more, in a second.
+  double cold_overrun = 1;
+  double cold_slack = 0;
+  std::map<std::string, std::string> regions;  // of the zones, by zone
+};
+
+// All read a whole file; faults go to `findings`.
 EntrySettings ParseEntrySettings(const std::string& file, std::string_view text,
                                  Findings& findings);
 AgentSettings ParseAgentSettings(const std::string& file, std::string_view text,
                                  Findings& findings);
+DirectEntrySettings ParseDirectEntrySettings(const std::string& file,
+                                             std::string_view text,
+                                             Findings& findings);
 
 }  // namespace mangohold
--- /dev/null
+++ b/src/direct_entry_main.cc
@@ -0,0 +1,127 @@
+// The daemon of an entry that sends to backend servers directly.
+#include <cstdlib>
+
+#include "caller/entry_control.h"
+#include "caller/forward_server.h"
+#include "core/daemon.h"
+#include "core/process_settings.h"
+#include "core/random.h"
+#include "core/status.h"
+#include "platform/entry_calls.h"
+#include "platform/headers.h"
+#include "platform/schema.h"
+#include "platform/store_client.h"
+
+namespace mangohold {
+namespace {
+
+// What is known must be this much younger than a revocation's bound.
+constexpr Millis kRevocationMargin{300};
+// After SIGTERM new requests are taken for this long, for callers that still
+// use an old list of addresses.
+constexpr Millis kTakeAfterTerm{2'800};
+// The process ends this long before it would be killed.
+constexpr Millis kGraceMargin{300};
+
+std::map<ZoneName, RegionName> ToRegions(
+    const std::map<std::string, std::string>& regions) {
+  std::map<ZoneName, RegionName> out;
+  for (const auto& [zone, region] : regions) {
+    out.emplace(ZoneName(zone), RegionName(region));
+  }
+  return out;
+}
+
+Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+int Run(const DirectEntrySettings& settings) {
+  Counters counters;
+  EventLoop control;
+  EventLoop traffic;
+  const platform::Headers dialect;
+  const Millis confirmation_limit = settings.revocation - kRevocationMargin;
+  ForwardServer server(
+      traffic,
+      {.listen = settings.caller_address,
+       .max_connections = settings.max_connections,
+       .dispatcher = {.zone = settings.zone,
+                      .seed = RandomSeed(),
+                      .cold_overrun = settings.cold_overrun,
+                      .cold_slack = settings.cold_slack},
+       .budget = {.ratio = settings.retry_ratio,
+                  .slack = settings.retry_slack,
+                  .window = FromSeconds(settings.retry_window_s)},
+       .confirmation_limit = confirmation_limit,
+       .regions = ToRegions(settings.regions)},
+      dialect, counters);
+  HttpClient http(control.io());
+  platform::StoreClient store(http, {.url = settings.platform_url}, counters);
+  EntryControl entry(
+      control, store,
+      {.self = {.id = settings.instance,
+                .role = MemberRole::kEntry,
+                .zone = settings.zone,
+                .caller = settings.caller_address,
+                .peer = settings.peer_address},
+       .schema = platform::Schema(),
+       .calls = platform::Calls(),
+       .ready_address = settings.ready_address,
+       .directory_address = settings.directory_address,
+       .metrics_address = settings.metrics_address,
+       .address_max_age = settings.address_max_age,
+       .confirmation_limit = confirmation_limit},
+      {.on_view =
+           [&](FleetViewPtr view) {
+             traffic.Post(
+                 [&server, view = std::move(view)] { server.SetView(view); });
+           },
+       .on_confirmed =
+           [&](TimePoint as_of) {
+             traffic.Post([&server, as_of] { server.Confirm(as_of); });
+           }},
+      counters);
+  for (const absl::Status& status : {server.Start(), entry.Start()}) {
+    if (status.ok()) continue;
+    Log(LogLevel::kError, "start_failed", {{"error", MessageOf(status)}});
+    return kExitUnavailable;
+  }
+  bool is_leaving = false;
+  control.OnTerminate([&] {
+    if (is_leaving) return control.Stop();
+    is_leaving = true;
+    Log(LogLevel::kInfo, "leaving_began");
+    entry.BeginLeaving();
+    traffic.Post([&] {
+      server.BeginLeaving();
+      traffic.After(kTakeAfterTerm, [&] {
+        server.StopTaking();
+        traffic.Every(Millis(50), [&] {
+          if (server.is_idle()) control.Stop();
+        });
+      });
+    });
+    control.After(FromSeconds(settings.grace_s) - kGraceMargin,
+                  [&] { control.Stop(); });
+  });
+  Log(LogLevel::kInfo, "started",
+      {{"caller_address", settings.caller_address.value()}});
+  traffic.StartThread();
+  control.Run();
+  Log(LogLevel::kInfo, "stopped");
+  traffic.Join();
+  // The operating system releases what is left; destroying it here would run
+  // the handlers of connections that are still open.
+  std::quick_exit(kExitOk);
+}
+
+}  // namespace
+}  // namespace mangohold
+
+int main(int argc, char** argv) {
+  return mangohold::RunDaemon(argc, argv, "mangohold-direct-entry",
+                              &mangohold::ParseDirectEntrySettings,
+                              &mangohold::Run);
+}
--- /dev/null
+++ b/src/routing/dispatcher.cc
@@ -0,0 +1,310 @@
+#include "routing/dispatcher.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace mangohold {
+namespace {
+
+// Weight of the newest value in smoothed ones.
+constexpr double kSmoothing = 0.2;
+// Cost of a backend server that fails all its requests, in loads.
+constexpr double kFailureCost = 8.0;
+// A refused caller is asked to come back between these times.
+constexpr Millis kLeastRetryAfter{100};
+constexpr Millis kMostRetryAfter{2'000};
+// Without any dispatch lately, room is taken to come up once in this time.
+constexpr Millis kUnknownPace{250};
+
+double Smoothed(double before, double value) {
+  return before + kSmoothing * (value - before);
+}
+
+}  // namespace
+
+Dispatcher::Dispatcher(Options options)
+    : options_(std::move(options)), random_(options_.seed) {}
+
+void Dispatcher::SetBackends(const std::vector<BackendRecord>& backends,
+                             TimePoint /*now*/) {
+  std::unordered_map<InstanceId, Backend> next;
+  by_service_.clear();
+  for (const BackendRecord& record : backends) {
+    const auto known = backends_.find(record.id);
+    Backend backend =
+        known == backends_.end() ? Backend() : std::move(known->second);
+    backend.record = record;
+    by_service_[record.service].push_back(record.id);
+    next.emplace(record.id, std::move(backend));
+  }
+  backends_ = std::move(next);
+}
+
+void Dispatcher::SetServices(const std::vector<ServiceSpec>& services) {
+  services_.clear();
+  for (const ServiceSpec& service : services) {
+    services_[service.name] = service;
+  }
+}
+
+void Dispatcher::OnPeerShares(const InstanceId& peer,
+                              const std::vector<BackendShare>& shares,
+                              TimePoint now) {
+  for (auto& [id, backend] : backends_) backend.peers.erase(peer);
+  for (const BackendShare& share : shares) {
+    const auto it = backends_.find(share.backend);
+    if (it == backends_.end()) continue;
+    it->second.peers[peer] = {.share = share, .heard = now};
+  }
+}
+
+// The queue is kept in the order of turns: by urgency, then by arrival.
+void Dispatcher::Submit(Query query, TimePoint now) {
+  const auto place = std::ranges::upper_bound(
+      waiting_, query.priority, {},
+      [](const Waiting& waiting) { return waiting.query.priority; });
+  waiting_.insert(place, {.query = std::move(query), .since = now});
+}
+
+void Dispatcher::Withdraw(AttemptNumber number) {
+  std::erase_if(waiting_, [number](const Waiting& waiting) {
+    return waiting.query.number == number;
+  });
+}
+
+std::vector<Dispatcher::Decision> Dispatcher::Decide(TimePoint now) {
+  std::vector<Decision> decisions;
+  std::map<ServiceName, int> ahead;
+  std::vector<Waiting> still;
+  for (Waiting& waiting : waiting_) {
+    const Query& query = waiting.query;
+    // A request waits behind those before it, unless they may go elsewhere
+    // only.
+    if (Backend* backend = Choose(query, now)) {
+      decisions.push_back(Send(query, *backend, now));
+      continue;
+    }
+    const Duration wait =
+        ExpectedWait(query.service, ahead[query.service], now);
+    if (!HasBackends(query.service)) {
+      if (now >= query.give_up) {
+        decisions.push_back(Refuse(query, Reason::kNoBackend, wait));
+        continue;
+      }
+    } else if (now + wait > query.give_up) {
+      decisions.push_back(Refuse(query, Reason::kDeadlineUnreachable, wait));
+      continue;
+    }
+    ++ahead[query.service];
+    still.push_back(std::move(waiting));
+  }
+  waiting_ = std::move(still);
+  return decisions;
+}
+
+Dispatcher::Backend* Dispatcher::Choose(const Query& query, TimePoint now) {
+  const auto group = by_service_.find(query.service);
+  if (group == by_service_.end()) return nullptr;
+  Backend* best = nullptr;
+  double best_cost = std::numeric_limits<double>::max();
+  for (const InstanceId& id : group->second) {
+    Backend& backend = backends_.at(id);
+    if (!IsOpen(backend, query, now)) continue;
+    // A random part breaks ties differently at each entry.
+    const double cost = CostOf(backend, query, now) + random_.Unit() * 0.1;
+    if (cost >= best_cost) continue;
+    best = &backend;
+    best_cost = cost;
+  }
+  return best;
+}
+
+bool Dispatcher::IsOpen(const Backend& backend, const Query& query,
+                        TimePoint now) {
+  if (backend.ejected_until > now) return false;
+  if (std::ranges::find(query.tried, backend.record.id) != query.tried.end()) {
+    return false;
+  }
+  if (!query.zones.empty() &&
+      std::ranges::find(query.zones, backend.record.zone) ==
+          query.zones.end()) {
+    return false;
+  }
+  if (RequestsAt(backend, now) >= backend.record.slots) return false;
+  return static_cast<int>(backend.recent.Count(now)) < ColdRate(backend);
+}
+
+int Dispatcher::RequestsAt(const Backend& backend, TimePoint now) const {
+  int requests = backend.own_requests;
+  for (const auto& [peer, told] : backend.peers) {
+    if (told.heard + options_.peer_memory >= now) {
+      requests += told.share.requests;
+    }
+  }
+  return requests;
+}
+
+int Dispatcher::UnreadAt(const Backend& backend, TimePoint now) const {
+  int tokens = backend.own_unread;
+  for (const auto& [peer, told] : backend.peers) {
+    if (told.heard + options_.peer_memory >= now) {
+      tokens += told.share.unread_tokens;
+    }
+  }
+  return tokens;
+}
+
+// For model engines the load is what a rank adds to the pass of its group:
+// requests that write, and prompt tokens that wait to be read. For others it is
+// the expected wait in units of one request.
+double Dispatcher::CostOf(const Backend& backend, const Query& query,
+                          TimePoint now) const {
+  double cost = RequestsAt(backend, now);
+  const ServiceSpec* spec = SpecOf(query.service);
+  if (spec != nullptr && spec->engine) {
+    const double usual = std::max(1.0, spec->engine->usual_prompt_tokens);
+    cost += UnreadAt(backend, now) / usual;
+  } else if (backend.service_seconds > 0) {
+    cost = (cost + 1) * backend.service_seconds * 20;
+  }
+  if (backend.record.zone != options_.zone) cost += options_.zone_penalty;
+  return cost + kFailureCost * backend.failure_share;
+}
+
+// Requests a second that this entry may send to one backend server, so that
+// all entries together keep to what a cold one bears. A backend server turns
+// cold without notice, so the bound holds always.
+int Dispatcher::ColdRate(const Backend& backend) const {
+  const ServiceSpec* spec = SpecOf(backend.record.service);
+  if (spec == nullptr || spec->cold_per_s <= 0) {
+    return std::numeric_limits<int>::max();
+  }
+  const double all =
+      spec->cold_per_s * options_.cold_overrun + options_.cold_slack;
+  return std::max(1, static_cast<int>(std::floor(all / entries_)));
+}
+
+const ServiceSpec* Dispatcher::SpecOf(const ServiceName& service) const {
+  const auto it = services_.find(service);
+  return it == services_.end() ? nullptr : &it->second;
+}
+
+bool Dispatcher::HasBackends(const ServiceName& service) const {
+  return by_service_.contains(service);
+}
+
+Dispatcher::Decision Dispatcher::Send(const Query& query, Backend& backend,
+                                      TimePoint now) {
+  ++backend.own_requests;
+  backend.own_unread += query.prompt_tokens;
+  backend.recent.Add(now);
+  paces_[query.service].sent.Add(now);
+  sent_[query.number] = {.backend = backend.record.id,
+                         .service = query.service,
+                         .unread_tokens = query.prompt_tokens,
+                         .at = now};
+  return {.number = query.number, .backend = backend.record};
+}
+
+Dispatcher::Decision Dispatcher::Refuse(const Query& query, Reason reason,
+                                        Duration wait) {
+  const auto millis = std::chrono::duration_cast<Millis>(wait);
+  return {.number = query.number,
+          .backend = std::nullopt,
+          .reason = reason,
+          .retry_after = std::clamp(millis, kLeastRetryAfter, kMostRetryAfter)};
+}
+
+// Turns come as fast as they came lately.
+Duration Dispatcher::ExpectedWait(const ServiceName& service, int ahead,
+                                  TimePoint now) {
+  const std::size_t sent = paces_[service].sent.Count(now);
+  const Duration gap = sent == 0 ? Duration(kUnknownPace)
+                                 : Duration(std::chrono::seconds(2)) /
+                                       static_cast<std::int64_t>(sent);
+  return gap * ahead;
+}
+
+void Dispatcher::OnAnswerBegun(AttemptNumber number, TimePoint /*now*/) {
+  const auto it = sent_.find(number);
+  if (it == sent_.end()) return;
+  const auto backend = backends_.find(it->second.backend);
+  if (backend != backends_.end()) {
+    backend->second.own_unread -= it->second.unread_tokens;
+  }
+  it->second.unread_tokens = 0;
+}
+
+void Dispatcher::OnEnded(AttemptNumber number, Result result, TimePoint now) {
+  const auto it = sent_.find(number);
+  if (it == sent_.end()) return;
+  const Sent sent = it->second;
+  sent_.erase(it);
+  const auto found = backends_.find(sent.backend);
+  if (found == backends_.end()) return;
+  Backend& backend = found->second;
+  --backend.own_requests;
+  backend.own_unread -= sent.unread_tokens;
+  switch (result) {
+    case Result::kServed:
+      backend.failures = 0;
+      backend.failure_share = Smoothed(backend.failure_share, 0);
+      backend.service_seconds =
+          backend.service_seconds == 0
+              ? ToSeconds(now - sent.at)
+              : Smoothed(backend.service_seconds, ToSeconds(now - sent.at));
+      break;
+    case Result::kRejected:
+      backend.ejected_until = now + options_.ejection / 2;
+      break;
+    case Result::kUnreachable:
+      Eject(backend, now);
+      break;
+    case Result::kFailed:
+      backend.failure_share = Smoothed(backend.failure_share, 1);
+      if (++backend.failures >= 3) Eject(backend, now);
+      break;
+    case Result::kCancelled:
+      break;
+  }
+}
+
+// Passes a backend server over for a time that doubles with each failure, as
+// long as enough others are left to bear the load.
+void Dispatcher::Eject(Backend& backend, TimePoint now) {
+  const auto& group = by_service_[backend.record.service];
+  const auto ejected = std::ranges::count_if(group, [&](const auto& id) {
+    return backends_.at(id).ejected_until > now;
+  });
+  if (static_cast<double>(ejected + 1) >
+      options_.most_ejected * static_cast<double>(group.size())) {
+    return;
+  }
+  ++backend.failures;
+  const int doublings = std::min(backend.failures - 1, 4);
+  backend.ejected_until = now + std::min(options_.longest_ejection,
+                                         options_.ejection * (1 << doublings));
+}
+
+std::vector<BackendShare> Dispatcher::OwnShares() const {
+  std::vector<BackendShare> shares;
+  for (const auto& [id, backend] : backends_) {
+    if (backend.own_requests == 0) continue;
+    shares.push_back({.backend = id,
+                      .requests = backend.own_requests,
+                      .unread_tokens = backend.own_unread});
+  }
+  return shares;
+}
+
+int Dispatcher::MostConnections(const ServiceName& service) const {
+  const ServiceSpec* spec = SpecOf(service);
+  if (spec == nullptr || spec->max_connections <= 0) {
+    return std::numeric_limits<int>::max();
+  }
+  return std::max(1, spec->max_connections / (entries_ + 1));
+}
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/routing/dispatcher.h
@@ -0,0 +1,171 @@
+// Who waits, who is refused, and where work goes, for requests that go to
+// backend servers directly. No network and no clock: events and the time go in,
+// decisions come out.
+//
+// A backend server runs up to its slots at once and queues a few more. Entries
+// share the backend servers without a coordinator: each knows what it has sent
+// itself and hears from its peers what they have sent. As long as the least
+// loaded backend server has a free slot a request is sent there; otherwise it
+// waits here, the most urgent first, and is refused as soon as its turn can't
+// come in time.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "config/deployment.h"
+#include "core/clock.h"
+#include "core/ids.h"
+#include "core/outcome.h"
+#include "core/random.h"
+#include "routing/sliding_count.h"
+#include "store/backend_record.h"
+
+namespace mangohold {
+
+// One attempt of a request, numbered by the entry.
+using AttemptNumber = Number<struct AttemptNumberTag>;
+
+// What one entry has in progress at one backend server.
+struct BackendShare {
+  InstanceId backend;
+  int requests = 0;
+  int unread_tokens = 0;  // prompt tokens sent without an answer so far
+};
+
+class Dispatcher {
+ public:
+  struct Options {
+    ZoneName zone;
+    std::uint64_t seed = 1;
+    // Cold backend servers bear this times their rate plus a few in a second,
+    // over all entries.
+    double cold_overrun = 1.0;
+    double cold_slack = 0;
+    // What a peer told is forgotten after this.
+    Duration peer_memory = std::chrono::milliseconds(1'500);
+    // First and longest time for which a failing backend server is passed over.
+    Duration ejection = std::chrono::milliseconds(400);
+    Duration longest_ejection = std::chrono::seconds(5);
+    // Part of a service's backend servers that may be passed over at a time.
+    double most_ejected = 0.5;
+    // Load that a backend server in another zone must save to be preferred.
+    double zone_penalty = 0.25;
+  };
+  struct Query {
+    AttemptNumber number;
+    ServiceName service;
+    int priority = 0;  // 0 is the most urgent
+    WorkspaceName workspace;
+    int prompt_tokens = 0;
+    // After this an answer comes too late for the caller.
+    TimePoint give_up;
+    std::vector<InstanceId> tried;
+    // Zones of the regions where it may run; empty: all.
+    std::vector<ZoneName> zones;
+  };
+  struct Decision {
+    AttemptNumber number;
+    std::optional<BackendRecord> backend;  // where to send; absent: refused
+    Reason reason = Reason::kNone;         // of a refusal
+    Millis retry_after{0};                 // of a refusal
+  };
+  enum class Result {
+    kServed,
+    kRejected,     // it said that it did not run the request
+    kUnreachable,  // no connection
+    kFailed,       // broken off, or a failure of the backend server's own
+    kCancelled     // the caller left
+  };
+
+  explicit Dispatcher(Options options);
+
+  // Takes the backend servers that may be used; what is known of those that
+  // stay is kept.
+  void SetBackends(const std::vector<BackendRecord>& backends, TimePoint now);
+  void SetServices(const std::vector<ServiceSpec>& services);
+  // The entries that may be sending.
+  void SetEntries(int entries) { entries_ = entries; }
+  void OnPeerShares(const InstanceId& peer,
+                    const std::vector<BackendShare>& shares, TimePoint now);
+
+  void Submit(Query query, TimePoint now);
+  // Forgets an attempt that still waits.
+  void Withdraw(AttemptNumber number);
+  // The attempts to send or to refuse now.
+  std::vector<Decision> Decide(TimePoint now);
+
+  // The first bytes of the answer came: its prompt has been read.
+  void OnAnswerBegun(AttemptNumber number, TimePoint now);
+  void OnEnded(AttemptNumber number, Result result, TimePoint now);
+
+  std::vector<BackendShare> OwnShares() const;
+  // Connections that this entry may open to one backend server.
+  int MostConnections(const ServiceName& service) const;
+  bool Knows(const InstanceId& id) const { return backends_.contains(id); }
+  std::size_t waiting() const { return waiting_.size(); }
+  int sent() const { return static_cast<int>(sent_.size()); }
+  std::size_t backends() const { return backends_.size(); }
+
+ private:
+  struct PeerShare {
+    BackendShare share;
+    TimePoint heard;
+  };
+  struct Backend {
+    BackendRecord record;
+    int own_requests = 0;
+    int own_unread = 0;
+    std::map<InstanceId, PeerShare> peers;
+    SlidingCount recent{std::chrono::seconds(1)};
+    int failures = 0;  // in a row
+    TimePoint ejected_until;
+    double failure_share = 0;    // smoothed
+    double service_seconds = 0;  // smoothed; 0: none served yet
+  };
+  struct Sent {
+    InstanceId backend;
+    ServiceName service;
+    int unread_tokens = 0;
+    TimePoint at;
+  };
+  struct Waiting {
+    Query query;
+    TimePoint since;
+  };
+  // How fast a service takes work from this entry.
+  struct Pace {
+    SlidingCount sent{std::chrono::seconds(2)};
+  };
+
+  Backend* Choose(const Query& query, TimePoint now);
+  bool IsOpen(const Backend& backend, const Query& query, TimePoint now);
+  int RequestsAt(const Backend& backend, TimePoint now) const;
+  int UnreadAt(const Backend& backend, TimePoint now) const;
+  double CostOf(const Backend& backend, const Query& query,
+                TimePoint now) const;
+  int ColdRate(const Backend& backend) const;
+  const ServiceSpec* SpecOf(const ServiceName& service) const;
+  bool HasBackends(const ServiceName& service) const;
+  void Eject(Backend& backend, TimePoint now);
+  Duration ExpectedWait(const ServiceName& service, int ahead, TimePoint now);
+  Decision Send(const Query& query, Backend& backend, TimePoint now);
+  static Decision Refuse(const Query& query, Reason reason, Duration wait);
+
+  Options options_;
+  Random random_;
+  int entries_ = 1;
+  std::unordered_map<InstanceId, Backend> backends_;
+  std::map<ServiceName, std::vector<InstanceId>> by_service_;
+  std::map<ServiceName, ServiceSpec> services_;
+  std::map<ServiceName, Pace> paces_;
+  std::vector<Waiting> waiting_;  // in the order of their turns
+  std::map<AttemptNumber, Sent> sent_;
+  std::map<WorkspaceName, int> in_progress_;
+};
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/routing/event_splitter.cc
@@ -0,0 +1,80 @@
+#include "routing/event_splitter.h"
+
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace mangohold {
+namespace {
+
+// The bytes of the first whole event with the empty line behind it, or 0.
+std::size_t EventSize(std::string_view text) {
+  std::size_t line_begin = 0;
+  while (line_begin < text.size()) {
+    const std::size_t line_end = text.find('\n', line_begin);
+    if (line_end == std::string_view::npos) return 0;
+    const std::string_view line =
+        text.substr(line_begin, line_end - line_begin);
+    if (line.empty() || line == "\r") return line_end + 1;
+    line_begin = line_end + 1;
+  }
+  return 0;
+}
+
+// The value of the event's last "id" line, or an empty view.
+std::string_view IdOf(std::string_view event) {
+  constexpr std::string_view kName = "id:";
+  std::string_view id;
+  while (!event.empty()) {
+    const std::size_t end = std::min(event.find('\n'), event.size());
+    std::string_view line = event.substr(0, end);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    if (line.starts_with(kName)) {
+      id = line.substr(kName.size());
+      if (id.starts_with(' ')) id.remove_prefix(1);
+    }
+    event.remove_prefix(std::min(end + 1, event.size()));
+  }
+  return id;
+}
+
+std::optional<std::int64_t> ToNumber(std::string_view text) {
+  std::int64_t value = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (text.empty() || error != std::errc() ||
+      end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+}  // namespace
+
+bool EventSplitter::IsKnown(std::string_view id) const {
+  const auto number = ToNumber(id);
+  const auto last = ToNumber(last_id_);
+  return number && last && *number <= *last;
+}
+
+std::string EventSplitter::Feed(std::string_view data) {
+  partial_.append(data);
+  std::string out;
+  std::string_view rest = partial_;
+  while (const std::size_t size = EventSize(rest)) {
+    const std::string_view event = rest.substr(0, size);
+    const std::string_view id = IdOf(event);
+    if (id.empty() || !IsKnown(id)) {
+      out.append(event);
+      ++events_;
+      if (!id.empty()) last_id_ = std::string(id);
+    }
+    rest.remove_prefix(size);
+  }
+  partial_.erase(0, partial_.size() - rest.size());
+  return out;
+}
+
+std::string EventSplitter::Finish() { return std::exchange(partial_, {}); }
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/routing/sliding_count.h
@@ -0,0 +1,32 @@
+// Counts events within the last span of time.
+#pragma once
+
+#include <cstddef>
+#include <deque>
+
+#include "core/clock.h"
+
+namespace mangohold {
+
+class SlidingCount {
+ public:
+  explicit SlidingCount(Duration window) : window_(window) {}
+
+  void Add(TimePoint now) { times_.push_back(now); }
+  std::size_t Count(TimePoint now) const {
+    while (!times_.empty() && times_.front() + window_ < now) {
+      times_.pop_front();
+    }
+    return times_.size();
+  }
+  // When the oldest event counted leaves the window, or `now` without events.
+  TimePoint NextExpiry(TimePoint now) const {
+    return Count(now) == 0 ? now : times_.front() + window_;
+  }
+
+ private:
+  Duration window_;
+  mutable std::deque<TimePoint> times_;  // pruned as it is counted
+};
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/store/backend_record.h
@@ -0,0 +1,21 @@
+// A backend server as it stands in the platform's list.
+#pragma once
+
+#include "core/clock.h"
+#include "core/ids.h"
+
+namespace mangohold {
+
+enum class BackendState { kReady, kDraining, kCount };
+
+struct BackendRecord {
+  InstanceId id;  // of one start of the backend server
+  ServiceName service;
+  Endpoint address;
+  ZoneName zone;
+  int slots = 1;  // requests that it runs at once
+  BackendState state = BackendState::kReady;
+  Millis cold_remaining{0};  // at the time of writing
+};
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/store/lease_keeper.cc
@@ -0,0 +1,69 @@
+#include "store/lease_keeper.h"
+
+#include <utility>
+
+#include "core/log.h"
+
+namespace mangohold {
+
+LeaseKeeper::LeaseKeeper(EventLoop& loop, Store& store, Options options)
+    : loop_(loop), store_(store), options_(std::move(options)) {}
+
+void LeaseKeeper::Start() {
+  Grant();
+  loop_.Every(options_.renewal, [this] { Renew(); });
+}
+
+void LeaseKeeper::Renew() {
+  if (is_released_) return;
+  if (!lease_) return Grant();
+  store_.KeepLease(*lease_, [this](LeaseFate fate) {
+    if (fate != LeaseFate::kEnded || is_released_) return;
+    lease_.reset();
+    Grant();
+  });
+}
+
+void LeaseKeeper::Grant() {
+  if (is_released_ || std::exchange(is_granting_, true)) return;
+  store_.GrantLease(options_.ttl, [this](absl::StatusOr<LeaseId> lease) {
+    is_granting_ = false;
+    if (!lease.ok() || is_released_) return;  // tried again at the next renewal
+    Write(*lease, std::nullopt);
+  });
+}
+
+// Written first as if the key were absent; a conflict tells the revision to
+// replace.
+void LeaseKeeper::Write(LeaseId lease, std::optional<Revision> expected) {
+  is_granting_ = true;
+  const bool is_second_try = expected.has_value();
+  store_.Change(
+      {.expectations = {{options_.key, expected.value_or(Revision(0))}},
+       .writes = {{options_.key, options_.value, lease}}},
+      [this, lease, is_second_try](const ChangeResult& result) {
+        is_granting_ = false;
+        if (is_released_) return store_.EndLease(lease);
+        if (result.fate == ChangeFate::kDone) {
+          lease_ = lease;
+          Log(LogLevel::kInfo, "member_listed",
+              {{"key", options_.key}, {"lease", lease.value()}});
+        } else if (result.fate == ChangeFate::kConflict && !is_second_try &&
+                   !result.items.empty()) {
+          Write(lease, result.items.front().revision);
+        }
+      });
+}
+
+void LeaseKeeper::OnMissing() {
+  if (is_released_ || is_granting_) return;
+  lease_.reset();
+  Grant();
+}
+
+void LeaseKeeper::Release() {
+  is_released_ = true;
+  if (lease_) store_.EndLease(*lease_);
+}
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/store/member.cc
@@ -0,0 +1,33 @@
+#include "store/member.h"
+
+#include "core/json_types.h"
+
+namespace mangohold {
+
+std::string EncodeMember(const Member& member) {
+  return nlohmann::json{
+      {"id", member.id},     {"role", static_cast<int>(member.role)},
+      {"zone", member.zone}, {"caller", member.caller},
+      {"peer", member.peer}, {"backend", member.backend}}
+      .dump();
+}
+
+std::optional<Member> DecodeMember(const std::string& value) {
+  try {
+    const auto json = nlohmann::json::parse(value);
+    const int role = json.at("role").get<int>();
+    if (role < 0 || role >= static_cast<int>(MemberRole::kCount)) {
+      return std::nullopt;
+    }
+    return Member{.id = json.at("id").get<InstanceId>(),
+                  .role = static_cast<MemberRole>(role),
+                  .zone = json.at("zone").get<ZoneName>(),
+                  .caller = json.at("caller").get<Endpoint>(),
+                  .peer = json.at("peer").get<Endpoint>(),
+                  .backend = json.at("backend").get<Endpoint>()};
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/store/store.h
@@ -0,0 +1,100 @@
+// The platform's metadata store as the product sees it: keys with revisions,
+// watches, conditional changes and leases. The client that speaks the store's
+// protocol implements it; tests bring their own.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "core/clock.h"
+#include "core/ids.h"
+
+namespace mangohold {
+
+// 0 stands for no lease.
+using LeaseId = Number<struct LeaseIdTag>;
+
+struct StoreItem {
+  std::string key;
+  std::string value;
+  Revision revision;  // of its last change
+  LeaseId lease;
+};
+
+// One page of a listing, in the order of keys.
+struct StorePage {
+  std::vector<StoreItem> items;
+  bool has_more = false;
+  Revision at;  // the store's revision when it answered
+};
+
+struct StoreEvent {
+  StoreItem item;  // a deleted one has key and revision only
+  bool is_deleted = false;
+};
+
+struct StoreEvents {
+  std::vector<StoreEvent> events;
+  Revision at;                   // watch on from here
+  bool is_history_lost = false;  // list again: changes were forgotten
+};
+
+// A change that is made as a whole if each expectation holds.
+struct StoreChange {
+  struct Expectation {
+    std::string key;
+    Revision revision;  // 0: the key is absent
+  };
+  struct Write {
+    std::string key;
+    std::string value;
+    LeaseId lease;
+  };
+  std::vector<Expectation> expectations;
+  std::vector<Write> writes;
+  std::vector<std::string> removals;
+};
+
+// The fate of a change.
+enum class ChangeFate {
+  kDone,      // made; `revision` is its own
+  kConflict,  // an expectation didn't hold: nothing was done
+  kNoLease,   // the lease has ended: nothing was done
+  kNotDone,   // the store refused it, or it never left: nothing was done
+  kUnknown    // no answer: it may have been made, or may be made later
+};
+
+struct ChangeResult {
+  ChangeFate fate = ChangeFate::kUnknown;
+  Revision revision;
+  // For conflicts: the expected keys as they stand; absent ones are left out.
+  std::vector<StoreItem> items;
+};
+
+enum class LeaseFate { kHeld, kEnded, kUnknown };
+
+// Each call has a time-out. Callbacks run on the client's event loop.
+class Store {
+ public:
+  template <typename Value>
+  using Callback = std::function<void(Value)>;
+
+  virtual ~Store() = default;
+  // The items whose keys begin with `prefix`, after the key `after`.
+  virtual void List(const std::string& prefix, const std::string& after,
+                    Callback<absl::StatusOr<StorePage>> on_page) = 0;
+  // Changes after the revision `after`; waits up to `wait` for the first.
+  virtual void Watch(const std::string& prefix, Revision after, Millis wait,
+                     Callback<absl::StatusOr<StoreEvents>> on_events) = 0;
+  virtual void Change(const StoreChange& change,
+                      Callback<ChangeResult> on_result) = 0;
+  virtual void GrantLease(Millis ttl,
+                          Callback<absl::StatusOr<LeaseId>> on_lease) = 0;
+  virtual void KeepLease(LeaseId lease, Callback<LeaseFate> on_fate) = 0;
+  // Ends the lease with its keys. The answer is not waited for.
+  virtual void EndLease(LeaseId lease) = 0;
+};
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/store/store_replica.h
@@ -0,0 +1,46 @@
+// A copy of the store's keys, kept by listings and watches.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "store/store.h"
+
+namespace mangohold {
+
+// No clock, no network: pages and events go in, the keys that changed come out.
+class StoreReplica {
+ public:
+  // Begins a listing. What is known stays until the listing is complete.
+  void BeginListing();
+  // Takes a page of the listing in progress. After the last one, gives the keys
+  // that changed against what was known, deleted ones included.
+  std::vector<std::string> OnPage(const StorePage& page);
+  // The key after which the next page begins.
+  const std::string& next_page_after() const { return last_listed_; }
+
+  // Takes the events of a watch from `at()`. Gives the keys that changed.
+  std::vector<std::string> OnEvents(const StoreEvents& events);
+
+  // The item, or null if the store has none.
+  const StoreItem* Find(const std::string& key) const;
+  const std::map<std::string, StoreItem>& items() const { return items_; }
+  // The revision up to which nothing is missing.
+  Revision at() const { return at_; }
+  bool is_loaded() const { return is_loaded_; }
+
+ private:
+  std::vector<std::string> FinishListing();
+
+  std::map<std::string, StoreItem> items_;
+  Revision at_;
+  bool is_loaded_ = false;
+  // The listing in progress.
+  std::map<std::string, StoreItem> listed_;
+  std::string last_listed_;
+  Revision listed_from_;
+  bool has_first_page_ = false;
+};
+
+}  // namespace mangohold
