Switch expert maps in lock-step on live groups

Cause: with map 0 the most loaded rank had 3.33 times the mean and every pass waited for it; most answers were late.

Change: group/even_placement plans maps whose experts' tokens are shared evenly among their ranks; group/map_switch is the switch as a class without network (prepare, hold ahead, arm all, release; a new leader reads all ranks first and only goes forward); group/rank_agent runs it beside each engine, led by a term from a conditional write. SIGHUP reads the settings again instead of ending the process.

Ruled out: arming without a hold, since an unanswered order may be carried out later than its pass; leadership by a lease, since agents can refuse an older term themselves.

--- a/src/core/counters.cc
+++ b/src/core/counters.cc
@@ -33,7 +33,10 @@
                    "backend_connects",
                    "foreign_answers",
                    "streams_resumed",
-                   "log_lines_dropped"};
+                   "log_lines_dropped",
+                   "orders",
+                   "map_switches",
+                   "datagrams_dropped"};
 
 constexpr std::array<std::string_view, static_cast<int>(Gauge::kCount)>
     kGaugeNames = {"in_flight",      "queued",        "admission_limit",
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -33,6 +33,9 @@
   kForeignAnswers,
   kStreamsResumed,
   kLogLinesDropped,
+  kOrders,
+  kMapSwitches,
+  kDatagramsDropped,
   kCount
 };
 
--- a/src/core/log.cc
+++ b/src/core/log.cc
@@ -43,6 +43,10 @@
   spdlog::set_default_logger(std::move(logger));
 }
 
+void SetLogLevel(LogLevel level) {
+  spdlog::default_logger_raw()->set_level(ToSpdlog(level));
+}
+
 void Log(LogLevel level, std::string_view event,
          std::initializer_list<LogField> fields) {
   auto* logger = spdlog::default_logger_raw();
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -1,4 +1,4 @@
-// Structured logs: one JSON object on each line of standard error.
+// Structured logs: one JSON object on each line of standard output.
 #pragma once
 
 #include <cstdint>
@@ -32,6 +32,7 @@
 // Opens the log. `program` and `instance` are repeated on each line.
 void InitLog(std::string_view program, std::string_view instance,
              LogLevel level);
+void SetLogLevel(LogLevel level);
 // Writes one line with a time, the level, `event` and the fields. Safe from any
 // thread.
 void Log(LogLevel level, std::string_view event,
--- a/src/core/process_settings.cc
+++ b/src/core/process_settings.cc
@@ -86,6 +86,24 @@
   return settings;
 }
 
+RankAgentSettings ParseRankAgentSettings(const std::string& file,
+                                         std::string_view text,
+                                         Findings& findings) {
+  const JsonDocument document = JsonDocument::Parse(file, text, findings);
+  ObjectReader reader(document, "", findings);
+  RankAgentSettings settings;
+  reader.Required("instance", settings.instance);
+  reader.Required("zone", settings.zone);
+  reader.Required("service", settings.service);
+  reader.Required("platform_url", settings.platform_url);
+  ReadEndpoint(reader, "backend_address", settings.backend_address);
+  ReadEndpoint(reader, "peer_address", settings.peer_address);
+  ReadEndpoint(reader, "metrics_address", settings.metrics_address);
+  ReadLogLevel(reader, settings.log_level);
+  reader.RejectUnknown();
+  return settings;
+}
+
 DirectEntrySettings ParseDirectEntrySettings(const std::string& file,
                                              std::string_view text,
                                              Findings& findings) {
--- a/src/core/process_settings.h
+++ b/src/core/process_settings.h
@@ -78,11 +78,26 @@
   std::map<std::string, std::string> regions;  // of the zones, by zone
 };
 
+// The agent of an engine that is a rank of a group, on the direct way.
+struct RankAgentSettings {
+  InstanceId instance;
+  ZoneName zone;
+  ServiceName service;
+  std::string platform_url;
+  Endpoint backend_address;  // the engine
+  Endpoint peer_address;     // datagrams of other processes
+  Endpoint metrics_address;
+  LogLevel log_level = LogLevel::kInfo;
+};
+
 // All read a whole file; faults go to `findings`.
 EntrySettings ParseEntrySettings(const std::string& file, std::string_view text,
                                  Findings& findings);
 AgentSettings ParseAgentSettings(const std::string& file, std::string_view text,
                                  Findings& findings);
+RankAgentSettings ParseRankAgentSettings(const std::string& file,
+                                         std::string_view text,
+                                         Findings& findings);
 DirectEntrySettings ParseDirectEntrySettings(const std::string& file,
                                              std::string_view text,
                                              Findings& findings);
--- a/src/direct_entry_main.cc
+++ b/src/direct_entry_main.cc
@@ -37,7 +37,7 @@
       std::chrono::duration<double>(seconds));
 }
 
-int Run(const DirectEntrySettings& settings) {
+int Run(const DirectEntrySettings& settings, const std::string& file) {
   Counters counters;
   EventLoop control;
   EventLoop traffic;
@@ -88,6 +88,8 @@
     Log(LogLevel::kError, "start_failed", {{"error", MessageOf(status)}});
     return kExitUnavailable;
   }
+  control.OnHangUp(
+      [&file] { ReloadLogLevel(file, &ParseDirectEntrySettings); });
   bool is_leaving = false;
   control.OnTerminate([&] {
     if (is_leaving) return control.Stop();
--- /dev/null
+++ b/src/group/even_placement.h
@@ -0,0 +1,48 @@
+// Maps of experts to ranks for engines that share an expert's tokens evenly
+// among the ranks that hold it. Decisions only.
+//
+// A pass takes, set by set, as long as its most loaded rank. A map is improved
+// by copies: an expert of the most loaded rank is copied to a rank that carries
+// less, into a free place or in place of an expert that is held elsewhere too,
+// or two experts change places. Each copy costs its bytes, so that one which
+// saves little is left out.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+namespace mangohold {
+
+// The experts of one set that each rank holds.
+using SetMap = std::vector<std::vector<int>>;
+// A group's map, by set.
+using GroupMap = std::vector<SetMap>;
+// Tokens that chose each expert, by set.
+using ExpertDemand = std::vector<std::vector<double>>;
+
+struct EvenPlacementOptions {
+  int places = 0;        // experts a rank and set at the most
+  int spare_places = 0;  // experts of a set that may be new to a rank
+  // The part of the mean load by which a copy must lower the most loaded rank.
+  double least_saving_per_copy = 0.02;
+};
+
+// Experts dealt out in turn, each to one rank.
+SetMap DealtInTurn(int ranks, int experts);
+// Load of each rank; experts that no rank holds count for none.
+std::vector<double> RankLoads(const SetMap& map,
+                              const std::vector<double>& demand);
+// Most loaded rank over the mean; 1 without any load.
+double SkewOf(const SetMap& map, const std::vector<double>& demand);
+// The mean over the sets.
+double SkewOf(const GroupMap& map, const ExpertDemand& demand);
+// The next map of one set.
+SetMap PlanEvenly(const SetMap& present, const std::vector<double>& demand,
+                  const EvenPlacementOptions& options);
+// Plans each set by itself.
+GroupMap PlanEvenly(const GroupMap& present, const ExpertDemand& demand,
+                    const EvenPlacementOptions& options);
+// Experts that ranks must copy to go from one map to the other.
+int CountCopies(const GroupMap& from, const GroupMap& to);
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/group/map_switch.cc
@@ -0,0 +1,282 @@
+#include "group/map_switch.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mangohold {
+namespace {
+
+// Versions that one leader can make; terms are multiplied by it so that no two
+// leaders give a version to different maps.
+constexpr std::uint64_t kVersionsPerTerm = 100'000;
+// Passes that a hold lies ahead at the least and at the most.
+constexpr std::uint64_t kLeastAhead = 3;
+constexpr std::uint64_t kMostAhead = 40;
+constexpr double kPaceSmoothing = 0.3;
+
+}  // namespace
+
+void MapSwitch::OnStatus(const RankStatus& status, TimePoint now) {
+  const RankReport& report = status.report;
+  if (report.size <= 0 || report.rank < 0 || report.rank >= report.size) return;
+  if (report.epoch < epoch_) return;
+  // A group that has formed anew holds and knows nothing of before.
+  if (report.epoch > epoch_ || size() != report.size) {
+    epoch_ = report.epoch;
+    ranks_.assign(static_cast<std::size_t>(report.size), Rank());
+    passes_per_s_ = 0;
+    paced_at_ = TimePoint();
+    GoTo(Phase::kReading, now);
+  }
+  Rank& rank = ranks_[report.rank];
+  rank.status = status;
+  rank.is_known = status.term >= options_.term;
+  rank.heard = now;
+  const PassNumber last = LastPass();
+  if (paced_at_ == TimePoint() || now - paced_at_ > std::chrono::seconds(1)) {
+    if (paced_at_ != TimePoint() && last > paced_pass_) {
+      const double rate =
+          static_cast<double>(last.value() - paced_pass_.value()) /
+          ToSeconds(now - paced_at_);
+      passes_per_s_ =
+          passes_per_s_ == 0
+              ? rate
+              : passes_per_s_ + kPaceSmoothing * (rate - passes_per_s_);
+    }
+    paced_pass_ = last;
+    paced_at_ = now;
+  }
+}
+
+std::vector<RankCommand> MapSwitch::Advance(TimePoint now) {
+  Step(now);
+  std::vector<RankCommand> commands;
+  for (int index = 0; index < size(); ++index) {
+    if (!IsCommandDue(ranks_[index], now)) continue;
+    auto command = CommandFor(index);
+    if (!command) continue;
+    command->rank = index;
+    command->epoch = epoch_;
+    ranks_[index].commanded = now;
+    commands.push_back(*std::move(command));
+  }
+  return commands;
+}
+
+// Goes on to the next phase for as long as the ranks are there already.
+void MapSwitch::Step(TimePoint now) {
+  const auto all = [this](auto predicate) {
+    return std::ranges::all_of(ranks_, predicate);
+  };
+  switch (phase_) {
+    case Phase::kReading:
+      if (!ranks_.empty() && AllKnown(now)) Resume(now);
+      break;
+    case Phase::kIdle:
+      // A hold that nobody asked for came late.
+      if (HoldingRank() && AllKnown(now)) Resume(now);
+      break;
+    case Phase::kPreparing:
+      if (all([this](const Rank& rank) {
+            return rank.status.report.prepared == version_;
+          })) {
+        pass_ = ChoosePass();
+        GoTo(Phase::kHolding, now);
+      } else if (now - phase_began_ > options_.prepare_limit) {
+        GoTo(Phase::kReading, now);
+      }
+      break;
+    case Phase::kHolding:
+      // No rank has been told to arm yet, so that another pass may be chosen.
+      if (HoldingRank() == holder_ &&
+          ranks_[holder_].status.report.held == pass_) {
+        GoTo(Phase::kArming, now);
+      } else if (LastPass() >= pass_) {
+        pass_ = ChoosePass();
+        ranks_[holder_].commanded.reset();
+      }
+      break;
+    case Phase::kArming:
+      if (all([this](const Rank& rank) { return IsArmed(rank); })) {
+        GoTo(Phase::kReleasing, now);
+      }
+      break;
+    case Phase::kReleasing:
+      if (!HoldingRank()) GoTo(Phase::kSettling, now);
+      break;
+    case Phase::kSettling:
+      if (HoldingRank()) {
+        GoTo(Phase::kReleasing, now);
+      } else if (all([this](const Rank& rank) { return HasSwitched(rank); })) {
+        GoTo(Phase::kIdle, now);
+      }
+      break;
+    case Phase::kCount:
+      break;
+  }
+}
+
+// All ranks have been read: goes on from the state that they are in.
+void MapSwitch::Resume(TimePoint now) {
+  const auto holder = HoldingRank();
+  // Step 1: the map that the ranks are about to switch to, if any.
+  std::optional<MapVersion> armed;
+  std::optional<MapVersion> prepared = ranks_.front().status.report.prepared;
+  for (const Rank& rank : ranks_) {
+    const RankReport& report = rank.status.report;
+    if (report.armed) armed = report.armed;
+    const bool is_pending = report.prepared && *report.prepared > report.map;
+    if (!is_pending || report.prepared != prepared) prepared.reset();
+  }
+  // Step 2: without a hold nothing is in progress, or all is armed.
+  if (!holder) {
+    if (armed) version_ = *armed;
+    return GoTo(armed ? Phase::kSettling : Phase::kIdle, now);
+  }
+  // Step 3: under a hold the ranks may be partly armed, also by orders that are
+  // still on their way; if all are prepared, all are armed before the release.
+  holder_ = *holder;
+  pass_ = *ranks_[holder_].status.report.held;
+  if (armed || prepared) {
+    version_ = armed ? *armed : *prepared;
+    return GoTo(Phase::kArming, now);
+  }
+  GoTo(Phase::kReleasing, now);
+}
+
+bool MapSwitch::IsArmed(const Rank& rank) const {
+  return rank.is_known && rank.status.report.armed == version_;
+}
+
+bool MapSwitch::HasSwitched(const Rank& rank) const {
+  return rank.is_known && rank.status.report.map == version_;
+}
+
+void MapSwitch::GoTo(Phase phase, TimePoint now) {
+  phase_ = phase;
+  phase_began_ = now;
+  for (Rank& rank : ranks_) {
+    rank.commanded.reset();
+    // Reading begins anew with every rank.
+    if (phase == Phase::kReading) rank.is_known = false;
+  }
+}
+
+std::optional<int> MapSwitch::HoldingRank() const {
+  const auto it = std::ranges::find_if(ranks_, [](const Rank& rank) {
+    return rank.status.report.held.has_value();
+  });
+  if (it == ranks_.end()) return std::nullopt;
+  return static_cast<int>(it - ranks_.begin());
+}
+
+PassNumber MapSwitch::LastPass() const {
+  PassNumber last;
+  for (const Rank& rank : ranks_) {
+    last = std::max(last, rank.status.report.pass);
+  }
+  return last;
+}
+
+// A pass that the group reaches only after the ranks have been armed.
+PassNumber MapSwitch::ChoosePass() const {
+  const auto ahead = static_cast<std::uint64_t>(
+      std::ceil(passes_per_s_ * ToSeconds(options_.arming_time)));
+  return PassNumber(LastPass().value() +
+                    std::clamp(ahead + 1, kLeastAhead, kMostAhead));
+}
+
+bool MapSwitch::IsCommandDue(const Rank& rank, TimePoint now) const {
+  const Duration retry = phase_ == Phase::kPreparing ? options_.prepare_retry
+                                                     : options_.command_retry;
+  return !rank.commanded || now - *rank.commanded >= retry;
+}
+
+std::optional<RankCommand> MapSwitch::CommandFor(int index) const {
+  const Rank& rank = ranks_[index];
+  const RankReport& report = rank.status.report;
+  switch (phase_) {
+    case Phase::kReading:
+      if (!rank.is_known) return RankCommand();
+      break;
+    case Phase::kPreparing:
+      if (report.prepared != version_ && !report.is_busy) {
+        return RankCommand{
+            .order = OrderKind::kPrepare, .version = version_, .map = map_};
+      }
+      break;
+    case Phase::kHolding:
+      if (index == holder_ && report.held != pass_) {
+        return RankCommand{.order = OrderKind::kHold, .pass = pass_};
+      }
+      break;
+    case Phase::kArming:
+      if (!IsArmed(rank)) {
+        return RankCommand{
+            .order = OrderKind::kArm, .version = version_, .pass = pass_};
+      }
+      break;
+    case Phase::kReleasing:
+      if (report.held) {
+        return RankCommand{.order = OrderKind::kGo, .pass = *report.held};
+      }
+      break;
+    case Phase::kIdle:
+    case Phase::kSettling:
+    case Phase::kCount:
+      break;
+  }
+  return std::nullopt;
+}
+
+bool MapSwitch::AllKnown(TimePoint now) const {
+  return std::ranges::all_of(ranks_, [&](const Rank& rank) {
+    return rank.is_known && rank.heard + options_.status_memory >= now;
+  });
+}
+
+std::vector<int> MapSwitch::SilentRanks(TimePoint now) const {
+  std::vector<int> silent;
+  for (int index = 0; index < size(); ++index) {
+    if (ranks_[index].heard + options_.status_memory < now) {
+      silent.push_back(index);
+    }
+  }
+  return silent;
+}
+
+bool MapSwitch::AreUniform() const {
+  return std::ranges::all_of(ranks_, [this](const Rank& rank) {
+    const RankReport& report = rank.status.report;
+    return report.is_open && !report.armed && !report.held &&
+           report.map == ranks_.front().status.report.map;
+  });
+}
+
+bool MapSwitch::CanBegin(TimePoint now) const {
+  return phase_ == Phase::kIdle && !ranks_.empty() && AllKnown(now) &&
+         AreUniform();
+}
+
+std::optional<GroupMap> MapSwitch::PresentMap(TimePoint now) const {
+  if (!CanBegin(now)) return std::nullopt;
+  const std::size_t sets = ranks_.front().status.holdings.size();
+  GroupMap map(sets);
+  for (const Rank& rank : ranks_) {
+    if (rank.status.holdings.size() != sets || sets == 0) return std::nullopt;
+    for (std::size_t set = 0; set < sets; ++set) {
+      map[set].push_back(rank.status.holdings[set]);
+    }
+  }
+  return map;
+}
+
+void MapSwitch::Begin(GroupMap map, TimePoint now) {
+  version_ =
+      MapVersion(options_.term.value() * kVersionsPerTerm + ++maps_made_);
+  map_ = std::move(map);
+  holder_ = options_.own_rank;
+  GoTo(Phase::kPreparing, now);
+}
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/group/map_switch.h
@@ -0,0 +1,136 @@
+// The switch of a group of ranks from one expert map to the next, so that no
+// pass ever begins with two maps. Decisions only: statuses of ranks and the
+// time go in, commands to ranks come out.
+//
+// 1. Every rank prepares the new map.
+// 2. One rank holds a pass S that lies ahead, and the hold is confirmed.
+// 3. Every rank arms the new map for S.
+// 4. When all are confirmed armed, the hold is released. As long as this comes
+//    before the group reaches S, no rank ever waits.
+//
+// Until a rank is confirmed, its command is given again. Nothing is ever taken
+// back: once a rank may be armed, the only way on is to arm the others, and the
+// hold keeps S from beginning until that is done. A command may reach an engine
+// late; each order names the epoch and the order before it, so that a late one
+// is void once another has been accepted, or once S has begun.
+//
+// A new leader reads all ranks first, which also ends the power of the leader
+// before it over each rank that it has read, and then goes on from what it
+// finds. The ranks themselves are the record.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "backend/engine_api.h"
+#include "core/clock.h"
+
+namespace mangohold {
+
+// The term of a leader; a later one ends the power of those before it.
+using LeaderTerm = Number<struct LeaderTermTag>;
+
+// A rank as its agent last told.
+struct RankStatus {
+  InstanceId agent;
+  LeaderTerm term;  // the highest that the agent has seen
+  RankReport report;
+  std::vector<std::vector<int>> holdings;  // experts by set, of the map in use
+};
+
+// What a leader asks of a rank's agent.
+struct RankCommand {
+  int rank = 0;
+  // Absent: only the rank's status is asked for.
+  std::optional<OrderKind> order;
+  GroupEpoch epoch;
+  MapVersion version;
+  PassNumber pass;
+  GroupMap map;
+};
+
+class MapSwitch {
+ public:
+  struct Options {
+    LeaderTerm term;
+    int own_rank = 0;  // the rank beside the leader, which holds the pass
+    // A rank without a newer status is unknown after this.
+    Duration status_memory = std::chrono::milliseconds(1'500);
+    // A command without effect is given again after this.
+    Duration command_retry = std::chrono::milliseconds(250);
+    // The same for preparations, which take longer to show.
+    Duration prepare_retry = std::chrono::seconds(2);
+    // A preparation that doesn't come to an end is given up after this.
+    Duration prepare_limit = std::chrono::seconds(12);
+    // Time in which a hold and the arming of all ranks are expected to be done.
+    Duration arming_time = std::chrono::milliseconds(250);
+  };
+  enum class Phase {
+    kReading,
+    kIdle,
+    kPreparing,
+    kHolding,
+    kArming,
+    kReleasing,
+    kSettling,
+    kCount
+  };
+
+  explicit MapSwitch(Options options) : options_(options) {}
+
+  void OnStatus(const RankStatus& status, TimePoint now);
+  // Commands that are due. Call it after each status and from time to time.
+  std::vector<RankCommand> Advance(TimePoint now);
+
+  // True if a new map may be begun: all ranks are known, sound and at rest.
+  bool CanBegin(TimePoint now) const;
+  // The map in use, if all ranks agree and have told what they hold.
+  std::optional<GroupMap> PresentMap(TimePoint now) const;
+  void Begin(GroupMap map, TimePoint now);
+
+  Phase phase() const { return phase_; }
+  MapVersion version() const { return version_; }
+  int size() const { return static_cast<int>(ranks_.size()); }
+  // Ranks that haven't told anything for too long.
+  std::vector<int> SilentRanks(TimePoint now) const;
+
+ private:
+  struct Rank {
+    RankStatus status;
+    bool is_known = false;
+    TimePoint heard;
+    std::optional<TimePoint> commanded;
+  };
+
+  bool AllKnown(TimePoint now) const;
+  bool AreUniform() const;
+  bool IsArmed(const Rank& rank) const;
+  bool HasSwitched(const Rank& rank) const;
+  void GoTo(Phase phase, TimePoint now);
+  void Resume(TimePoint now);
+  std::optional<int> HoldingRank() const;
+  PassNumber LastPass() const;
+  PassNumber ChoosePass() const;
+  void Step(TimePoint now);
+  bool IsCommandDue(const Rank& rank, TimePoint now) const;
+  std::optional<RankCommand> CommandFor(int index) const;
+
+  Options options_;
+  Phase phase_ = Phase::kReading;
+  TimePoint phase_began_;
+  std::vector<Rank> ranks_;
+  GroupEpoch epoch_;
+  // The switch in progress.
+  MapVersion version_;
+  std::uint64_t maps_made_ = 0;
+  GroupMap map_;
+  PassNumber pass_;
+  int holder_ = 0;
+  // Passes a second, from the statuses.
+  PassNumber paced_pass_;
+  TimePoint paced_at_;
+  double passes_per_s_ = 0;
+};
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/group/rank_agent.cc
@@ -0,0 +1,502 @@
+#include "group/rank_agent.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/log.h"
+#include "core/status.h"
+
+namespace mangohold {
+namespace {
+
+constexpr Millis kBeatInterval{300};
+constexpr Millis kSwitchInterval{50};
+constexpr Millis kPlanInterval{500};
+constexpr Millis kMembersInterval{2'000};
+constexpr Millis kSilentAgentsInterval{700};
+// Candidates wait this much longer for each rank before them.
+constexpr Millis kCandidateSpacing{150};
+// Choices that a plan has to rest on, for each expert of all sets.
+constexpr double kLeastChoicesPerExpert = 20;
+
+void LogLost(std::string_view what, const absl::Status& status) {
+  Log(LogLevel::kWarning, "engine_call_failed",
+      {{"call", what}, {"error", MessageOf(status)}});
+}
+
+}  // namespace
+
+RankAgent::RankAgent(EventLoop& loop, Store& store, EngineApi& engine,
+                     Options options, Counters& counters)
+    : loop_(loop),
+      store_(store),
+      engine_(engine),
+      options_(std::move(options)),
+      counters_(counters),
+      socket_(loop.io(), counters),
+      lease_(loop, store,
+             {.key = options_.schema.member_prefix + options_.self.id.value(),
+              .value = EncodeMember(options_.self)}) {}
+
+absl::Status RankAgent::Start() {
+  const absl::Status status = socket_.Open(
+      options_.self.peer, [this](std::string_view data) { OnDatagram(data); });
+  if (!status.ok()) return status;
+  leader_heard_ = BootNow();
+  lease_.Start();
+  ReadMembers();
+  Poll();
+  loop_.Every(options_.poll, [this] { Poll(); });
+  loop_.Every(kBeatInterval, [this] {
+    Beat();
+    WatchLeader();
+  });
+  loop_.Every(kSwitchInterval, [this] { AdvanceSwitch(); });
+  loop_.Every(kPlanInterval, [this] { Plan(); });
+  loop_.Every(kMembersInterval, [this] { ReadMembers(); });
+  loop_.Every(kSilentAgentsInterval, [this] { ActForSilentAgents(); });
+  return absl::OkStatus();
+}
+
+// --- Own rank ---------------------------------------------------------------
+
+void RankAgent::Poll() {
+  if (std::exchange(is_polling_, true)) return;
+  engine_.Report(options_.self.backend, [this](const auto& report) {
+    OnReport(report);
+    if (!report.ok() || report->group.empty()) {
+      is_polling_ = false;
+      return;
+    }
+    ReadCounts();
+  });
+}
+
+void RankAgent::OnReport(const absl::StatusOr<RankReport>& report) {
+  if (!report.ok()) {
+    if (report_) {
+      LogLost("report", report.status());
+    }
+    report_.reset();
+    counters_.Count(Event::kBackendReportsLost);
+    return;
+  }
+  if (report_ &&
+      (report_->epoch != report->epoch || report_->map != report->map)) {
+    Log(LogLevel::kInfo, "rank_changed",
+        {{"group", report->group.value()},
+         {"epoch", report->epoch.value()},
+         {"map", report->map.value()},
+         {"pass", report->pass.value()}});
+  }
+  report_ = *report;
+}
+
+void RankAgent::ReadCounts() {
+  engine_.Counts(options_.self.backend, [this](const auto& counts) {
+    if (!counts.ok() || !report_) {
+      is_polling_ = false;
+      if (!counts.ok()) LogLost("counts", counts.status());
+      return;
+    }
+    ExpertCounts choices = ChoicesSince(*counts);
+    if (holdings_version_ != report_->map ||
+        holdings_epoch_ != report_->epoch || holdings_.empty()) {
+      ReadHoldings();
+    }
+    is_polling_ = false;
+    SendStatus(std::move(choices));
+  });
+}
+
+void RankAgent::ReadHoldings() {
+  const MapVersion version = report_->map;
+  const GroupEpoch epoch = report_->epoch;
+  engine_.Holdings(options_.self.backend,
+                   [this, version, epoch](const auto& lists) {
+                     if (!lists.ok()) {
+                       return LogLost("holdings", lists.status());
+                     }
+                     holdings_ = *lists;
+                     holdings_version_ = version;
+                     holdings_epoch_ = epoch;
+                   });
+}
+
+// Counts that went down begin anew: the engine has started again.
+ExpertCounts RankAgent::ChoicesSince(const ExpertCounts& counts) {
+  ExpertCounts choices = counts;
+  const bool goes_on =
+      std::ranges::equal(last_counts_, counts, std::less_equal<>());
+  if (goes_on) {
+    std::ranges::transform(counts, last_counts_, choices.begin(),
+                           std::minus<>());
+  }
+  last_counts_ = counts;
+  return choices;
+}
+
+void RankAgent::SendStatus(ExpertCounts choices) {
+  if (!report_ || report_->group.empty()) return;
+  RankMessage message = NewMessage(RankMessageKind::kStatus);
+  message.status = {
+      .agent = options_.self.id, .term = term_, .report = *report_};
+  if (holdings_version_ == report_->map && holdings_epoch_ == report_->epoch) {
+    message.status.holdings = holdings_;
+  }
+  message.choices = std::move(choices);
+  if (leadership_) return OnStatus(message);
+  if (!leader_.empty()) SendTo(leader_, message);
+}
+
+// --- Commands ---------------------------------------------------------------
+
+void RankAgent::OnDatagram(std::string_view data) {
+  const auto message = DecodeRankMessage(data);
+  if (!message) return;
+  if (!report_ || message->group != report_->group) return;
+  if (message->term > term_ && message->kind != RankMessageKind::kStatus) {
+    FollowTerm(message->term, message->reply_to);
+  }
+  switch (message->kind) {
+    case RankMessageKind::kBeat:
+      if (message->term != term_ || leadership_) break;
+      leader_ = message->reply_to;
+      leader_heard_ = BootNow();
+      break;
+    case RankMessageKind::kStatus:
+      OnStatus(*message);
+      break;
+    case RankMessageKind::kCommand:
+      OnCommand(*message);
+      break;
+    case RankMessageKind::kCount:
+      break;
+  }
+}
+
+// A command of an older leader is refused: the status tells it the newer term.
+void RankAgent::OnCommand(const RankMessage& message) {
+  if (!knows_term_ || message.term < term_) return SendStatus({});
+  leader_ = message.reply_to;
+  leader_heard_ = BootNow();
+  jobs_.push_back({.command = message.command, .term = message.term});
+  RunNextJob();
+}
+
+// Commands are carried out one by one, so that a status tells of all that went
+// before.
+void RankAgent::RunNextJob() {
+  if (is_running_job_ || jobs_.empty()) return;
+  is_running_job_ = true;
+  const Job job = std::move(jobs_.front());
+  jobs_.pop_front();
+  engine_.Report(options_.self.backend, [this, job](const auto& report) {
+    OnReport(report);
+    Execute(job);
+  });
+}
+
+void RankAgent::Execute(const Job& job) {
+  const RankCommand& command = job.command;
+  const bool is_void = !report_ || !command.order || job.term < term_ ||
+                       report_->epoch != command.epoch ||
+                       report_->rank != command.rank;
+  if (is_void) return FinishJob();
+  OrderAt(options_.self.backend, *report_, command, [this] {
+    engine_.Report(options_.self.backend, [this](const auto& report) {
+      OnReport(report);
+      FinishJob();
+    });
+  });
+}
+
+// The order is void once the engine has accepted another one since `report`.
+void RankAgent::OrderAt(const Endpoint& engine, const RankReport& report,
+                        const RankCommand& command,
+                        std::function<void()> on_done) {
+  const RankOrder order = {.kind = *command.order,
+                           .epoch = command.epoch,
+                           .expected = report.sequence,
+                           .version = command.version,
+                           .pass = command.pass,
+                           .map = command.map};
+  engine_.Order(engine, order,
+                [this, command, on_done = std::move(on_done)](OrderFate fate) {
+                  Log(LogLevel::kInfo, "order_given",
+                      {{"order", static_cast<int>(*command.order)},
+                       {"fate", static_cast<int>(fate)},
+                       {"rank", command.rank},
+                       {"term", term_.value()},
+                       {"epoch", command.epoch.value()},
+                       {"version", command.version.value()},
+                       {"pass", command.pass.value()}});
+                  on_done();
+                });
+}
+
+void RankAgent::FinishJob() {
+  is_running_job_ = false;
+  SendStatus({});
+  RunNextJob();
+}
+
+// --- Leading ----------------------------------------------------------------
+
+RankMessage RankAgent::NewMessage(RankMessageKind kind) const {
+  return {.kind = kind,
+          .group = report_ ? report_->group : GroupName(),
+          .term = term_,
+          .sender = options_.self.id,
+          .reply_to = options_.self.peer};
+}
+
+void RankAgent::SendTo(const Endpoint& to, const RankMessage& message) {
+  socket_.Send(to, EncodeRankMessage(message));
+}
+
+// A leader that hears of a newer term is none any more.
+void RankAgent::FollowTerm(LeaderTerm term, const Endpoint& leader) {
+  if (leadership_) {
+    Log(LogLevel::kInfo, "leading_ended",
+        {{"term", leadership_->term.value()}, {"newer", term.value()}});
+  }
+  leadership_.reset();
+  term_ = term;
+  leader_ = leader;
+  leader_heard_ = BootNow();
+}
+
+void RankAgent::WatchLeader() {
+  if (leadership_ || is_challenging_ || !report_ || report_->group.empty()) {
+    return;
+  }
+  const Duration patience =
+      options_.leader_silence + kCandidateSpacing * (report_->rank % 16);
+  if (!knows_term_ || BootNow() - leader_heard_ > patience) Challenge();
+}
+
+// Reads the term in force. A process that has just started only learns it; one
+// that misses the leader tries to follow it.
+void RankAgent::Challenge() {
+  is_challenging_ = true;
+  const std::string key =
+      options_.schema.leader_prefix + report_->group.value();
+  store_.List(key, "", Freshness::kLinearizable, [this, key](const auto& page) {
+    is_challenging_ = false;
+    if (!page.ok()) return;
+    Revision revision;
+    for (const StoreItem& item : page->items) {
+      if (item.key == key) revision = item.revision;
+    }
+    const LeaderTerm term(revision.value());
+    if (!std::exchange(knows_term_, true)) {
+      if (term > term_) FollowTerm(term, Endpoint());
+      return;
+    }
+    if (term > term_) return FollowTerm(term, Endpoint());
+    TakeOver(revision);
+  });
+}
+
+void RankAgent::TakeOver(Revision expected) {
+  if (!report_) return;
+  is_challenging_ = true;
+  const std::string key =
+      options_.schema.leader_prefix + report_->group.value();
+  store_.Change({.expectations = {{key, expected}},
+                 .writes = {{key, options_.self.id.value(), LeaseId()}}},
+                [this](const ChangeResult& result) {
+                  is_challenging_ = false;
+                  leader_heard_ = BootNow();
+                  if (result.fate == ChangeFate::kDone) {
+                    Lead(LeaderTerm(result.revision.value()));
+                  }
+                });
+}
+
+void RankAgent::Lead(LeaderTerm term) {
+  if (!report_ || term <= term_) return;
+  term_ = term;
+  leader_ = options_.self.peer;
+  leadership_.emplace();
+  leadership_->term = term;
+  leadership_->map_switch = std::make_unique<MapSwitch>(
+      MapSwitch::Options{.term = term, .own_rank = report_->rank});
+  Log(LogLevel::kInfo, "leading_began",
+      {{"group", report_->group.value()}, {"term", term.value()}});
+  Beat();
+}
+
+void RankAgent::Beat() {
+  if (!leadership_) return;
+  const RankMessage beat = NewMessage(RankMessageKind::kBeat);
+  for (const auto& [id, member] : members_) {
+    if (id != options_.self.id) SendTo(member.peer, beat);
+  }
+}
+
+void RankAgent::OnStatus(const RankMessage& message) {
+  if (!leadership_) return;
+  if (message.term > leadership_->term) {
+    return FollowTerm(message.term, Endpoint());
+  }
+  const TimePoint now = BootNow();
+  heard_[message.sender] = now;
+  agents_[message.status.report.rank] = message.sender;
+  leadership_->map_switch->OnStatus(message.status, now);
+  leadership_->demand.Add(message.choices, experts_);
+  AdvanceSwitch();
+}
+
+void RankAgent::AdvanceSwitch() {
+  if (!leadership_) return;
+  MapSwitch& map_switch = *leadership_->map_switch;
+  const auto before = map_switch.phase();
+  for (const RankCommand& command : map_switch.Advance(BootNow())) {
+    Give(command);
+  }
+  if (map_switch.phase() != before) {
+    Log(LogLevel::kInfo, "map_switch_phase",
+        {{"phase", static_cast<int>(map_switch.phase())},
+         {"version", map_switch.version().value()}});
+  }
+}
+
+const Member* RankAgent::AgentOf(int rank) const {
+  const auto agent = agents_.find(rank);
+  if (agent == agents_.end()) return nullptr;
+  const auto member = members_.find(agent->second);
+  return member == members_.end() ? nullptr : &member->second;
+}
+
+void RankAgent::Give(const RankCommand& command) {
+  RankMessage message = NewMessage(RankMessageKind::kCommand);
+  message.command = command;
+  if (report_ && command.rank == report_->rank) {
+    jobs_.push_back({.command = command, .term = term_});
+    // Not at once: this may be called from inside a status.
+    loop_.Post([this] { RunNextJob(); });
+    return;
+  }
+  const Member* agent = AgentOf(command.rank);
+  if (agent != nullptr && command.order && IsSilent(agent->id)) {
+    return GiveDirectly(*agent, command);
+  }
+  if (agent != nullptr) return SendTo(agent->peer, message);
+  // The agent isn't known yet: all are asked, and the right one answers.
+  for (const auto& [id, member] : members_) {
+    if (id != options_.self.id) SendTo(member.peer, message);
+  }
+}
+
+// Looks for a better map and begins the switch to it.
+void RankAgent::Plan() {
+  if (!leadership_) return;
+  if (placement_.places == 0) return ReadFigures();
+  DemandEstimate& demand = leadership_->demand;
+  MapSwitch& map_switch = *leadership_->map_switch;
+  const TimePoint now = BootNow();
+  const auto present = map_switch.PresentMap(now);
+  if (!present || present->size() != demand.demand().size()) {
+    return demand.Decay();
+  }
+  const auto experts = static_cast<double>(demand.demand().size()) * experts_;
+  if (demand.Weight() >= kLeastChoicesPerExpert * experts) {
+    const GroupMap next = PlanEvenly(*present, demand.demand(), placement_);
+    const double before = SkewOf(*present, demand.demand());
+    const double after = SkewOf(next, demand.demand());
+    if (before - after >= options_.least_gain) {
+      Log(LogLevel::kInfo, "map_planned",
+          {{"skew_before_percent", static_cast<int>(before * 100)},
+           {"skew_after_percent", static_cast<int>(after * 100)},
+           {"copies", CountCopies(*present, next)}});
+      counters_.Count(Event::kMapSwitches);
+      map_switch.Begin(next, now);
+      AdvanceSwitch();
+    }
+  }
+  demand.Decay();
+}
+
+// While a hold may be in force, the leader acts for agents that say nothing:
+// their engines may be sound, and the group stands still.
+void RankAgent::ActForSilentAgents() {
+  if (!leadership_) return;
+  const MapSwitch& map_switch = *leadership_->map_switch;
+  const bool may_be_held = map_switch.phase() == MapSwitch::Phase::kReading ||
+                           map_switch.phase() == MapSwitch::Phase::kArming ||
+                           map_switch.phase() == MapSwitch::Phase::kReleasing;
+  if (!may_be_held || map_switch.SilentRanks(BootNow()).empty()) return;
+  for (const auto& [id, member] : members_) {
+    if (id != options_.self.id && IsSilent(id)) ReadRemote(member);
+  }
+}
+
+bool RankAgent::IsSilent(const InstanceId& agent) const {
+  const auto heard = heard_.find(agent);
+  return heard == heard_.end() ||
+         BootNow() - heard->second > options_.leader_silence;
+}
+
+void RankAgent::ReadRemote(const Member& agent) {
+  engine_.Report(agent.backend, [this, id = agent.id](const auto& report) {
+    if (!leadership_ || !report.ok() || !report_) return;
+    if (report->group != report_->group) return;
+    agents_[report->rank] = id;
+    leadership_->map_switch->OnStatus(
+        {.agent = id, .term = term_, .report = *report}, BootNow());
+    AdvanceSwitch();
+  });
+}
+
+// Only what ends a hold is ordered over an agent's head; a preparation waits
+// for the agent's return.
+void RankAgent::GiveDirectly(const Member& agent, const RankCommand& command) {
+  if (command.order != OrderKind::kArm && command.order != OrderKind::kGo) {
+    return;
+  }
+  engine_.Report(agent.backend, [this, agent, command](const auto& report) {
+    const bool is_void = !leadership_ || !report.ok() ||
+                         report->epoch != command.epoch ||
+                         report->rank != command.rank;
+    if (is_void) return;
+    OrderAt(agent.backend, *report, command,
+            [this, agent] { ReadRemote(agent); });
+  });
+}
+
+// The engine's places for experts, which operators publish with its service.
+void RankAgent::ReadFigures() {
+  store_.List(options_.schema.deployment_key, "", Freshness::kMayBeStale,
+              [this](const auto& page) {
+                if (!page.ok() || page->items.empty()) return;
+                const auto deployment = options_.schema.decode_deployment(
+                    page->items.front().value);
+                if (!deployment.ok()) return;
+                for (const ServiceSpec& service : deployment->services) {
+                  if (service.name != options_.service || !service.engine) {
+                    continue;
+                  }
+                  experts_ = service.engine->experts;
+                  placement_ = {
+                      .places = service.engine->places,
+                      .spare_places = service.engine->spare_places,
+                      .least_saving_per_copy = options_.least_saving_per_copy};
+                }
+              });
+}
+
+void RankAgent::ReadMembers() {
+  store_.List(options_.schema.member_prefix, "", Freshness::kMayBeStale,
+              [this](const auto& page) {
+                if (!page.ok()) return;
+                for (const StoreItem& item : page->items) {
+                  const auto member = DecodeMember(item.value);
+                  if (!member || member->role != MemberRole::kAgent) continue;
+                  members_[member->id] = *member;
+                }
+              });
+}
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/group/rank_agent.h
@@ -0,0 +1,127 @@
+// The agent of one rank: reads its engine's report and counts, carries out the
+// leader's commands at its engine, and leads the group itself while it holds
+// the newest term.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "backend/engine_api.h"
+#include "core/counters.h"
+#include "group/expert_demand.h"
+#include "group/map_switch.h"
+#include "group/rank_messages.h"
+#include "net/datagram_socket.h"
+#include "net/event_loop.h"
+#include "store/lease_keeper.h"
+#include "store/member.h"
+#include "store/store.h"
+#include "store/store_schema.h"
+
+namespace mangohold {
+
+// Belongs to one event loop's thread.
+class RankAgent {
+ public:
+  struct Options {
+    Member self;
+    StoreSchema schema;
+    ServiceName service;  // of the engine, whose figures operators publish
+    double least_saving_per_copy = 0.02;
+    // A plan is carried out if it lowers the mean skew by this much.
+    double least_gain = 0.08;
+    Millis poll{300};
+    // A leader that says nothing for this long is replaced.
+    Millis leader_silence{1'000};
+  };
+
+  RankAgent(EventLoop& loop, Store& store, EngineApi& engine, Options options,
+            Counters& counters);
+
+  absl::Status Start();
+
+ private:
+  struct Leadership {
+    LeaderTerm term;
+    std::unique_ptr<MapSwitch> map_switch;
+    DemandEstimate demand;
+  };
+  struct Job {
+    RankCommand command;
+    LeaderTerm term;
+  };
+
+  // Own rank.
+  void Poll();
+  void OnReport(const absl::StatusOr<RankReport>& report);
+  void ReadCounts();
+  void ReadHoldings();
+  void SendStatus(ExpertCounts choices);
+  ExpertCounts ChoicesSince(const ExpertCounts& counts);
+
+  // Commands.
+  void OnDatagram(std::string_view data);
+  void OnCommand(const RankMessage& message);
+  void RunNextJob();
+  void Execute(const Job& job);
+  void FinishJob();
+
+  // Leading.
+  void WatchLeader();
+  void Challenge();
+  void TakeOver(Revision expected);
+  void Lead(LeaderTerm term);
+  void FollowTerm(LeaderTerm term, const Endpoint& leader);
+  void Beat();
+  void OnStatus(const RankMessage& message);
+  void AdvanceSwitch();
+  void Give(const RankCommand& command);
+  void Plan();
+  void ActForSilentAgents();
+  void OrderAt(const Endpoint& engine, const RankReport& report,
+               const RankCommand& command, std::function<void()> on_done);
+  void GiveDirectly(const Member& agent, const RankCommand& command);
+  bool IsSilent(const InstanceId& agent) const;
+  void ReadRemote(const Member& agent);
+  void ReadFigures();
+  void ReadMembers();
+  const Member* AgentOf(int rank) const;
+  RankMessage NewMessage(RankMessageKind kind) const;
+  void SendTo(const Endpoint& to, const RankMessage& message);
+
+  EventLoop& loop_;
+  Store& store_;
+  EngineApi& engine_;
+  Options options_;
+  Counters& counters_;
+  DatagramSocket socket_;
+  LeaseKeeper lease_;
+  std::optional<RankReport> report_;
+  std::vector<std::vector<int>> holdings_;
+  MapVersion holdings_version_;
+  GroupEpoch holdings_epoch_;
+  ExpertCounts last_counts_;
+  bool is_polling_ = false;
+  std::deque<Job> jobs_;
+  bool is_running_job_ = false;
+
+  bool knows_term_ = false;  // has read the newest term since its start
+  LeaderTerm term_;
+  Endpoint leader_;
+  TimePoint leader_heard_;
+  bool is_challenging_ = false;
+  std::optional<Leadership> leadership_;
+  std::map<InstanceId, Member> members_;
+  std::map<int, InstanceId> agents_;       // by rank
+  std::map<InstanceId, TimePoint> heard_;  // statuses of agents
+  EvenPlacementOptions placement_;         // places: 0 until it is known
+  int experts_ = 0;                        // of one set
+};
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/group/rank_messages.cc
@@ -0,0 +1,140 @@
+#include "group/rank_messages.h"
+
+#include "core/json_types.h"
+
+// A report travels with all its fields, a command with those that its order
+// needs. Absent numbers are null.
+namespace mangohold {
+namespace {
+
+using Json = nlohmann::json;
+
+template <typename Number>
+Json FromOptional(const std::optional<Number>& number) {
+  return number ? Json(*number) : Json();
+}
+
+template <typename Number>
+std::optional<Number> ToOptional(const Json& json) {
+  if (json.is_null()) return std::nullopt;
+  return json.get<Number>();
+}
+
+Json FromReport(const RankReport& report) {
+  return {{"group", report.group},
+          {"epoch", report.epoch},
+          {"rank", report.rank},
+          {"size", report.size},
+          {"open", report.is_open},
+          {"pass", report.pass},
+          {"sequence", report.sequence},
+          {"busy", report.is_busy},
+          {"map", report.map},
+          {"prepared", FromOptional(report.prepared)},
+          {"armed", FromOptional(report.armed)},
+          {"held", FromOptional(report.held)},
+          {"running", report.running},
+          {"waiting", report.waiting},
+          {"pace", report.pace}};
+}
+
+RankReport ToReport(const Json& json) {
+  RankReport report;
+  report.group = json.at("group").get<GroupName>();
+  report.epoch = json.at("epoch").get<GroupEpoch>();
+  report.rank = json.at("rank").get<int>();
+  report.size = json.at("size").get<int>();
+  report.is_open = json.at("open").get<bool>();
+  report.pass = json.at("pass").get<PassNumber>();
+  report.sequence = json.at("sequence").get<OrderSequence>();
+  report.is_busy = json.at("busy").get<bool>();
+  report.map = json.at("map").get<MapVersion>();
+  report.prepared = ToOptional<MapVersion>(json.at("prepared"));
+  report.armed = ToOptional<MapVersion>(json.at("armed"));
+  report.held = ToOptional<PassNumber>(json.at("held"));
+  report.running = json.at("running").get<int>();
+  report.waiting = json.at("waiting").get<int>();
+  report.pace = json.at("pace").get<double>();
+  return report;
+}
+
+Json FromCommand(const RankCommand& command) {
+  Json json = {{"rank", command.rank},
+               {"epoch", command.epoch},
+               {"version", command.version},
+               {"pass", command.pass}};
+  if (command.order) json["order"] = static_cast<int>(*command.order);
+  if (!command.map.empty()) json["map"] = command.map;
+  return json;
+}
+
+RankCommand ToCommand(const Json& json) {
+  RankCommand command;
+  command.rank = json.at("rank").get<int>();
+  command.epoch = json.at("epoch").get<GroupEpoch>();
+  command.version = json.at("version").get<MapVersion>();
+  command.pass = json.at("pass").get<PassNumber>();
+  if (json.contains("order")) {
+    const int order = json.at("order").get<int>();
+    if (order < 0 || order >= static_cast<int>(OrderKind::kCount)) {
+      throw Json::other_error::create(501, "unknown order", nullptr);
+    }
+    command.order = static_cast<OrderKind>(order);
+  }
+  if (json.contains("map")) command.map = json.at("map").get<GroupMap>();
+  return command;
+}
+
+RankMessage ToMessage(const Json& json) {
+  RankMessage message;
+  const int kind = json.at("kind").get<int>();
+  if (kind < 0 || kind >= static_cast<int>(RankMessageKind::kCount)) {
+    throw Json::other_error::create(501, "unknown kind of message", nullptr);
+  }
+  message.kind = static_cast<RankMessageKind>(kind);
+  message.group = json.at("group").get<GroupName>();
+  message.term = json.at("term").get<LeaderTerm>();
+  message.sender = json.at("sender").get<InstanceId>();
+  message.reply_to = json.at("reply_to").get<Endpoint>();
+  if (message.kind == RankMessageKind::kStatus) {
+    message.status = {
+        .agent = message.sender,
+        .term = message.term,
+        .report = ToReport(json.at("report")),
+        .holdings = json.at("holdings").get<std::vector<std::vector<int>>>()};
+    message.choices = json.at("choices").get<ExpertCounts>();
+  } else if (message.kind == RankMessageKind::kCommand) {
+    message.command = ToCommand(json.at("command"));
+  }
+  return message;
+}
+
+}  // namespace
+
+std::string EncodeRankMessage(const RankMessage& message) {
+  Json json = {{"kind", static_cast<int>(message.kind)},
+               {"group", message.group},
+               {"term", message.term},
+               {"sender", message.sender},
+               {"reply_to", message.reply_to}};
+  if (message.kind == RankMessageKind::kStatus) {
+    json["report"] = FromReport(message.status.report);
+    json["holdings"] = message.status.holdings;
+    json["choices"] = message.choices;
+  } else if (message.kind == RankMessageKind::kCommand) {
+    json["command"] = FromCommand(message.command);
+  }
+  std::string bytes;
+  Json::to_cbor(json, bytes);
+  return bytes;
+}
+
+std::optional<RankMessage> DecodeRankMessage(std::string_view bytes) {
+  try {
+    return ToMessage(Json::from_cbor(bytes.begin(), bytes.end()));
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/group/rank_messages.h
@@ -0,0 +1,31 @@
+// The datagrams between the agents of a group's ranks.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "group/map_switch.h"
+
+namespace mangohold {
+
+enum class RankMessageKind { kBeat, kStatus, kCommand, kCount };
+
+struct RankMessage {
+  RankMessageKind kind = RankMessageKind::kBeat;
+  GroupName group;
+  LeaderTerm term;
+  InstanceId sender;
+  Endpoint reply_to;
+  RankStatus status;     // kStatus
+  ExpertCounts choices;  // kStatus: since the status before
+  RankCommand command;   // kCommand
+};
+
+std::string EncodeRankMessage(const RankMessage& message);
+// Nothing for bytes that are no such message.
+std::optional<RankMessage> DecodeRankMessage(std::string_view bytes);
+
+}  // namespace mangohold
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -72,6 +72,11 @@
   WaitForSignal(signals, on_signal);
 }
 
+void EventLoop::OnHangUp(const std::function<void()>& on_signal) {
+  WaitForSignal(std::make_shared<asio::signal_set>(state_->io, SIGHUP),
+                on_signal);
+}
+
 struct Timer::State {
   explicit State(asio::io_context& io) : timer(io) {}
   asio::steady_timer timer;
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -38,6 +38,8 @@
   void Every(Duration interval, std::function<void()> task);
   // Calls `on_signal` on the loop's thread at each SIGTERM and SIGINT.
   void OnTerminate(const std::function<void()>& on_signal);
+  // Calls `on_signal` on the loop's thread at each SIGHUP.
+  void OnHangUp(const std::function<void()>& on_signal);
 
  private:
   struct State;
--- /dev/null
+++ b/src/rank_agent_main.cc
@@ -0,0 +1,59 @@
+// The daemon beside an engine that is a rank of a group.
+#include <cstdlib>
+
+#include "core/daemon.h"
+#include "core/process_settings.h"
+#include "core/status.h"
+#include "group/rank_agent.h"
+#include "net/http_server.h"
+#include "platform/engine_client.h"
+#include "platform/schema.h"
+#include "platform/store_client.h"
+
+namespace mangohold {
+namespace {
+
+int Run(const RankAgentSettings& settings, const std::string& file) {
+  Counters counters;
+  EventLoop loop;
+  HttpClient http(loop.io());
+  platform::StoreClient store(http, {.url = settings.platform_url}, counters);
+  platform::EngineClient engine(http, counters);
+  RankAgent agent(loop, store, engine,
+                  {.self = {.id = settings.instance,
+                            .role = MemberRole::kAgent,
+                            .zone = settings.zone,
+                            .peer = settings.peer_address,
+                            .backend = settings.backend_address},
+                   .schema = platform::Schema(),
+                   .service = settings.service},
+                  counters);
+  HttpServer metrics(
+      loop.io(), {.address = settings.metrics_address, .max_connections = 16},
+      [&counters](const HttpRequest& /*request*/,
+                  const std::shared_ptr<HttpExchange>& exchange) {
+        exchange->Reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                        counters.PrometheusText());
+      });
+  for (const absl::Status& status : {agent.Start(), metrics.Listen()}) {
+    if (status.ok()) continue;
+    Log(LogLevel::kError, "start_failed", {{"error", MessageOf(status)}});
+    return kExitUnavailable;
+  }
+  loop.OnHangUp([&file] { ReloadLogLevel(file, &ParseRankAgentSettings); });
+  loop.OnTerminate([&loop] { loop.Stop(); });
+  Log(LogLevel::kInfo, "started",
+      {{"backend", settings.backend_address.value()}});
+  loop.Run();
+  Log(LogLevel::kInfo, "stopped");
+  std::quick_exit(kExitOk);
+}
+
+}  // namespace
+}  // namespace mangohold
+
+int main(int argc, char** argv) {
+  return mangohold::RunDaemon(argc, argv, "mangohold-rank-agent",
+                              &mangohold::ParseRankAgentSettings,
+                              &mangohold::Run);
+}
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -75,6 +75,11 @@
 
 enum class LeaseFate { kHeld, kEnded, kUnknown };
 
+enum class Freshness {
+  kLinearizable,
+  kMayBeStale  // by some seconds; much cheaper
+};
+
 // Each call has a time-out. Callbacks run on the client's event loop.
 class Store {
  public:
@@ -84,6 +89,7 @@
   virtual ~Store() = default;
   // The items whose keys begin with `prefix`, after the key `after`.
   virtual void List(const std::string& prefix, const std::string& after,
+                    Freshness freshness,
                     Callback<absl::StatusOr<StorePage>> on_page) = 0;
   // Changes after the revision `after`; waits up to `wait` for the first.
   virtual void Watch(const std::string& prefix, Revision after, Millis wait,
--- a/src/store/store_follower.cc
+++ b/src/store/store_follower.cc
@@ -30,7 +30,8 @@
 void StoreFollower::List() {
   replica_.BeginListing();
   listing_began_ = BootNow();
-  store_.List(kAllKeys, "", [this](auto page) { OnPage(page); });
+  store_.List(kAllKeys, "", Freshness::kLinearizable,
+              [this](auto page) { OnPage(page); });
 }
 
 void StoreFollower::OnPage(const absl::StatusOr<StorePage>& page) {
@@ -43,7 +44,7 @@
   const bool is_last = !page->has_more || page->items.empty();
   Report(replica_.OnPage(*page));
   if (!is_last) {
-    store_.List(kAllKeys, replica_.next_page_after(),
+    store_.List(kAllKeys, replica_.next_page_after(), Freshness::kLinearizable,
                 [this](auto next) { OnPage(next); });
     return;
   }
--- a/src/store/store_schema.h
+++ b/src/store/store_schema.h
@@ -19,6 +19,8 @@
   std::string backend_prefix;
   // The rest of such a key is the name of an entry or agent of this system.
   std::string member_prefix;
+  // The rest of such a key is the name of a group of ranks.
+  std::string leader_prefix;
   std::function<absl::StatusOr<Deployment>(const std::string& value)>
       decode_deployment;
   std::function<absl::StatusOr<BackendRecord>(const InstanceId& id,
