Let entries tell each other what they have in progress

Cause: each entry evened out only its own streams, so ranks held 4 to 12 streams at the same time; dead entries stayed in the address list until their lease ran out; an entry that the store turned away could not learn a newer deployment.

Change: peer/entry_gossip, datagrams every 150 ms to at most 8 peers in turn: shares by backend server, the deployment's revision, and how long ago it was confirmed, as an age with the receiver's own mark; the directory names entries that are heard; a newer deployment is fetched from the peer. A backend server whose address another one has by now is passed over until it is listed anew. Plans must save 0.25 of the skew; demand is forgotten at a sudden shift.

--- a/src/caller/dialect.h
+++ b/src/caller/dialect.h
@@ -44,6 +44,7 @@
   std::optional<RequestId> id;
   bool is_signed = false;  // made by the service, not by what is in between
   bool is_certainly_not_run = false;
+  bool is_other_instance = false;  // another one has the address by now
   std::optional<BackendLoad> load;
 };
 
--- a/src/caller/entry_control.cc
+++ b/src/caller/entry_control.cc
@@ -1,6 +1,7 @@
 #include "caller/entry_control.h"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include "core/log.h"
@@ -9,15 +10,20 @@
 namespace {
 
 constexpr Millis kTick{200};
+constexpr Millis kPeerTimeout{800};
+constexpr char kDeploymentPath[] = "/deployment";
+constexpr char kRevisionField[] = "Mangohold-Revision";
 constexpr int kMostAdminConnections = 256;
 // The least entries of a caller's own zone that are enough for it.
 constexpr std::ptrdiff_t kEnoughOfZone = 2;
 
 }  // namespace
 
-EntryControl::EntryControl(EventLoop& loop, Store& store, Options options,
-                           Handlers handlers, Counters& counters)
+EntryControl::EntryControl(EventLoop& loop, Store& store, HttpClient& http,
+                           Options options, Handlers handlers,
+                           Counters& counters)
     : loop_(loop),
+      counters_(counters),
       options_(std::move(options)),
       handlers_(std::move(handlers)),
       builder_(options_.schema, {}),
@@ -39,18 +45,17 @@
                  options_.calls.directory([this](const auto& question) {
                    return Answer(question);
                  })),
-      metrics_(loop.io(),
-               {.address = options_.metrics_address,
-                .max_connections = kMostAdminConnections},
-               [&counters](const HttpRequest& /*request*/,
-                           const std::shared_ptr<HttpExchange>& exchange) {
-                 exchange->Reply(
-                     200, {{"Content-Type", "text/plain; version=0.0.4"}},
-                     counters.PrometheusText());
-               }) {}
+      admin_(loop.io(),
+             {.address = options_.self.admin,
+              .max_connections = kMostAdminConnections},
+             [this](const HttpRequest& request,
+                    const std::shared_ptr<HttpExchange>& exchange) {
+               HandleAdmin(request, *exchange);
+             }),
+      http_(http) {}
 
 absl::Status EntryControl::Start() {
-  for (HttpServer* server : {&ready_, &directory_, &metrics_}) {
+  for (HttpServer* server : {&ready_, &directory_, &admin_}) {
     const absl::Status status = server->Listen();
     if (!status.ok()) return status;
   }
@@ -92,13 +97,59 @@
          BootNow() - confirmed_as_of_ <= options_.confirmation_limit;
 }
 
-// Addresses of the caller's own zone, or of all zones if it has few.
+void EntryControl::SetAlive(std::vector<Member> alive) {
+  alive_ = std::move(alive);
+}
+
+void EntryControl::HandleAdmin(const HttpRequest& request,
+                               HttpExchange& exchange) const {
+  if (request.path == kDeploymentPath) {
+    const StoreItem& item = builder_.deployment_item();
+    exchange.Reply(builder_.routes() == nullptr ? 503 : 200,
+                   {{kRevisionField, std::to_string(item.revision.value())}},
+                   item.value);
+  } else {
+    exchange.Reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                   counters_.PrometheusText());
+  }
+}
+
+// Takes the deployment from a peer that has a newer one: the store may turn
+// this entry away while it serves the others.
+void EntryControl::FetchDeployment(const Member& peer) {
+  if (std::exchange(is_fetching_, true)) return;
+  Fetch(http_,
+        {.url = "http://" + peer.admin.value() + kDeploymentPath,
+         .connect_timeout = kPeerTimeout,
+         .timeout = kPeerTimeout},
+        [this](const HttpResponse& response) {
+          is_fetching_ = false;
+          std::uint64_t revision = 0;
+          const std::string_view text =
+              FieldValue(response.fields, kRevisionField);
+          std::from_chars(text.data(), text.data() + text.size(), revision);
+          const bool is_usable = response.result == HttpResult::kComplete &&
+                                 response.status == 200 && revision > 0;
+          if (!is_usable) return;
+          const bool is_new =
+              builder_.TakeDeployment({.key = options_.schema.deployment_key,
+                                       .value = response.body,
+                                       .revision = Revision(revision)});
+          if (is_new) Publish();
+        });
+}
+
+// The entries that live, those of the caller's own zone if it has enough. An
+// entry that hears none of its peers names those that the store lists.
 DirectoryAnswer EntryControl::Answer(const DirectoryQuestion& question) const {
-  std::vector<Member> entries = builder_.Members();
-  std::erase_if(entries, [this](const Member& member) {
-    const bool is_self = member.id == options_.self.id;
-    return member.role != MemberRole::kEntry || (is_self && is_leaving_);
-  });
+  std::vector<Member> entries = alive_;
+  if (entries.empty()) {
+    entries = builder_.Members();
+    std::erase_if(entries, [this](const Member& member) {
+      return member.role != MemberRole::kEntry || member.id == options_.self.id;
+    });
+  }
+  if (!is_leaving_) entries.push_back(options_.self);
   const auto is_near = [&question](const Member& member) {
     return member.zone == question.zone;
   };
--- a/src/caller/entry_control.h
+++ b/src/caller/entry_control.h
@@ -10,6 +10,7 @@
 #include "caller/entry_calls.h"
 #include "core/counters.h"
 #include "net/event_loop.h"
+#include "net/http_client.h"
 #include "net/http_server.h"
 #include "store/fleet_builder.h"
 #include "store/lease_keeper.h"
@@ -26,7 +27,6 @@
     EntryCalls calls;
     Endpoint ready_address;
     Endpoint directory_address;
-    Endpoint metrics_address;
     Millis address_max_age{1'000};
     // The age of the last confirmation up to which this entry takes work.
     Duration confirmation_limit = std::chrono::milliseconds(4'500);
@@ -36,10 +36,14 @@
     std::function<void(TimePoint as_of)> on_confirmed;
   };
 
-  EntryControl(EventLoop& loop, Store& store, Options options,
+  EntryControl(EventLoop& loop, Store& store, HttpClient& http, Options options,
                Handlers handlers, Counters& counters);
 
   absl::Status Start();
+  // What the traffic side hears from peers.
+  void SetAlive(std::vector<Member> alive);
+  void OnPeerConfirmed(TimePoint as_of) { OnConfirmed(as_of); }
+  void FetchDeployment(const Member& peer);
   // Says that it isn't ready and leaves the list of addresses.
   void BeginLeaving();
 
@@ -48,11 +52,13 @@
   void OnConfirmed(TimePoint as_of);
   void Tick();
   void Publish();
+  void HandleAdmin(const HttpRequest& request, HttpExchange& exchange) const;
   bool IsReady() const;
   DirectoryAnswer Answer(const DirectoryQuestion& question) const;
   FleetBuilder::Contact Contact() const;
 
   EventLoop& loop_;
+  Counters& counters_;
   Options options_;
   Handlers handlers_;
   FleetBuilder builder_;
@@ -60,7 +66,10 @@
   LeaseKeeper lease_;
   HttpServer ready_;
   HttpServer directory_;
-  HttpServer metrics_;
+  HttpServer admin_;
+  HttpClient& http_;
+  std::vector<Member> alive_;  // peers that are heard
+  bool is_fetching_ = false;
   TimePoint confirmed_as_of_;
   bool is_leaving_ = false;
 };
--- a/src/caller/forward_context.h
+++ b/src/caller/forward_context.h
@@ -30,13 +30,15 @@
   // Asks for the dispatcher's decisions soon.
   std::function<void()> request_decisions;
   AttemptNumber last_attempt;
+  // The entries that may be sending to backend servers.
+  int entries = 1;
 
   bool IsConfirmed(TimePoint now) const {
     return now - confirmed_as_of <= confirmation_limit;
   }
   SharedBudget& BudgetOf(const ServiceName& service) {
     const auto it = budgets.try_emplace(service, budget).first;
-    it->second.SetEntries(view == nullptr ? 1 : view->entries);
+    it->second.SetEntries(entries);
     return it->second;
   }
 };
--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -232,7 +232,8 @@
 
 void ForwardRun::OnWholeAnswer() {
   if (answer_.is_certainly_not_run) {
-    EndAttempt(Dispatcher::Result::kRejected);
+    EndAttempt(answer_.is_other_instance ? Dispatcher::Result::kGone
+                                         : Dispatcher::Result::kRejected);
     return OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendRefused);
   }
   const bool is_failure = status_ >= 500;
--- a/src/caller/forward_server.cc
+++ b/src/caller/forward_server.cc
@@ -10,17 +10,24 @@
 namespace {
 
 constexpr Millis kTick{25};
+constexpr Millis kGossipInterval{150};
 // Connections are looked over for overdue ones once in this many ticks.
 constexpr int kTicksOfSweep = 10;
 constexpr Millis kRefusalRetry{500};
+// A peer's word counts if it is newer than this entry's own by so much.
+constexpr Millis kConfirmationGain{1'000};
 
 }  // namespace
 
 ForwardServer::ForwardServer(EventLoop& loop, Options options,
-                             const Dialect& dialect, Counters& counters)
+                             Handlers handlers, const Dialect& dialect,
+                             Counters& counters)
     : loop_(loop),
       options_(std::move(options)),
+      handlers_(std::move(handlers)),
       acceptor_(loop.io()),
+      socket_(loop.io(), counters),
+      gossip_({.self = options_.self}),
       context_{.counters = counters,
                .dialect = dialect,
                .dispatcher = Dispatcher(options_.dispatcher),
@@ -65,7 +72,9 @@
   }
   Accept();
   loop_.Every(kTick, [this] { Tick(); });
-  return absl::OkStatus();
+  loop_.Every(kGossipInterval, [this] { Gossip(); });
+  return socket_.Open(options_.self.peer,
+                      [this](std::string_view data) { OnDatagram(data); });
 }
 
 void ForwardServer::Accept() {
@@ -213,18 +222,54 @@
         context_.view->routes->deployment().services);
   }
   context_.dispatcher.SetBackends(context_.view->backends, BootNow());
-  context_.dispatcher.SetEntries(context_.view->entries);
+  gossip_.SetListed(context_.view->entries);
   RequestDecisions();
 }
 
-void ForwardServer::Confirm(TimePoint as_of) {
-  context_.confirmed_as_of = std::max(context_.confirmed_as_of, as_of);
+// Tells peers about this entry, and the control side which of them live.
+void ForwardServer::Gossip() {
+  const TimePoint now = BootNow();
+  const EntryGossip::State state = {
+      .is_leaving = is_leaving_,
+      .deployment = context_.view == nullptr
+                        ? Revision()
+                        : context_.view->deployment_revision,
+      .confirmed_as_of = context_.confirmed_as_of,
+      .shares = context_.dispatcher.OwnShares()};
+  for (const auto& outgoing : gossip_.NextRound(state, now)) {
+    socket_.Send(outgoing.to, EncodeGossip(outgoing.message));
+  }
+  context_.entries = std::max(options_.least_entries, gossip_.CountKnown(now));
+  context_.dispatcher.SetEntries(context_.entries);
+  const std::vector<Member> alive = gossip_.Alive(now);
+  if (std::ranges::equal(alive, alive_, {}, &Member::id)) return;
+  alive_.clear();
+  std::ranges::transform(alive, std::back_inserter(alive_), &Member::id);
+  Log(LogLevel::kInfo, "peers_alive", {{"count", alive.size()}});
+  handlers_.on_alive(alive);
 }
 
-void ForwardServer::SetPeerShares(const InstanceId& peer,
-                                  const std::vector<BackendShare>& shares) {
-  context_.dispatcher.OnPeerShares(peer, shares, BootNow());
+void ForwardServer::OnDatagram(std::string_view data) {
+  const auto message = DecodeGossip(data);
+  if (!message) return context_.counters.Count(Event::kDatagramsDropped);
+  const TimePoint now = BootNow();
+  const auto news = gossip_.OnMessage(*message, now);
+  context_.dispatcher.OnPeerShares(message->sender.id, message->shares, now);
   if (context_.dispatcher.waiting() > 0) RequestDecisions();
+  if (context_.view == nullptr) return;
+  const Revision own = context_.view->deployment_revision;
+  if (news.deployment > own) {
+    handlers_.on_newer(message->sender);
+  } else if (news.deployment == own && news.confirmed_as_of &&
+             *news.confirmed_as_of >
+                 context_.confirmed_as_of + kConfirmationGain) {
+    Confirm(*news.confirmed_as_of);
+    handlers_.on_confirmed(*news.confirmed_as_of);
+  }
+}
+
+void ForwardServer::Confirm(TimePoint as_of) {
+  context_.confirmed_as_of = std::max(context_.confirmed_as_of, as_of);
 }
 
 void ForwardServer::StopTaking() {
--- a/src/caller/forward_server.h
+++ b/src/caller/forward_server.h
@@ -12,7 +12,9 @@
 #include "caller/caller_connection.h"
 #include "caller/forward_context.h"
 #include "caller/forward_run.h"
+#include "net/datagram_socket.h"
 #include "net/event_loop.h"
+#include "peer/entry_gossip.h"
 
 namespace mangohold {
 
@@ -25,21 +27,28 @@
     Dispatcher::Options dispatcher;
     SharedBudget::Options budget;
     Duration confirmation_limit = std::chrono::milliseconds(4'500);
+    Member self;
+    int least_entries = 1;  // counted at the least, whatever is known
     // Regions of the zones, for routes that allow some only.
     std::map<ZoneName, RegionName> regions;
   };
 
-  ForwardServer(EventLoop& loop, Options options, const Dialect& dialect,
-                Counters& counters);
+  // What the control side is told.
+  struct Handlers {
+    // The entries that are heard and take work have changed.
+    std::function<void(std::vector<Member>)> on_alive;
+    // A peer confirms this entry's deployment as of then.
+    std::function<void(TimePoint as_of)> on_confirmed;
+    // A peer has a newer deployment.
+    std::function<void(const Member& peer)> on_newer;
+  };
+
+  ForwardServer(EventLoop& loop, Options options, Handlers handlers,
+                const Dialect& dialect, Counters& counters);
 
   absl::Status Start();
   void SetView(FleetViewPtr view);
   void Confirm(TimePoint as_of);
-  void SetPeerShares(const InstanceId& peer,
-                     const std::vector<BackendShare>& shares);
-  std::vector<BackendShare> OwnShares() const {
-    return context_.dispatcher.OwnShares();
-  }
   // Answers ask callers to connect elsewhere from now on.
   void BeginLeaving() { is_leaving_ = true; }
   // New requests are refused; those in progress go on.
@@ -55,13 +64,19 @@
               Reason reason, Millis retry_after);
   ServiceName ChooseService(const Route& route);
   std::vector<ZoneName> ZonesOf(const Route& route) const;
+  void OnDatagram(std::string_view data);
+  void Gossip();
   void RequestDecisions();
   void CarryOutDecisions();
   void Tick();
 
   EventLoop& loop_;
   Options options_;
+  Handlers handlers_;
   asio::ip::tcp::acceptor acceptor_;
+  DatagramSocket socket_;
+  EntryGossip gossip_;
+  std::vector<InstanceId> alive_;  // as last told to the control side
   ForwardContext context_;
   CallerConnection::Host host_;
   CallerLimits default_limits_;
--- a/src/config/fleet_view.h
+++ b/src/config/fleet_view.h
@@ -7,6 +7,7 @@
 #include "config/route_table.h"
 #include "core/ids.h"
 #include "store/backend_record.h"
+#include "store/member.h"
 
 namespace mangohold {
 
@@ -14,8 +15,10 @@
   RouteTablePtr routes;  // null: no deployment is known yet
   // Backend servers that new work may go to.
   std::vector<BackendRecord> backends;
-  // The entries that may be sending to backend servers.
-  int entries = 1;
+  // The entries that the store lists.
+  std::vector<Member> entries;
+  // The store's revision of the deployment.
+  Revision deployment_revision;
 };
 
 using FleetViewPtr = std::shared_ptr<const FleetView>;
--- a/src/direct_entry_main.cc
+++ b/src/direct_entry_main.cc
@@ -43,6 +43,13 @@
   EventLoop traffic;
   const platform::Headers dialect;
   const Millis confirmation_limit = settings.revocation - kRevocationMargin;
+  const Member self = {.id = settings.instance,
+                       .role = MemberRole::kEntry,
+                       .zone = settings.zone,
+                       .caller = settings.caller_address,
+                       .peer = settings.peer_address,
+                       .admin = settings.metrics_address};
+  EntryControl* to_control = nullptr;  // set before the threads start
   ForwardServer server(
       traffic,
       {.listen = settings.caller_address,
@@ -55,22 +62,34 @@
                   .slack = settings.retry_slack,
                   .window = FromSeconds(settings.retry_window_s)},
        .confirmation_limit = confirmation_limit,
+       .self = self,
        .regions = ToRegions(settings.regions)},
+      {.on_alive =
+           [&](std::vector<Member> alive) {
+             control.Post([&to_control, alive = std::move(alive)] {
+               to_control->SetAlive(alive);
+             });
+           },
+       .on_confirmed =
+           [&](TimePoint as_of) {
+             control.Post(
+                 [&to_control, as_of] { to_control->OnPeerConfirmed(as_of); });
+           },
+       .on_newer =
+           [&](const Member& peer) {
+             control.Post(
+                 [&to_control, peer] { to_control->FetchDeployment(peer); });
+           }},
       dialect, counters);
   HttpClient http(control.io());
   platform::StoreClient store(http, {.url = settings.platform_url}, counters);
   EntryControl entry(
-      control, store,
-      {.self = {.id = settings.instance,
-                .role = MemberRole::kEntry,
-                .zone = settings.zone,
-                .caller = settings.caller_address,
-                .peer = settings.peer_address},
+      control, store, http,
+      {.self = self,
        .schema = platform::Schema(),
        .calls = platform::Calls(),
        .ready_address = settings.ready_address,
        .directory_address = settings.directory_address,
-       .metrics_address = settings.metrics_address,
        .address_max_age = settings.address_max_age,
        .confirmation_limit = confirmation_limit},
       {.on_view =
@@ -83,6 +102,7 @@
              traffic.Post([&server, as_of] { server.Confirm(as_of); });
            }},
       counters);
+  to_control = &entry;
   for (const absl::Status& status : {server.Start(), entry.Start()}) {
     if (status.ok()) continue;
     Log(LogLevel::kError, "start_failed", {{"error", MessageOf(status)}});
--- a/src/group/even_placement.cc
+++ b/src/group/even_placement.cc
@@ -18,10 +18,8 @@
 
 // Experts that `after` holds and `before` doesn't.
 int CountNew(const std::vector<int>& before, const std::vector<int>& after) {
-  return static_cast<int>(
-      std::ranges::count_if(after, [&before](int expert) {
-        return !Holds(before, expert);
-      }));
+  return static_cast<int>(std::ranges::count_if(
+      after, [&before](int expert) { return !Holds(before, expert); }));
 }
 
 // A map in the making, with the figures that each step needs.
@@ -198,7 +196,7 @@
   const std::vector<double>& demand_;
   const EvenPlacementOptions& options_;
   const std::vector<int>& copies_;  // of other sets, by rank
-  std::vector<int> holders_;  // ranks that hold each expert
+  std::vector<int> holders_;        // ranks that hold each expert
   std::vector<double> loads_;
   double mean_ = 0;
 };
--- a/src/group/even_placement.h
+++ b/src/group/even_placement.h
@@ -27,7 +27,7 @@
   // after the other.
   int most_copies = 3;
   // The part of the mean load by which a copy must lower the most loaded rank.
-  double least_saving_per_copy = 0.02;
+  double least_saving_per_copy = 0.05;
 };
 
 // Experts dealt out in turn, each to one rank.
--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -188,9 +188,8 @@
 }
 
 bool MapSwitch::IsCommandDue(const Rank& rank, TimePoint now) const {
-  const bool was_accepted =
-      phase_ == Phase::kPreparing &&
-      rank.status.report.sequence > rank.sequence;
+  const bool was_accepted = phase_ == Phase::kPreparing &&
+                            rank.status.report.sequence > rank.sequence;
   const Duration retry =
       was_accepted ? options_.accepted_retry : options_.command_retry;
   return !rank.commanded || now - *rank.commanded >= retry;
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -398,25 +398,21 @@
   MapSwitch& map_switch = *leadership_->map_switch;
   const TimePoint now = BootNow();
   const auto present = map_switch.PresentMap(now);
-  if (!present || present->size() != demand.demand().size()) {
-    return demand.Decay();
-  }
+  demand.EndPeriod(present ? &*present : nullptr);
+  if (!present || present->size() != demand.demand().size()) return;
   const auto experts = static_cast<double>(demand.demand().size()) * experts_;
-  if (demand.Weight() >= kLeastChoicesPerExpert * experts) {
-    const GroupMap next = PlanEvenly(*present, demand.demand(), placement_);
-    const double before = SkewOf(*present, demand.demand());
-    const double after = SkewOf(next, demand.demand());
-    if (before - after >= options_.least_gain) {
-      Log(LogLevel::kInfo, "map_planned",
-          {{"skew_before_percent", static_cast<int>(before * 100)},
-           {"skew_after_percent", static_cast<int>(after * 100)},
-           {"copies", CountCopies(*present, next)}});
-      counters_.Count(Event::kMapSwitches);
-      map_switch.Begin(next, now);
-      AdvanceSwitch();
-    }
-  }
-  demand.Decay();
+  if (demand.Weight() < kLeastChoicesPerExpert * experts) return;
+  const GroupMap next = PlanEvenly(*present, demand.demand(), placement_);
+  const double before = SkewOf(*present, demand.demand());
+  const double after = SkewOf(next, demand.demand());
+  if (before - after < options_.least_gain) return;
+  Log(LogLevel::kInfo, "map_planned",
+      {{"skew_before_percent", static_cast<int>(before * 100)},
+       {"skew_after_percent", static_cast<int>(after * 100)},
+       {"copies", CountCopies(*present, next)}});
+  counters_.Count(Event::kMapSwitches);
+  map_switch.Begin(next, now);
+  AdvanceSwitch();
 }
 
 // While a hold may be in force, the leader acts for agents that say nothing:
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -33,9 +33,9 @@
     Member self;
     StoreSchema schema;
     ServiceName service;  // of the engine, whose figures operators publish
-    double least_saving_per_copy = 0.02;
+    double least_saving_per_copy = 0.03;
     // A plan is carried out if it lowers the mean skew by this much.
-    double least_gain = 0.08;
+    double least_gain = 0.25;
     Millis poll{150};
     // A leader that says nothing for this long is replaced.
     Millis leader_silence{1'000};
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -123,7 +123,7 @@
 
 bool Dispatcher::IsOpen(const Backend& backend, const Query& query,
                         TimePoint now) {
-  if (backend.ejected_until > now) return false;
+  if (backend.is_gone || backend.ejected_until > now) return false;
   if (std::ranges::find(query.tried, backend.record.id) != query.tried.end()) {
     return false;
   }
@@ -259,6 +259,9 @@
     case Result::kRejected:
       backend.ejected_until = now + options_.ejection / 2;
       break;
+    case Result::kGone:
+      backend.is_gone = true;
+      break;
     case Result::kUnreachable:
       Eject(backend, now);
       break;
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -77,6 +77,7 @@
   enum class Result {
     kServed,
     kRejected,     // it said that it did not run the request
+    kGone,         // another backend server has its address
     kUnreachable,  // no connection
     kFailed,       // broken off, or a failure of the backend server's own
     kCancelled     // the caller left
@@ -124,6 +125,7 @@
     SlidingCount recent{std::chrono::seconds(1)};
     int failures = 0;  // in a row
     TimePoint ejected_until;
+    bool is_gone = false;        // until it is listed anew
     double failure_share = 0;    // smoothed
     double service_seconds = 0;  // smoothed; 0: none served yet
   };
--- a/src/store/fleet_builder.cc
+++ b/src/store/fleet_builder.cc
@@ -19,8 +19,7 @@
     const StoreItem* item = replica.Find(key);
     if (key == schema_.deployment_key) {
       if (item == nullptr) continue;  // what is in force stays
-      TakeDeployment(*item);
-      has_changed = true;
+      has_changed = TakeDeployment(*item) || has_changed;
     } else if (key.starts_with(schema_.backend_prefix)) {
       has_changed = TakeBackend(key, replica, contact, now) || has_changed;
     } else if (key.starts_with(schema_.zone_out_prefix)) {
@@ -48,27 +47,32 @@
 }
 
 // A version that is in force is never followed by an older one.
-void FleetBuilder::TakeDeployment(const StoreItem& item) {
+bool FleetBuilder::TakeDeployment(const StoreItem& item) {
   auto deployment = schema_.decode_deployment(item.value);
   if (!deployment.ok()) {
     Log(LogLevel::kError, "deployment_rejected",
         {{"revision", item.revision.value()},
          {"error", MessageOf(deployment.status())}});
-    return;
+    return false;
+  }
+  if (routes_ != nullptr &&
+      deployment->version == routes_->deployment().version) {
+    return false;
   }
   if (routes_ != nullptr &&
-      deployment->version <= routes_->deployment().version) {
+      deployment->version < routes_->deployment().version) {
     Log(LogLevel::kWarning, "older_deployment_ignored",
         {{"version", deployment->version.value()},
          {"in_force", routes_->deployment().version.value()}});
-    return;
+    return false;
   }
   routes_ = std::make_shared<const RouteTable>(*std::move(deployment));
-  deployment_revision_ = item.revision;
+  deployment_item_ = item;
   Log(LogLevel::kInfo, "deployment_in_force",
       {{"version", routes_->deployment().version.value()},
        {"revision", item.revision.value()},
        {"routes", routes_->deployment().routes.size()}});
+  return true;
 }
 
 bool FleetBuilder::TakeBackend(const std::string& key,
@@ -125,10 +129,10 @@
       view->backends.push_back(record);
     }
   }
-  const auto entries = std::ranges::count_if(members_, [](const auto& listed) {
-    return listed.second.role == MemberRole::kEntry;
-  });
-  view->entries = std::max(1, static_cast<int>(entries));
+  for (const auto& [key, member] : members_) {
+    if (member.role == MemberRole::kEntry) view->entries.push_back(member);
+  }
+  view->deployment_revision = deployment_item_.revision;
   return view;
 }
 
--- a/src/store/fleet_builder.h
+++ b/src/store/fleet_builder.h
@@ -38,15 +38,18 @@
   // Drops what is kept beyond its time. Returns true if the view is another.
   bool OnTime(const Contact& contact, TimePoint now);
 
+  // Takes a deployment, from the store or from a peer. Returns true if it is
+  // newer than the one in force.
+  bool TakeDeployment(const StoreItem& item);
+  // The deployment in force as it stands in the store.
+  const StoreItem& deployment_item() const { return deployment_item_; }
+
   FleetViewPtr View() const;
   // All members listed now.
   std::vector<Member> Members() const;
   const RouteTablePtr& routes() const { return routes_; }
-  // The store's revision of the deployment in force.
-  Revision deployment_revision() const { return deployment_revision_; }
 
  private:
-  void TakeDeployment(const StoreItem& item);
   bool TakeBackend(const std::string& key, const StoreReplica& replica,
                    const Contact& contact, TimePoint now);
   bool IsUnsettled(const Contact& contact, TimePoint now) const;
@@ -54,7 +57,7 @@
   StoreSchema schema_;
   Options options_;
   RouteTablePtr routes_;
-  Revision deployment_revision_;
+  StoreItem deployment_item_;
   std::map<InstanceId, BackendRecord> backends_;
   // Backend servers that vanished while the store was away.
   std::set<InstanceId> unlisted_;
--- a/src/store/member.cc
+++ b/src/store/member.cc
@@ -6,9 +6,10 @@
 
 std::string EncodeMember(const Member& member) {
   return nlohmann::json{
-      {"id", member.id},     {"role", static_cast<int>(member.role)},
-      {"zone", member.zone}, {"caller", member.caller},
-      {"peer", member.peer}, {"backend", member.backend}}
+      {"id", member.id},      {"role", static_cast<int>(member.role)},
+      {"zone", member.zone},  {"caller", member.caller},
+      {"peer", member.peer},  {"backend", member.backend},
+      {"admin", member.admin}}
       .dump();
 }
 
@@ -24,7 +25,8 @@
                   .zone = json.at("zone").get<ZoneName>(),
                   .caller = json.at("caller").get<Endpoint>(),
                   .peer = json.at("peer").get<Endpoint>(),
-                  .backend = json.at("backend").get<Endpoint>()};
+                  .backend = json.at("backend").get<Endpoint>(),
+                  .admin = json.at("admin").get<Endpoint>()};
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
   }
--- a/src/store/member.h
+++ b/src/store/member.h
@@ -18,6 +18,7 @@
   Endpoint caller;   // where callers connect, of entries
   Endpoint peer;     // where datagrams of peers arrive
   Endpoint backend;  // the backend server beside it, of agents
+  Endpoint admin;    // metrics, and the deployment for peers
 };
 
 // The value under which a member is listed, and back; nothing for a text that
