Let a successor release the hold of a leader whose machine stands still

Cause: the leader held the pass at its own engine. Besides, engines don't count these orders in their sequence (it stays 0), so that preparations already accepted were given again every 200 ms and 'expect' guards nothing here.

Ruled out: that the engine answers later or at another address (it answers none of the calls, 1.5 s time-outs tried); a shorter window between hold and release (the freeze comes with the order itself).

Change: the leader holds at another machine's engine and arms its own rank last; a successor that can't reach just that rank knows that it isn't armed as long as another one isn't, disarms the others and releases. Silent ranks are read and released at the addresses where they serve.

--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -58,7 +58,6 @@
     command->rank = index;
     command->epoch = epoch_;
     ranks_[index].commanded = now;
-    ranks_[index].sequence = ranks_[index].status.report.sequence;
     commands.push_back(*std::move(command));
   }
   return commands;
@@ -71,7 +70,11 @@
   };
   switch (phase_) {
     case Phase::kReading:
-      if (!ranks_.empty() && AllKnown(now)) Resume(now);
+      if (!ranks_.empty() && AllKnown(now)) {
+        Resume(now);
+      } else if (CanUndo(now)) {
+        GoTo(Phase::kUndoing, now);
+      }
       break;
     case Phase::kIdle:
       // A hold that nobody asked for came late.
@@ -102,8 +105,17 @@
         GoTo(Phase::kReleasing, now);
       }
       break;
+    case Phase::kUndoing:
+      if (all([](const Rank& rank) { return !rank.status.report.armed; })) {
+        is_undone_ = true;
+        GoTo(Phase::kReleasing, now);
+      }
+      break;
     case Phase::kReleasing:
-      if (!HoldingRank()) GoTo(Phase::kSettling, now);
+      if (!HoldingRank()) {
+        GoTo(is_undone_ ? Phase::kReading : Phase::kSettling, now);
+        is_undone_ = false;
+      }
       break;
     case Phase::kSettling:
       if (HoldingRank()) {
@@ -122,12 +134,14 @@
   const auto holder = HoldingRank();
   // Step 1: the map that the ranks are about to switch to, if any.
   std::optional<MapVersion> armed;
-  std::optional<MapVersion> prepared = ranks_.front().status.report.prepared;
+  MapVersion prepared =
+      ranks_.front().status.report.prepared.value_or(MapVersion());
+  bool are_all_prepared = true;
   for (const Rank& rank : ranks_) {
     const RankReport& report = rank.status.report;
     if (report.armed) armed = report.armed;
-    const bool is_pending = report.prepared && *report.prepared > report.map;
-    if (!is_pending || report.prepared != prepared) prepared.reset();
+    are_all_prepared = are_all_prepared && report.prepared == prepared &&
+                       prepared > report.map;
   }
   // Step 2: without a hold nothing is in progress, or all is armed.
   if (!holder) {
@@ -138,17 +152,51 @@
   // still on their way; if all are prepared, all are armed before the release.
   holder_ = *holder;
   pass_ = *ranks_[holder_].status.report.held;
-  if (armed || prepared) {
-    version_ = armed ? *armed : *prepared;
+  if (armed || are_all_prepared) {
+    version_ = armed.value_or(prepared);
     return GoTo(Phase::kArming, now);
   }
   GoTo(Phase::kReleasing, now);
 }
 
+// A former leader armed its own rank only after all others. If it is the only
+// one that can't be reached, and another rank isn't armed, then its own isn't
+// either, and the arming can be undone. In an idle group the hold does no harm
+// and an order that is carried out late might still find its pass ahead, so
+// that the hold is left.
+bool MapSwitch::CanUndo(TimePoint now) const {
+  if (!options_.former_leader || *options_.former_leader >= size() ||
+      !HoldingRank()) {
+    return false;
+  }
+  bool is_all_armed = true;
+  bool is_working = false;
+  for (int index = 0; index < size(); ++index) {
+    const Rank& rank = ranks_[index];
+    if (index == *options_.former_leader) {
+      if (rank.is_known) return false;
+      continue;
+    }
+    if (!rank.is_known || rank.heard + options_.status_memory < now) {
+      return false;
+    }
+    is_all_armed = is_all_armed && rank.status.report.armed.has_value();
+    is_working = is_working || rank.status.report.running > 0;
+  }
+  return !is_all_armed && is_working;
+}
+
 bool MapSwitch::IsArmed(const Rank& rank) const {
   return rank.is_known && rank.status.report.armed == version_;
 }
 
+bool MapSwitch::OthersAreArmed() const {
+  for (int index = 0; index < size(); ++index) {
+    if (index != options_.own_rank && !IsArmed(ranks_[index])) return false;
+  }
+  return true;
+}
+
 bool MapSwitch::HasSwitched(const Rank& rank) const {
   return rank.is_known && rank.status.report.map == version_;
 }
@@ -188,8 +236,8 @@
 }
 
 bool MapSwitch::IsCommandDue(const Rank& rank, TimePoint now) const {
-  const bool was_accepted = phase_ == Phase::kPreparing &&
-                            rank.status.report.sequence > rank.sequence;
+  const bool was_accepted =
+      phase_ == Phase::kPreparing && rank.status.accepted == version_;
   const Duration retry =
       was_accepted ? options_.accepted_retry : options_.command_retry;
   return !rank.commanded || now - *rank.commanded >= retry;
@@ -203,18 +251,25 @@
       if (!rank.is_known) return RankCommand();
       break;
     case Phase::kPreparing:
-      if (report.prepared != version_ && !report.is_busy) {
+      if (report.prepared != version_) {
         return RankCommand{
             .order = OrderKind::kPrepare, .version = version_, .map = map_};
       }
       break;
     case Phase::kHolding:
       if (index == holder_ && report.held != pass_) {
-        return RankCommand{.order = OrderKind::kHold, .pass = pass_};
+        return RankCommand{
+            .order = OrderKind::kHold, .pass = pass_, .is_direct = true};
+      }
+      break;
+    case Phase::kUndoing:
+      if (report.armed) {
+        return RankCommand{.order = OrderKind::kDisarm,
+                           .version = *report.armed};
       }
       break;
     case Phase::kArming:
-      if (!IsArmed(rank)) {
+      if (!IsArmed(rank) && (index != options_.own_rank || OthersAreArmed())) {
         return RankCommand{
             .order = OrderKind::kArm, .version = version_, .pass = pass_};
       }
@@ -278,7 +333,7 @@
   version_ =
       MapVersion(options_.term.value() * kVersionsPerTerm + ++maps_made_);
   map_ = std::move(map);
-  holder_ = options_.own_rank;
+  holder_ = options_.own_rank == 0 && size() > 1 ? 1 : 0;
   GoTo(Phase::kPreparing, now);
 }
 
--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -3,16 +3,20 @@
 // time go in, commands to ranks come out.
 //
 // 1. Every rank prepares the new map.
-// 2. One rank holds a pass S that lies ahead, and the hold is confirmed.
-// 3. Every rank arms the new map for S.
+// 2. One rank holds a pass S that lies ahead, and the hold is confirmed. It is
+//    never the leader's own, so that a leader whose machine stops can be
+//    succeeded.
+// 3. Every rank arms the new map for S, the leader's own one last.
 // 4. When all are confirmed armed, the hold is released. As long as this comes
 //    before the group reaches S, no rank ever waits.
 //
-// Until a rank is confirmed, its command is given again. Nothing is ever taken
-// back: once a rank may be armed, the only way on is to arm the others, and the
-// hold keeps S from beginning until that is done. A command may reach an engine
-// late; each order names the epoch and the order before it, so that a late one
-// is void once another has been accepted, or once S has begun.
+// Until a rank is confirmed, its command is given again. Once a rank may be
+// armed, the way on is to arm the others, and the hold keeps S from beginning
+// until that is done. Only a rank of a former leader that can't be reached is
+// known not to be armed as long as another one isn't; then those that are armed
+// are disarmed instead. An order may be carried out
+// late: one that arms or holds for S is void once S has begun or the group has
+// formed anew, and until then it asks for what all ranks are brought to anyway.
 //
 // A new leader reads all ranks first, which also ends the power of the leader
 // before it over each rank that it has read, and then goes on from what it
@@ -37,6 +41,8 @@
   LeaderTerm term;  // the highest that the agent has seen
   RankReport report;
   std::vector<std::vector<int>> holdings;  // experts by set, of the map in use
+  // The newest map that the engine has accepted to prepare in this epoch.
+  MapVersion accepted;
 };
 
 // What a leader asks of a rank's agent.
@@ -48,19 +54,22 @@
   MapVersion version;
   PassNumber pass;
   GroupMap map;
+  // To be given to the engine itself, not by its agent.
+  bool is_direct = false;
 };
 
 class MapSwitch {
  public:
   struct Options {
     LeaderTerm term;
-    int own_rank = 0;  // the rank beside the leader, which holds the pass
+    int own_rank = 0;  // the rank beside the leader
+    // The rank beside the leader before, where known.
+    std::optional<int> former_leader;
     // A rank without a newer status is unknown after this.
     Duration status_memory = std::chrono::milliseconds(1'500);
     // A command without effect is given again after this.
     Duration command_retry = std::chrono::milliseconds(200);
-    // The same for an order that the engine has accepted, but whose effect
-    // takes time to show.
+    // The same for a preparation that the engine has accepted.
     Duration accepted_retry = std::chrono::seconds(4);
     // A preparation that doesn't come to an end is given up after this.
     Duration prepare_limit = std::chrono::seconds(12);
@@ -73,6 +82,7 @@
     kPreparing,
     kHolding,
     kArming,
+    kUndoing,
     kReleasing,
     kSettling,
     kCount
@@ -102,14 +112,14 @@
     bool is_known = false;
     TimePoint heard;
     std::optional<TimePoint> commanded;
-    // The orders accepted by the engine as the command was given.
-    OrderSequence sequence;
   };
 
   bool AllKnown(TimePoint now) const;
   bool AreUniform() const;
   bool IsArmed(const Rank& rank) const;
   bool HasSwitched(const Rank& rank) const;
+  bool CanUndo(TimePoint now) const;
+  bool OthersAreArmed() const;
   void GoTo(Phase phase, TimePoint now);
   void Resume(TimePoint now);
   std::optional<int> HoldingRank() const;
@@ -130,6 +140,7 @@
   GroupMap map_;
   PassNumber pass_;
   int holder_ = 0;
+  bool is_undone_ = false;  // the hold is released without a switch
   // Passes a second, from the statuses.
   PassNumber paced_pass_;
   TimePoint paced_at_;
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -9,11 +9,13 @@
 namespace mangohold {
 namespace {
 
-constexpr Millis kBeatInterval{300};
+constexpr Millis kBeatInterval{200};
 constexpr Millis kSwitchInterval{50};
 constexpr Millis kPlanInterval{250};
 constexpr Millis kMembersInterval{2'000};
-constexpr Millis kSilentAgentsInterval{700};
+constexpr Millis kSilentAgentsInterval{300};
+// Agents answer a new leader within this time, if they can.
+constexpr Millis kTimeToAnswer{300};
 // Candidates wait this much longer for each rank before them.
 constexpr Millis kCandidateSpacing{150};
 // Choices that a plan has to rest on, for each expert of all sets.
@@ -162,6 +164,7 @@
     case RankMessageKind::kBeat:
       if (message->term != term_ || leadership_) break;
       leader_ = message->reply_to;
+      leader_rank_ = message->rank;
       leader_heard_ = BootNow();
       break;
     case RankMessageKind::kStatus:
@@ -203,18 +206,24 @@
                        report_->epoch != command.epoch ||
                        report_->rank != command.rank;
   if (is_void) return FinishJob();
-  OrderAt(options_.self.backend, *report_, command, [this] {
-    engine_.Report(options_.self.backend, [this](const auto& report) {
-      OnReport(report);
-      FinishJob();
-    });
-  });
+  OrderAt(options_.self.backend, *report_, command,
+          [this, command](OrderFate fate) {
+            if (command.order == OrderKind::kPrepare &&
+                fate == OrderFate::kAccepted) {
+              accepted_ = command.version;
+              accepted_epoch_ = command.epoch;
+            }
+            engine_.Report(options_.self.backend, [this](const auto& report) {
+              OnReport(report);
+              FinishJob();
+            });
+          });
 }
 
 // The order is void once the engine has accepted another one since `report`.
 void RankAgent::OrderAt(const Endpoint& engine, const RankReport& report,
                         const RankCommand& command,
-                        std::function<void()> on_done) {
+                        std::function<void(OrderFate)> on_done) {
   const RankOrder order = {.kind = *command.order,
                            .epoch = command.epoch,
                            .expected = report.sequence,
@@ -222,16 +231,18 @@
                            .pass = command.pass,
                            .map = command.map};
   engine_.Order(engine, order,
-                [this, command, on_done = std::move(on_done)](OrderFate fate) {
+                [this, command, expected = report.sequence,
+                 on_done = std::move(on_done)](OrderFate fate) {
                   Log(LogLevel::kInfo, "order_given",
                       {{"order", static_cast<int>(*command.order)},
                        {"fate", static_cast<int>(fate)},
                        {"rank", command.rank},
+                       {"expected", expected.value()},
                        {"term", term_.value()},
                        {"epoch", command.epoch.value()},
                        {"version", command.version.value()},
                        {"pass", command.pass.value()}});
-                  on_done();
+                  on_done(fate);
                 });
 }
 
@@ -248,6 +259,7 @@
           .group = report_ ? report_->group : GroupName(),
           .term = term_,
           .sender = options_.self.id,
+          .rank = report_ ? report_->rank : 0,
           .reply_to = options_.self.peer};
 }
 
@@ -321,8 +333,10 @@
   leader_ = options_.self.peer;
   leadership_.emplace();
   leadership_->term = term;
-  leadership_->map_switch = std::make_unique<MapSwitch>(
-      MapSwitch::Options{.term = term, .own_rank = report_->rank});
+  leadership_->began = BootNow();
+  direct_.clear();
+  leadership_->map_switch = std::make_unique<MapSwitch>(MapSwitch::Options{
+      .term = term, .own_rank = report_->rank, .former_leader = leader_rank_});
   Log(LogLevel::kInfo, "leading_began",
       {{"group", report_->group.value()}, {"term", term.value()}});
   Beat();
@@ -342,7 +356,7 @@
     return FollowTerm(message.term, Endpoint());
   }
   const TimePoint now = BootNow();
-  heard_[message.sender] = now;
+  direct_.erase(message.status.report.rank);
   agents_[message.status.report.rank] = message.sender;
   leadership_->map_switch->OnStatus(message.status, now);
   leadership_->demand.Add(message.choices, experts_);
@@ -380,8 +394,12 @@
     return;
   }
   const Member* agent = AgentOf(command.rank);
-  if (agent != nullptr && command.order && IsSilent(agent->id)) {
-    return GiveDirectly(*agent, command);
+  if (command.is_direct && agent != nullptr) {
+    return GiveDirectly(agent->backend, command);
+  }
+  const auto direct = direct_.find(command.rank);
+  if (direct != direct_.end() && command.order) {
+    GiveDirectly(direct->second, command);
   }
   if (agent != nullptr) return SendTo(agent->peer, message);
   // The agent isn't known yet: all are asked, and the right one answers.
@@ -416,49 +434,81 @@
 }
 
 // While a hold may be in force, the leader acts for agents that say nothing:
-// their engines may be sound, and the group stands still.
+// their engines may be sound, and the group stands still. The engines are asked
+// at the addresses where they serve callers, since those beside their agents
+// may have gone silent with them.
 void RankAgent::ActForSilentAgents() {
   if (!leadership_) return;
   const MapSwitch& map_switch = *leadership_->map_switch;
   const bool may_be_held = map_switch.phase() == MapSwitch::Phase::kReading ||
                            map_switch.phase() == MapSwitch::Phase::kArming ||
                            map_switch.phase() == MapSwitch::Phase::kReleasing;
-  if (!may_be_held || map_switch.SilentRanks(BootNow()).empty()) return;
-  for (const auto& [id, member] : members_) {
-    if (id != options_.self.id && IsSilent(id)) ReadRemote(member);
+  const TimePoint now = BootNow();
+  if (!may_be_held || now - leadership_->began < kTimeToAnswer ||
+      map_switch.SilentRanks(now).empty()) {
+    return;
   }
+  store_.List(options_.schema.backend_prefix, "", Freshness::kMayBeStale,
+              [this](const auto& page) {
+                if (page.ok()) ReadSilentRanks(*page);
+              });
 }
 
-bool RankAgent::IsSilent(const InstanceId& agent) const {
-  const auto heard = heard_.find(agent);
-  return heard == heard_.end() ||
-         BootNow() - heard->second > options_.leader_silence;
+void RankAgent::ReadSilentRanks(const StorePage& engines) {
+  for (const StoreItem& item : engines.items) {
+    const auto record = options_.schema.decode_backend(
+        InstanceId(item.key.substr(options_.schema.backend_prefix.size())),
+        item.value);
+    if (!record.ok() || record->service != options_.service) continue;
+    ReadRemote(record->address);
+  }
+}
+
+bool RankAgent::IsSilent(int rank) const {
+  if (!leadership_) return false;
+  const auto silent = leadership_->map_switch->SilentRanks(BootNow());
+  return std::ranges::find(silent, rank) != silent.end();
 }
 
-void RankAgent::ReadRemote(const Member& agent) {
-  engine_.Report(agent.backend, [this, id = agent.id](const auto& report) {
-    if (!leadership_ || !report.ok() || !report_) return;
-    if (report->group != report_->group) return;
-    agents_[report->rank] = id;
-    leadership_->map_switch->OnStatus(
-        {.agent = id, .term = term_, .report = *report}, BootNow());
+void RankAgent::ReadRemote(const Endpoint& engine) {
+  engine_.Report(engine, [this, engine](const auto& report) {
+    if (!report.ok()) {
+      return LogLost("report of " + engine.value(), report.status());
+    }
+    if (!leadership_ || !report_ || report->group != report_->group) return;
+    const auto direct = direct_.find(report->rank);
+    const bool is_needed = direct != direct_.end() || IsSilent(report->rank);
+    if (!is_needed) return;
+    direct_[report->rank] = engine;
+    leadership_->map_switch->OnStatus({.term = term_, .report = *report},
+                                      BootNow());
     AdvanceSwitch();
   });
 }
 
 // Only what ends a hold is ordered over an agent's head; a preparation waits
 // for the agent's return.
-void RankAgent::GiveDirectly(const Member& agent, const RankCommand& command) {
-  if (command.order != OrderKind::kArm && command.order != OrderKind::kGo) {
-    return;
-  }
-  engine_.Report(agent.backend, [this, agent, command](const auto& report) {
+void RankAgent::GiveDirectly(const Endpoint& engine,
+                             const RankCommand& command) {
+  const bool is_allowed = command.is_direct ||
+                          command.order == OrderKind::kArm ||
+                          command.order == OrderKind::kGo;
+  if (!is_allowed) return;
+  engine_.Report(engine, [this, engine, command](const auto& report) {
     const bool is_void = !leadership_ || !report.ok() ||
                          report->epoch != command.epoch ||
                          report->rank != command.rank;
     if (is_void) return;
-    OrderAt(agent.backend, *report, command,
-            [this, agent] { ReadRemote(agent); });
+    OrderAt(engine, *report, command,
+            [this, engine, rank = command.rank](OrderFate /*fate*/) {
+              const Member* agent = AgentOf(rank);
+              if (direct_.contains(rank) || agent == nullptr) {
+                return ReadRemote(engine);
+              }
+              RankMessage question = NewMessage(RankMessageKind::kCommand);
+              question.command.rank = rank;
+              SendTo(agent->peer, question);
+            });
   });
 }
 
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -38,7 +38,7 @@
     double least_gain = 0.25;
     Millis poll{150};
     // A leader that says nothing for this long is replaced.
-    Millis leader_silence{1'000};
+    Millis leader_silence{800};
   };
 
   RankAgent(EventLoop& loop, Store& store, EngineApi& engine, Options options,
@@ -49,6 +49,7 @@
  private:
   struct Leadership {
     LeaderTerm term;
+    TimePoint began;
     std::unique_ptr<MapSwitch> map_switch;
     DemandEstimate demand;
   };
@@ -85,10 +86,12 @@
   void Plan();
   void ActForSilentAgents();
   void OrderAt(const Endpoint& engine, const RankReport& report,
-               const RankCommand& command, std::function<void()> on_done);
-  void GiveDirectly(const Member& agent, const RankCommand& command);
-  bool IsSilent(const InstanceId& agent) const;
-  void ReadRemote(const Member& agent);
+               const RankCommand& command,
+               std::function<void(OrderFate)> on_done);
+  void GiveDirectly(const Endpoint& engine, const RankCommand& command);
+  bool IsSilent(int rank) const;
+  void ReadSilentRanks(const StorePage& engines);
+  void ReadRemote(const Endpoint& engine);
   void ReadFigures();
   void ReadMembers();
   const Member* AgentOf(int rank) const;
@@ -106,6 +109,8 @@
   std::vector<std::vector<int>> holdings_;
   MapVersion holdings_version_;
   GroupEpoch holdings_epoch_;
+  MapVersion accepted_;  // the newest map that the engine agreed to prepare
+  GroupEpoch accepted_epoch_;
   ExpertCounts last_counts_;
   bool is_polling_ = false;
   std::deque<Job> jobs_;
@@ -114,14 +119,16 @@
   bool knows_term_ = false;  // has read the newest term since its start
   LeaderTerm term_;
   Endpoint leader_;
+  std::optional<int> leader_rank_;
   TimePoint leader_heard_;
   bool is_challenging_ = false;
   std::optional<Leadership> leadership_;
   std::map<InstanceId, Member> members_;
-  std::map<int, InstanceId> agents_;       // by rank
-  std::map<InstanceId, TimePoint> heard_;  // statuses of agents
-  EvenPlacementOptions placement_;         // places: 0 until it is known
-  int experts_ = 0;                        // of one set
+  std::map<int, InstanceId> agents_;  // by rank
+  // Engines whose agents are silent, by rank.
+  std::map<int, Endpoint> direct_;
+  EvenPlacementOptions placement_;  // places: 0 until it is known
+  int experts_ = 0;                 // of one set
 };
 
 }  // namespace mangohold
--- a/src/group/rank_messages.cc
+++ b/src/group/rank_messages.cc
@@ -95,13 +95,15 @@
   message.group = json.at("group").get<GroupName>();
   message.term = json.at("term").get<LeaderTerm>();
   message.sender = json.at("sender").get<InstanceId>();
+  message.rank = json.at("rank").get<int>();
   message.reply_to = json.at("reply_to").get<Endpoint>();
   if (message.kind == RankMessageKind::kStatus) {
     message.status = {
         .agent = message.sender,
         .term = message.term,
         .report = ToReport(json.at("report")),
-        .holdings = json.at("holdings").get<std::vector<std::vector<int>>>()};
+        .holdings = json.at("holdings").get<std::vector<std::vector<int>>>(),
+        .accepted = json.at("accepted").get<MapVersion>()};
     message.choices = json.at("choices").get<ExpertCounts>();
   } else if (message.kind == RankMessageKind::kCommand) {
     message.command = ToCommand(json.at("command"));
@@ -116,10 +118,12 @@
                {"group", message.group},
                {"term", message.term},
                {"sender", message.sender},
+               {"rank", message.rank},
                {"reply_to", message.reply_to}};
   if (message.kind == RankMessageKind::kStatus) {
     json["report"] = FromReport(message.status.report);
     json["holdings"] = message.status.holdings;
+    json["accepted"] = message.status.accepted;
     json["choices"] = message.choices;
   } else if (message.kind == RankMessageKind::kCommand) {
     json["command"] = FromCommand(message.command);
--- a/src/group/rank_messages.h
+++ b/src/group/rank_messages.h
@@ -18,6 +18,7 @@
   GroupName group;
   LeaderTerm term;
   InstanceId sender;
+  int rank = 0;  // the sender's
   Endpoint reply_to;
   RankStatus status;     // kStatus
   ExpertCounts choices;  // kStatus: since the status before
