Send to the newest entry of an address, and try a closed group one request at a time

Cause: after a loss of power engines start again under new ids while their old entries still stand, so that half of the sends met 421; and while a group forms, every waiting request was sent to up to four ranks and then refused, which used up the retries. Change: of several entries with one address the one created last counts; a group that refuses is tried again by one request each 120 ms, the others wait for it.

--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -136,7 +136,7 @@
       backend.id, backend.address,
       context_.dispatcher.MostConnections(job_.service), now);
   if (connection_ == nullptr) {
-    EndAttempt(Dispatcher::Result::kRejected);
+    EndAttempt(Dispatcher::Result::kUnreachable);
     return OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendRefused);
   }
   if (is_retry_) context_.counters.CountRetry(Reason::kBackendFailed);
@@ -297,7 +297,8 @@
        {"sends_again", static_cast<int>(sends_again)}});
   if (!sends_again) return GiveUp(policy_.GiveUpOutcome(), reason, Millis(250));
   is_retry_ = true;
-  tried_.push_back(backend_.id);
+  // One that only refused may be asked again.
+  if (reason != Reason::kBackendRefused) tried_.push_back(backend_.id);
   if (has_begun_) context_.counters.Count(Event::kStreamsResumed);
   Submit();
 }
--- a/src/routing/direct_policy.h
+++ b/src/routing/direct_policy.h
@@ -17,7 +17,7 @@
     // Backend servers that may run the request at the most.
     int max_attempts = 1;
     // Attempts that provably ran nothing, at the most.
-    int max_rejections = 3;
+    int max_rejections = 6;
   };
   enum class Next {
     kSendAgain,
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -107,6 +107,7 @@
 Dispatcher::Backend* Dispatcher::Choose(const Query& query, TimePoint now) {
   const auto group = by_service_.find(query.service);
   if (group == by_service_.end()) return nullptr;
+  if (!MayPassGate(query.service, now)) return nullptr;
   Backend* best = nullptr;
   double best_cost = std::numeric_limits<double>::max();
   for (const InstanceId& id : group->second) {
@@ -121,6 +122,17 @@
   return best;
 }
 
+bool Dispatcher::IsGroup(const ServiceName& service) const {
+  const ServiceSpec* spec = SpecOf(service);
+  return spec != nullptr && spec->engine && spec->engine->expert_sets > 0;
+}
+
+bool Dispatcher::MayPassGate(const ServiceName& service, TimePoint now) const {
+  const auto gate = gates_.find(service);
+  if (gate == gates_.end() || !gate->second.is_closed) return true;
+  return !gate->second.trial && now >= gate->second.next_try;
+}
+
 bool Dispatcher::IsOpen(const Backend& backend, const Query& query,
                         TimePoint now) {
   if (backend.is_gone || backend.ejected_until > now) return false;
@@ -201,6 +213,8 @@
   backend.own_unread += query.prompt_tokens;
   backend.recent.Add(now);
   paces_[query.service].sent.Add(now);
+  GroupGate& gate = gates_[query.service];
+  if (gate.is_closed) gate.trial = query.number;
   sent_[query.number] = {.backend = backend.record.id,
                          .service = query.service,
                          .unread_tokens = query.prompt_tokens,
@@ -230,6 +244,7 @@
 void Dispatcher::OnAnswerBegun(AttemptNumber number, TimePoint /*now*/) {
   const auto it = sent_.find(number);
   if (it == sent_.end()) return;
+  gates_[it->second.service] = GroupGate();
   const auto backend = backends_.find(it->second.backend);
   if (backend != backends_.end()) {
     backend->second.own_unread -= it->second.unread_tokens;
@@ -242,6 +257,12 @@
   if (it == sent_.end()) return;
   const Sent sent = it->second;
   sent_.erase(it);
+  GroupGate& gate = gates_[sent.service];
+  if (gate.trial == number) gate.trial.reset();
+  if (result == Result::kRejected && IsGroup(sent.service)) {
+    gate.is_closed = true;
+    gate.next_try = now + options_.group_retry;
+  }
   const auto found = backends_.find(sent.backend);
   if (found == backends_.end()) return;
   Backend& backend = found->second;
@@ -257,7 +278,9 @@
               : Smoothed(backend.service_seconds, ToSeconds(now - sent.at));
       break;
     case Result::kRejected:
-      backend.ejected_until = now + options_.ejection / 2;
+      if (!IsGroup(sent.service)) {
+        backend.ejected_until = now + options_.ejection / 2;
+      }
       break;
     case Result::kGone:
       backend.is_gone = true;
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -51,6 +51,8 @@
     // First and longest time for which a failing backend server is passed over.
     Duration ejection = std::chrono::milliseconds(400);
     Duration longest_ejection = std::chrono::seconds(5);
+    // A closed group of ranks is tried again after this.
+    Duration group_retry = std::chrono::milliseconds(120);
     // Part of a service's backend servers that may be passed over at a time.
     double most_ejected = 0.5;
     // Load that a backend server in another zone must save to be preferred.
@@ -143,7 +145,16 @@
   struct Pace {
     SlidingCount sent{std::chrono::seconds(2)};
   };
+  // All ranks of a group refuse work while it isn't open. One request at a time
+  // tries whether it is open again, the others wait.
+  struct GroupGate {
+    bool is_closed = false;
+    TimePoint next_try;
+    std::optional<AttemptNumber> trial;
+  };
 
+  bool IsGroup(const ServiceName& service) const;
+  bool MayPassGate(const ServiceName& service, TimePoint now) const;
   Backend* Choose(const Query& query, TimePoint now);
   bool IsOpen(const Backend& backend, const Query& query, TimePoint now);
   int RequestsAt(const Backend& backend, TimePoint now) const;
@@ -165,6 +176,7 @@
   std::map<ServiceName, std::vector<InstanceId>> by_service_;
   std::map<ServiceName, ServiceSpec> services_;
   std::map<ServiceName, Pace> paces_;
+  std::map<ServiceName, GroupGate> gates_;
   std::vector<Waiting> waiting_;  // in the order of their turns
   std::map<AttemptNumber, Sent> sent_;
   std::map<WorkspaceName, int> in_progress_;
--- a/src/store/backend_record.h
+++ b/src/store/backend_record.h
@@ -16,6 +16,7 @@
   int slots = 1;  // requests that it runs at once
   BackendState state = BackendState::kReady;
   Millis cold_remaining{0};  // at the time of writing
+  Revision listed;           // when its entry was created
 };
 
 }  // namespace mangohold
--- a/src/store/fleet_builder.cc
+++ b/src/store/fleet_builder.cc
@@ -102,6 +102,7 @@
        {"draining", static_cast<int>(record->state == BackendState::kDraining)},
        {"revision", item->revision.value()}});
   backends_[id] = *record;
+  backends_[id].listed = item->created;
   return true;
 }
 
@@ -120,11 +121,18 @@
   return true;
 }
 
+// A backend server that starts again takes the place of the one that had its
+// address, whose entry lapses only later.
 FleetViewPtr FleetBuilder::View() const {
   auto view = std::make_shared<FleetView>();
   view->routes = routes_;
+  std::map<Endpoint, Revision> newest;
+  for (const auto& [id, record] : backends_) {
+    newest[record.address] = std::max(newest[record.address], record.listed);
+  }
   for (const auto& [id, record] : backends_) {
     if (record.state == BackendState::kReady &&
+        record.listed == newest[record.address] &&
         !zones_out_.contains(record.zone)) {
       view->backends.push_back(record);
     }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -20,6 +20,7 @@
   std::string key;
   std::string value;
   Revision revision;  // of its last change
+  Revision created;   // of its creation
   LeaseId lease;
 };
 
