Expect waits from slots, and from how long a group has been closed

Cause: the expected wait came from the sends of the last two seconds, which say nothing once a group has refused work for a while: callers were refused although room was near. Change: turns come as this entry's part of the slots gets free; a closed group is expected to stay closed for as long again as it has been.

--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -15,8 +15,10 @@
 // A refused caller is asked to come back between these times.
 constexpr Millis kLeastRetryAfter{100};
 constexpr Millis kMostRetryAfter{2'000};
-// Without any dispatch lately, room is taken to come up once in this time.
-constexpr Millis kUnknownPace{250};
+// Service time of a backend server that has served nothing yet.
+constexpr double kUnknownServiceSeconds = 1.0;
+// Time after which a service without any backend server may have one again.
+constexpr Millis kUnknownWait{500};
 
 double Smoothed(double before, double value) {
   return before + kSmoothing * (value - before);
@@ -212,7 +214,6 @@
   ++backend.own_requests;
   backend.own_unread += query.prompt_tokens;
   backend.recent.Add(now);
-  paces_[query.service].sent.Add(now);
   GroupGate& gate = gates_[query.service];
   if (gate.is_closed) gate.trial = query.number;
   sent_[query.number] = {.backend = backend.record.id,
@@ -231,14 +232,28 @@
           .retry_after = std::clamp(millis, kLeastRetryAfter, kMostRetryAfter)};
 }
 
-// Turns come as fast as they came lately.
+// When all slots are taken, turns come as this entry's part of the slots gets
+// free. A closed group is expected to stay closed for as long again as it has
+// been.
 Duration Dispatcher::ExpectedWait(const ServiceName& service, int ahead,
-                                  TimePoint now) {
-  const std::size_t sent = paces_[service].sent.Count(now);
-  const Duration gap = sent == 0 ? Duration(kUnknownPace)
-                                 : Duration(std::chrono::seconds(2)) /
-                                       static_cast<std::int64_t>(sent);
-  return gap * ahead;
+                                  TimePoint now) const {
+  const auto gate = gates_.find(service);
+  if (gate != gates_.end() && gate->second.is_closed) {
+    return now - gate->second.closed_since;
+  }
+  const auto group = by_service_.find(service);
+  if (group == by_service_.end()) return kUnknownWait;
+  double slots = 0;
+  double seconds = 0;
+  for (const InstanceId& id : group->second) {
+    const Backend& backend = backends_.at(id);
+    slots += backend.record.slots;
+    seconds = std::max(seconds, backend.service_seconds);
+  }
+  const double share = std::max(1.0, slots / entries_);
+  const double turn = (seconds > 0 ? seconds : kUnknownServiceSeconds) / share;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(turn * (ahead + 1)));
 }
 
 void Dispatcher::OnAnswerBegun(AttemptNumber number, TimePoint /*now*/) {
@@ -260,6 +275,7 @@
   GroupGate& gate = gates_[sent.service];
   if (gate.trial == number) gate.trial.reset();
   if (result == Result::kRejected && IsGroup(sent.service)) {
+    if (!gate.is_closed) gate.closed_since = now;
     gate.is_closed = true;
     gate.next_try = now + options_.group_retry;
   }
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -141,14 +141,11 @@
     Query query;
     TimePoint since;
   };
-  // How fast a service takes work from this entry.
-  struct Pace {
-    SlidingCount sent{std::chrono::seconds(2)};
-  };
   // All ranks of a group refuse work while it isn't open. One request at a time
   // tries whether it is open again, the others wait.
   struct GroupGate {
     bool is_closed = false;
+    TimePoint closed_since;
     TimePoint next_try;
     std::optional<AttemptNumber> trial;
   };
@@ -165,7 +162,8 @@
   const ServiceSpec* SpecOf(const ServiceName& service) const;
   bool HasBackends(const ServiceName& service) const;
   void Eject(Backend& backend, TimePoint now);
-  Duration ExpectedWait(const ServiceName& service, int ahead, TimePoint now);
+  Duration ExpectedWait(const ServiceName& service, int ahead,
+                        TimePoint now) const;
   Decision Send(const Query& query, Backend& backend, TimePoint now);
   static Decision Refuse(const Query& query, Reason reason, Duration wait);
 
@@ -175,7 +173,6 @@
   std::unordered_map<InstanceId, Backend> backends_;
   std::map<ServiceName, std::vector<InstanceId>> by_service_;
   std::map<ServiceName, ServiceSpec> services_;
-  std::map<ServiceName, Pace> paces_;
   std::map<ServiceName, GroupGate> gates_;
   std::vector<Waiting> waiting_;  // in the order of their turns
   std::map<AttemptNumber, Sent> sent_;
