--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -107,8 +107,7 @@
        .prompt_tokens = job_.fields.prompt_tokens.value_or(0),
        .give_up = has_begun_ ? deadline_ : GiveUpTime(),
        .tried = tried_,
-       .zones = job_.zones},
-      BootNow());
+       .zones = job_.zones});
   context_.request_decisions();
 }
 
--- a/src/net/http1_parser.cc
+++ b/src/net/http1_parser.cc
@@ -2,12 +2,31 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
+#include <cctype>
 #include <utility>
 
 namespace mangohold {
 namespace {
 
 constexpr int kSkipBody = 1;
+constexpr int kStop = -1;  // makes the parser fail
+
+bool IsTokenCharacter(unsigned char c) {
+  return std::isalnum(c) != 0 ||
+         std::string_view("!#$%&'*+-.^_`|~").find(static_cast<char>(c)) !=
+             std::string_view::npos;
+}
+
+// The library takes spaces in names and control characters in values, on which
+// peers disagree.
+bool IsSound(const HttpField& field) {
+  return !field.name.empty() &&
+         std::ranges::all_of(field.name, IsTokenCharacter) &&
+         std::ranges::none_of(field.value, [](unsigned char c) {
+           return std::iscntrl(c) != 0 && c != '\t';
+         });
+}
 
 }  // namespace
 
@@ -67,6 +86,14 @@
     State& state = Of(parser);
     state.head_done = true;
     Http1Head& head = state.head;
+    if (!std::ranges::all_of(head.fields, IsSound)) return kStop;
+    // Without "chunked" as its last coding a request's body has no end.
+    const bool has_coding =
+        !FieldValue(head.fields, "Transfer-Encoding").empty();
+    if (parser->type == HTTP_REQUEST && has_coding &&
+        (parser->flags & F_CHUNKED) == 0) {
+      return kStop;
+    }
     if (parser->type == HTTP_REQUEST) {
       head.method = http_method_str(static_cast<http_method>(parser->method));
     } else {
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -15,6 +15,8 @@
 // A refused caller is asked to come back between these times.
 constexpr Millis kLeastRetryAfter{100};
 constexpr Millis kMostRetryAfter{2'000};
+// The part of a caller's patience that a new request's expected wait may take.
+constexpr double kShareOfPatience = 0.75;
 // Service time of a backend server that has served nothing yet.
 constexpr double kUnknownServiceSeconds = 1.0;
 // Time after which a service without any backend server may have one again.
@@ -63,11 +65,11 @@
 }
 
 // The queue is kept in the order of turns: by urgency, then by arrival.
-void Dispatcher::Submit(Query query, TimePoint now) {
+void Dispatcher::Submit(Query query) {
   const auto place = std::ranges::upper_bound(
       waiting_, query.priority, {},
       [](const Waiting& waiting) { return waiting.query.priority; });
-  waiting_.insert(place, {.query = std::move(query), .since = now});
+  waiting_.insert(place, {.query = std::move(query)});
 }
 
 void Dispatcher::Withdraw(AttemptNumber number) {
@@ -95,10 +97,11 @@
         decisions.push_back(Refuse(query, Reason::kNoBackend, wait));
         continue;
       }
-    } else if (now + wait > query.give_up) {
+    } else if (!HasHope(waiting, wait, now)) {
       decisions.push_back(Refuse(query, Reason::kDeadlineUnreachable, wait));
       continue;
     }
+    waiting.is_new = false;
     ++ahead[query.service];
     still.push_back(std::move(waiting));
   }
@@ -106,6 +109,14 @@
   return decisions;
 }
 
+// A request joins the queue only with time to spare, so that few of those that
+// wait are refused later on.
+bool Dispatcher::HasHope(const Waiting& waiting, Duration wait, TimePoint now) {
+  const double expected = ToSeconds(wait);
+  const double left = ToSeconds(waiting.query.give_up - now);
+  return expected <= left * (waiting.is_new ? kShareOfPatience : 1.0);
+}
+
 Dispatcher::Backend* Dispatcher::Choose(const Query& query, TimePoint now) {
   const auto group = by_service_.find(query.service);
   if (group == by_service_.end()) return nullptr;
@@ -245,13 +256,16 @@
   if (group == by_service_.end()) return kUnknownWait;
   double slots = 0;
   double seconds = 0;
+  int known = 0;
   for (const InstanceId& id : group->second) {
     const Backend& backend = backends_.at(id);
     slots += backend.record.slots;
-    seconds = std::max(seconds, backend.service_seconds);
+    seconds += backend.service_seconds;
+    known += backend.service_seconds > 0 ? 1 : 0;
   }
   const double share = std::max(1.0, slots / entries_);
-  const double turn = (seconds > 0 ? seconds : kUnknownServiceSeconds) / share;
+  const double turn =
+      (known > 0 ? seconds / known : kUnknownServiceSeconds) / share;
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(turn * (ahead + 1)));
 }
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -96,7 +96,7 @@
   void OnPeerShares(const InstanceId& peer,
                     const std::vector<BackendShare>& shares, TimePoint now);
 
-  void Submit(Query query, TimePoint now);
+  void Submit(Query query);
   // Forgets an attempt that still waits.
   void Withdraw(AttemptNumber number);
   // The attempts to send or to refuse now.
@@ -139,7 +139,7 @@
   };
   struct Waiting {
     Query query;
-    TimePoint since;
+    bool is_new = true;  // not yet judged
   };
   // All ranks of a group refuse work while it isn't open. One request at a time
   // tries whether it is open again, the others wait.
@@ -162,6 +162,7 @@
   const ServiceSpec* SpecOf(const ServiceName& service) const;
   bool HasBackends(const ServiceName& service) const;
   void Eject(Backend& backend, TimePoint now);
+  static bool HasHope(const Waiting& waiting, Duration wait, TimePoint now);
   Duration ExpectedWait(const ServiceName& service, int ahead,
                         TimePoint now) const;
   Decision Send(const Query& query, Backend& backend, TimePoint now);
--- /dev/null
+++ b/tests/unit/dispatcher_test.cc
@@ -0,0 +1,328 @@
+// Each test names the load pattern that it puts on the dispatcher.
+#include "routing/dispatcher.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "core/random.h"
+
+namespace mangohold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ServiceName kModel("model");
+const ServiceName kDesk("desk");
+constexpr int kRanks = 4;
+constexpr int kSlots = 3;
+
+InstanceId Rank(int index) { return InstanceId("r" + std::to_string(index)); }
+
+// One entry before a group of ranks and two plain backend servers.
+class DispatcherTest : public testing::Test {
+ protected:
+  DispatcherTest() : dispatcher_({.zone = ZoneName("north"), .seed = 7}) {
+    for (int i = 0; i < kRanks; ++i) {
+      backends_.push_back({.id = Rank(i),
+                           .service = kModel,
+                           .zone = ZoneName(i % 2 == 0 ? "north" : "south"),
+                           .slots = kSlots});
+    }
+    for (const char* id : {"d0", "d1"}) {
+      backends_.push_back({.id = InstanceId(id),
+                           .service = kDesk,
+                           .zone = ZoneName("north"),
+                           .slots = 2});
+    }
+    dispatcher_.SetServices(
+        {{.name = kModel,
+          .max_connections = 30,
+          .engine =
+              EngineFigures{.usual_prompt_tokens = 800, .expert_sets = 3}},
+         {.name = kDesk, .cold_per_s = 0}});
+    dispatcher_.SetBackends(backends_, now_);
+  }
+
+  AttemptNumber Submit(const ServiceName& service, int priority = 1,
+                       milliseconds patience = seconds(2), int tokens = 800) {
+    last_ = last_.Next();
+    dispatcher_.Submit({.number = last_,
+                        .service = service,
+                        .priority = priority,
+                        .prompt_tokens = tokens,
+                        .give_up = now_ + patience});
+    return last_;
+  }
+
+  // The decisions that are due, by attempt.
+  std::map<AttemptNumber, Dispatcher::Decision> Decide() {
+    std::map<AttemptNumber, Dispatcher::Decision> decisions;
+    for (auto& decision : dispatcher_.Decide(now_)) {
+      decisions[decision.number] = decision;
+    }
+    return decisions;
+  }
+
+  InstanceId SendOne(const ServiceName& service) {
+    const AttemptNumber number = Submit(service);
+    const auto decisions = Decide();
+    const auto& backend = decisions.at(number).backend;
+    return backend ? backend->id : InstanceId();
+  }
+
+  std::vector<AttemptNumber> FillGroup() {
+    std::vector<AttemptNumber> numbers;
+    for (int i = 0; i < kRanks * kSlots; ++i) numbers.push_back(Submit(kModel));
+    Decide();
+    return numbers;
+  }
+
+  Dispatcher dispatcher_;
+  std::vector<BackendRecord> backends_;
+  AttemptNumber last_;
+  TimePoint now_ = TimePoint() + seconds(100);
+};
+
+TEST_F(DispatcherTest, BurstOfAllFillsEveryRankEvenlyAndNoneBeyondItsSlots) {
+  std::map<InstanceId, int> sent;
+  for (int i = 0; i < 3 * kRanks * kSlots; ++i) Submit(kModel);
+  for (const auto& [number, decision] : Decide()) {
+    if (decision.backend) ++sent[decision.backend->id];
+  }
+  ASSERT_EQ(sent.size(), kRanks);
+  for (const auto& [id, count] : sent) EXPECT_EQ(count, kSlots);
+}
+
+TEST_F(DispatcherTest, BurstBeyondHopeIsRefusedAtOnceWithATimeToComeBack) {
+  FillGroup();
+  int refused = 0;
+  for (int i = 0; i < 100; ++i) Submit(kModel, 1, seconds(1));
+  for (const auto& [number, decision] : Decide()) {
+    ASSERT_FALSE(decision.backend);
+    EXPECT_EQ(decision.reason, Reason::kDeadlineUnreachable);
+    EXPECT_GE(decision.retry_after, milliseconds(100));
+    ++refused;
+  }
+  // The part of the queue whose turn comes in time stays.
+  EXPECT_EQ(refused + static_cast<int>(dispatcher_.waiting()), 100);
+  EXPECT_GT(refused, 70);
+  EXPECT_GT(dispatcher_.waiting(), 4U);
+}
+
+TEST_F(DispatcherTest, BurstOfOneKindLetsMoreUrgentWorkGoFirst) {
+  const auto running = FillGroup();
+  const AttemptNumber plain = Submit(kModel, 3);
+  const AttemptNumber urgent = Submit(kModel, 0);
+  Decide();
+  dispatcher_.OnEnded(running.front(), Dispatcher::Result::kServed, now_);
+  const auto decisions = Decide();
+  EXPECT_TRUE(decisions.contains(urgent));
+  EXPECT_FALSE(decisions.contains(plain));
+}
+
+TEST_F(DispatcherTest, BurstAtOneServiceDoesNotHoldUpAnother) {
+  FillGroup();
+  Submit(kModel, 0);
+  const AttemptNumber desk = Submit(kDesk, 5);
+  EXPECT_TRUE(Decide().at(desk).backend);
+}
+
+TEST_F(DispatcherTest, LargePromptsGoToDifferentRanks) {
+  std::set<InstanceId> used;
+  for (int i = 0; i < kRanks; ++i) {
+    const AttemptNumber number = Submit(kModel, 1, seconds(2), 4'000);
+    used.insert(Decide().at(number).backend->id);
+  }
+  EXPECT_EQ(used.size(), kRanks);
+}
+
+TEST_F(DispatcherTest, WorkThatPeersToldOfCounts) {
+  std::vector<BackendShare> shares;
+  for (int i = 1; i < kRanks; ++i) {
+    shares.push_back({.backend = Rank(i), .requests = kSlots});
+  }
+  dispatcher_.OnPeerShares(InstanceId("peer"), shares, now_);
+  for (int i = 0; i < kSlots; ++i) EXPECT_EQ(SendOne(kModel), Rank(0));
+  Submit(kModel);
+  EXPECT_TRUE(Decide().empty());
+  // What a peer told is forgotten once it has been silent.
+  now_ += seconds(2) - milliseconds(1);
+  EXPECT_EQ(Decide().size(), 1U);
+}
+
+TEST_F(DispatcherTest, LeaversMakeRoom) {
+  const auto running = FillGroup();
+  const AttemptNumber waiting = Submit(kModel);
+  const AttemptNumber gone = Submit(kModel);
+  Decide();
+  dispatcher_.Withdraw(gone);
+  dispatcher_.OnEnded(running[0], Dispatcher::Result::kCancelled, now_);
+  dispatcher_.OnEnded(running[1], Dispatcher::Result::kCancelled, now_);
+  const auto decisions = Decide();
+  EXPECT_EQ(decisions.size(), 1U);
+  EXPECT_TRUE(decisions.at(waiting).backend);
+}
+
+TEST_F(DispatcherTest, SlowBackendServerGetsTheSmallerPart) {
+  std::map<InstanceId, int> sent;
+  for (int i = 0; i < 200; ++i) {
+    const AttemptNumber number = Submit(kDesk);
+    const auto backend = Decide().at(number).backend;
+    ASSERT_TRUE(backend);
+    ++sent[backend->id];
+    now_ += milliseconds(backend->id == InstanceId("d0") ? 300 : 30);
+    dispatcher_.OnEnded(number, Dispatcher::Result::kServed, now_);
+  }
+  EXPECT_LT(sent[InstanceId("d0")], 10);
+}
+
+TEST_F(DispatcherTest, GreyBackendServerIsAvoidedAndTriedAgain) {
+  std::map<InstanceId, int> sent;
+  for (int i = 0; i < 200; ++i) {
+    const AttemptNumber number = Submit(kDesk);
+    const auto backend = Decide().at(number).backend;
+    ASSERT_TRUE(backend);
+    ++sent[backend->id];
+    now_ += milliseconds(30);
+    const bool is_grey = backend->id == InstanceId("d0");
+    dispatcher_.OnEnded(
+        number,
+        is_grey ? Dispatcher::Result::kFailed : Dispatcher::Result::kServed,
+        now_);
+  }
+  EXPECT_LT(sent[InstanceId("d0")], 20);
+  EXPECT_GT(sent[InstanceId("d0")], 0);
+}
+
+TEST_F(DispatcherTest, HalfOfTheBackendServersGoneStillServesTheRest) {
+  const InstanceId first = SendOne(kDesk);
+  dispatcher_.OnEnded(last_, Dispatcher::Result::kUnreachable, now_);
+  const InstanceId second = SendOne(kDesk);
+  EXPECT_NE(first, second);
+  dispatcher_.OnEnded(last_, Dispatcher::Result::kUnreachable, now_);
+  // Never are more passed over than the load can spare.
+  EXPECT_FALSE(SendOne(kDesk).empty());
+}
+
+TEST_F(DispatcherTest, ClosedGroupIsTriedByOneRequestAtATime) {
+  std::vector<AttemptNumber> numbers;
+  for (int i = 0; i < 5; ++i) numbers.push_back(Submit(kModel));
+  Decide();
+  dispatcher_.OnEnded(numbers[0], Dispatcher::Result::kRejected, now_);
+  for (int i = 0; i < 5; ++i) Submit(kModel);
+  EXPECT_TRUE(Decide().empty());
+  now_ += milliseconds(130);
+  const auto trial = Decide();
+  ASSERT_EQ(trial.size(), 1U);
+  now_ += milliseconds(130);
+  EXPECT_TRUE(Decide().empty());
+  dispatcher_.OnAnswerBegun(trial.begin()->first, now_);
+  EXPECT_EQ(Decide().size(), 4U);
+}
+
+TEST_F(DispatcherTest, GroupClosedForLongRefusesInTime) {
+  const AttemptNumber first = Submit(kModel);
+  Decide();
+  dispatcher_.OnEnded(first, Dispatcher::Result::kRejected, now_);
+  const AttemptNumber early = Submit(kModel, 1, seconds(2));
+  EXPECT_FALSE(Decide().contains(early));
+  now_ += milliseconds(1'100);
+  Decide();  // one more trial
+  const auto decisions = Decide();
+  const bool is_refused_or_tried =
+      !decisions.contains(early) || !decisions.at(early).backend;
+  EXPECT_TRUE(is_refused_or_tried);
+  const AttemptNumber late = Submit(kModel, 1, seconds(1));
+  EXPECT_EQ(Decide().at(late).reason, Reason::kDeadlineUnreachable);
+}
+
+TEST_F(DispatcherTest, ColdReturnOfAZoneIsSharedByAllEntries) {
+  constexpr int kEntries = 6;
+  constexpr double kColdPerS = 38;
+  constexpr double kOverrun = 1.5;
+  constexpr double kSlack = 5;
+  int all = 0;
+  for (int entry = 0; entry < kEntries; ++entry) {
+    Dispatcher dispatcher({.cold_overrun = kOverrun, .cold_slack = kSlack});
+    dispatcher.SetServices({{.name = kDesk, .cold_per_s = kColdPerS}});
+    dispatcher.SetBackends(
+        {{.id = InstanceId("cold"), .service = kDesk, .slots = 1'000}}, now_);
+    dispatcher.SetEntries(kEntries);
+    for (int i = 0; i < 100; ++i) {
+      dispatcher.Submit({.number = AttemptNumber(i + 1),
+                         .service = kDesk,
+                         .give_up = now_ + seconds(60)});
+    }
+    for (const auto& decision : dispatcher.Decide(now_)) {
+      if (decision.backend) ++all;
+    }
+  }
+  EXPECT_LE(all, kColdPerS * kOverrun + kSlack);
+  EXPECT_GE(all, kColdPerS);
+}
+
+TEST_F(DispatcherTest, NothingGoesToABackendServerThatLeft) {
+  backends_.erase(backends_.begin());
+  dispatcher_.SetBackends(backends_, now_);
+  for (int i = 0; i < (kRanks - 1) * kSlots; ++i) {
+    EXPECT_NE(SendOne(kModel), Rank(0));
+  }
+}
+
+TEST_F(DispatcherTest, AnAddressTakenByAnotherIsPassedOverUntilListedAnew) {
+  const InstanceId first = SendOne(kDesk);
+  dispatcher_.OnEnded(last_, Dispatcher::Result::kGone, now_);
+  for (int i = 0; i < 2; ++i) EXPECT_NE(SendOne(kDesk), first);
+}
+
+TEST_F(DispatcherTest, RegionsOfARouteBindItsWork) {
+  last_ = last_.Next();
+  dispatcher_.Submit({.number = last_,
+                      .service = kDesk,
+                      .give_up = now_ + seconds(1),
+                      .zones = {ZoneName("south")}});
+  EXPECT_TRUE(Decide().empty());
+}
+
+// The queue of a full group at a steady rate: nobody waits beyond the time that
+// the caller has, and whoever is refused is refused before half of it is over.
+TEST_F(DispatcherTest, OverloadRefusesEarlyAndServesTheRestInTime) {
+  Random random(3);
+  std::multimap<TimePoint, AttemptNumber> ends;
+  std::map<AttemptNumber, TimePoint> since;
+  int served = 0;
+  int refused = 0;
+  const auto finish = [&] {
+    while (!ends.empty() && ends.begin()->first <= now_) {
+      dispatcher_.OnEnded(ends.begin()->second, Dispatcher::Result::kServed,
+                          now_);
+      ends.erase(ends.begin());
+    }
+  };
+  for (int step = 0; step < 2'000; ++step) {
+    now_ += milliseconds(10);
+    finish();
+    if (random.Below(100) < 30) since[Submit(kModel)] = now_;
+    for (const auto& [number, decision] : Decide()) {
+      const Duration waited = now_ - since[number];
+      if (decision.backend) {
+        ++served;
+        EXPECT_LE(waited, seconds(2));
+        ends.emplace(now_ + milliseconds(400 + random.Below(400)), number);
+      } else {
+        ++refused;
+        EXPECT_LE(waited, seconds(1));
+      }
+    }
+  }
+  // 12 slots of 0.6 s bear 20 requests a second; 30 come.
+  EXPECT_GT(served, 370);
+  EXPECT_GT(refused, 100);
+}
+
+}  // namespace
+}  // namespace mangohold
--- /dev/null
+++ b/tests/unit/even_placement_test.cc
@@ -0,0 +1,104 @@
+#include "group/even_placement.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+#include "core/random.h"
+#include "group/expert_demand.h"
+
+namespace mangohold {
+namespace {
+
+constexpr int kRanks = 12;
+constexpr int kExperts = 96;
+constexpr EvenPlacementOptions kOptions = {.places = 11, .spare_places = 4};
+
+// Popularity that falls off as a power of the rank, in random order.
+std::vector<double> SkewedDemand(Random& random) {
+  std::vector<double> demand;
+  for (int expert = 0; expert < kExperts; ++expert) {
+    demand.push_back(1'000.0 / std::pow(expert + 1, 1.3));
+  }
+  for (int i = kExperts - 1; i > 0; --i) {
+    std::swap(demand[i], demand[random.Below(i + 1)]);
+  }
+  return demand;
+}
+
+void ExpectSound(const SetMap& before, const SetMap& after) {
+  std::set<int> held;
+  for (std::size_t rank = 0; rank < after.size(); ++rank) {
+    const std::set<int> experts(after[rank].begin(), after[rank].end());
+    EXPECT_EQ(experts.size(), after[rank].size()) << "an expert twice";
+    EXPECT_LE(std::ssize(after[rank]), kOptions.places);
+    const auto fresh = std::ranges::count_if(experts, [&](int expert) {
+      return std::ranges::find(before[rank], expert) == before[rank].end();
+    });
+    EXPECT_LE(fresh, kOptions.spare_places);
+    EXPECT_LE(fresh, kOptions.most_copies);
+    held.insert(experts.begin(), experts.end());
+  }
+  EXPECT_EQ(std::ssize(held), kExperts) << "an expert on no rank";
+}
+
+TEST(EvenPlacement, PlansAreSoundAndNearlyEvenAfterThreeSteps) {
+  constexpr int kSeeds = 30;
+  const SetMap dealt = DealtInTurn(kRanks, kExperts);
+  double sum = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Random random(seed);
+    const std::vector<double> demand = SkewedDemand(random);
+    SetMap map = dealt;
+    for (int step = 0; step < 3; ++step) {
+      std::vector<int> copies(kRanks);
+      const SetMap next = PlanEvenly(map, demand, kOptions, copies);
+      ExpectSound(map, next);
+      EXPECT_LE(SkewOf(next, demand), SkewOf(map, demand));
+      map = next;
+    }
+    EXPECT_LE(SkewOf(map, demand), SkewOf(dealt, demand) / 2)
+        << "seed " << seed;
+    sum += SkewOf(map, demand);
+  }
+  EXPECT_LE(sum / kSeeds, 1.3);
+}
+
+TEST(EvenPlacement, LeavesAnEvenMapAlone) {
+  const GroupMap map = {DealtInTurn(kRanks, kExperts)};
+  const ExpertDemand demand = {std::vector<double>(kExperts, 5.0)};
+  EXPECT_EQ(CountCopies(map, PlanEvenly(map, demand, kOptions)), 0);
+  EXPECT_DOUBLE_EQ(SkewOf(map, demand), 1.0);
+}
+
+TEST(EvenPlacement, SharesAnExpertsTokensEvenly) {
+  const SetMap map = {{0, 1}, {0}, {2}};
+  EXPECT_EQ(RankLoads(map, {6, 1, 2}), (std::vector<double>{4, 3, 2}));
+}
+
+TEST(DemandEstimate, ForgetsWhatWasBeforeASuddenShift) {
+  const GroupMap map = {{{0, 1}, {2, 3}}};
+  DemandEstimate estimate;
+  for (int period = 0; period < 4; ++period) {
+    estimate.Add({100, 100, 100, 100}, 4);
+    estimate.EndPeriod(&map);
+  }
+  estimate.Add({400, 0, 0, 0}, 4);
+  estimate.EndPeriod(&map);
+  EXPECT_EQ(estimate.demand()[0], (std::vector<double>{400, 0, 0, 0}));
+}
+
+TEST(DemandEstimate, SmoothsNoise) {
+  const GroupMap map = {{{0, 1}, {2, 3}}};
+  DemandEstimate estimate;
+  estimate.Add({100, 100, 100, 100}, 4);
+  estimate.EndPeriod(&map);
+  estimate.Add({120, 100, 80, 100}, 4);
+  estimate.EndPeriod(&map);
+  EXPECT_EQ(estimate.demand()[0], (std::vector<double>{180, 160, 140, 160}));
+}
+
+}  // namespace
+}  // namespace mangohold
--- /dev/null
+++ b/tests/unit/event_splitter_test.cc
@@ -0,0 +1,58 @@
+#include "routing/event_splitter.h"
+
+#include <gtest/gtest.h>
+
+namespace mangohold {
+namespace {
+
+std::string EventText(int id) {
+  const std::string number = std::to_string(id);
+  return "id: " + number + "\ndata: piece " + number + "\n\n";
+}
+
+TEST(EventSplitter, PassesWholeEventsInPiecesOfAnySize) {
+  const std::string text = EventText(1) + EventText(2) + EventText(3);
+  for (std::size_t step = 1; step < text.size(); ++step) {
+    EventSplitter splitter("");
+    std::string out;
+    for (std::size_t at = 0; at < text.size(); at += step) {
+      out += splitter.Feed(std::string_view(text).substr(at, step));
+    }
+    EXPECT_EQ(out + splitter.Finish(), text);
+    EXPECT_EQ(splitter.last_id(), "3");
+  }
+}
+
+// A run that breaks off inside an event goes on elsewhere without a piece lost
+// or doubled.
+TEST(EventSplitter, JoinsTwoRunsAtAnyPlaceOfTheBreak) {
+  std::string whole;
+  for (int id = 1; id <= 6; ++id) whole += EventText(id);
+  for (std::size_t cut = 0; cut <= whole.size(); ++cut) {
+    EventSplitter splitter("");
+    std::string out = splitter.Feed(std::string_view(whole).substr(0, cut));
+    splitter.DropPartial();
+    const int last =
+        splitter.last_id().empty() ? 0 : std::stoi(splitter.last_id());
+    for (int id = last + 1; id <= 6; ++id) out += splitter.Feed(EventText(id));
+    EXPECT_EQ(out + splitter.Finish(), whole) << "cut at " << cut;
+  }
+}
+
+TEST(EventSplitter, LeavesOutEventsThatTheCallerHas) {
+  EventSplitter splitter("2");
+  std::string out;
+  for (int id = 1; id <= 3; ++id) out += splitter.Feed(EventText(id));
+  EXPECT_EQ(out, EventText(3));
+}
+
+TEST(EventSplitter, TakesCarriageReturnsAndEventsWithoutId) {
+  EventSplitter splitter("");
+  const std::string text = "data: a\r\n\r\nid:7\r\ndata: b\r\n\r\n";
+  EXPECT_EQ(splitter.Feed(text), text);
+  EXPECT_EQ(splitter.last_id(), "7");
+  EXPECT_EQ(splitter.events(), 2);
+}
+
+}  // namespace
+}  // namespace mangohold
--- /dev/null
+++ b/tests/unit/fleet_builder_test.cc
@@ -0,0 +1,208 @@
+#include "store/fleet_builder.h"
+
+#include <gtest/gtest.h>
+
+#include "platform/schema.h"
+#include "store/store_replica.h"
+
+namespace mangohold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kDeployment[] = R"({"version":%d,"routes":[{"name":"r",
+  "host":"h","prefix":"/p/","route_type":"streaming","timeout_ms":8000,
+  "target_latency_ms":400,"priority":1,"max_attempts":2,"anonymous":false,
+  "sticky":true,"stream_resume":true,"target_gap_ms":120,
+  "traffic_split":[{"service":"s","weight":9},{"service":"t","weight":1}]}],
+  "services":[{"name":"s","health_path":"/h","max_connections":40,
+  "cold_start_s":3.0,"cold_per_s":38.0}],
+  "limits":{"max_header_bytes":100,"max_body_bytes":200,
+  "header_timeout_ms":300,"idle_timeout_ms":400},
+  "tenants":[{"name":"w","api_keys":["k"],"priority":2}]})";
+
+std::string DeploymentText(int version) {
+  std::string text(sizeof(kDeployment) + 8, '\0');
+  text.resize(static_cast<std::size_t>(
+      std::snprintf(text.data(), text.size(), kDeployment, version)));
+  return text;
+}
+
+std::string BackendText(const std::string& address, const char* state,
+                        const char* zone = "north") {
+  return R"({"service":"s","address":")" + address + R"(","zone":")" + zone +
+         R"(","version":"v1","slots":12,"state":")" + state +
+         R"(","cold_remaining_ms":0,"sequence":4})";
+}
+
+class FleetBuilderTest : public testing::Test {
+ protected:
+  // Writes a key into the store and lets the builder see it.
+  void Write(const std::string& key, const std::string& value) {
+    revision_ = revision_.Next();
+    const auto known = created_.try_emplace(key, revision_).first;
+    Apply({{.item = {.key = key,
+                     .value = value,
+                     .revision = revision_,
+                     .created = known->second}}});
+  }
+  void Remove(const std::string& key) {
+    revision_ = revision_.Next();
+    created_.erase(key);
+    Apply({{.item = {.key = key, .revision = revision_}, .is_deleted = true}});
+  }
+  void Apply(std::vector<StoreEvent> events) {
+    const auto keys =
+        replica_.OnEvents({.events = std::move(events), .at = revision_});
+    builder_.OnChanged(keys, replica_, contact_, now_);
+  }
+  std::size_t Backends() const { return builder_.View()->backends.size(); }
+
+  StoreReplica replica_;
+  FleetBuilder builder_{platform::Schema(), {}};
+  Revision revision_;
+  std::map<std::string, Revision> created_;
+  TimePoint now_ = TimePoint() + seconds(100);
+  FleetBuilder::Contact contact_ = {.is_answering = true};
+};
+
+TEST_F(FleetBuilderTest, DecodesADeployment) {
+  Write("op/config", DeploymentText(7));
+  const Deployment& deployment = builder_.View()->routes->deployment();
+  const Route& route = deployment.routes.at(0);
+  EXPECT_EQ(deployment.version, DeploymentVersion(7));
+  EXPECT_EQ(route.kind, RouteKind::kStream);
+  EXPECT_TRUE(route.IsRepeatable());
+  EXPECT_EQ(route.shares.at(1).service, ServiceName("t"));
+  EXPECT_EQ(route.target_gap, Millis(120));
+  EXPECT_EQ(deployment.services.at(0).cold_start, Millis(3'000));
+  EXPECT_EQ(deployment.limits.idle_timeout, Millis(400));
+  EXPECT_EQ(deployment.workspaces.at(0).priority, 2);
+}
+
+TEST_F(FleetBuilderTest, NeverGoesBackToAnOlderDeployment) {
+  Write("op/config", DeploymentText(7));
+  Write("op/config", DeploymentText(5));
+  Write("op/config", "not json");
+  Remove("op/config");
+  EXPECT_EQ(builder_.View()->routes->deployment().version,
+            DeploymentVersion(7));
+}
+
+TEST_F(FleetBuilderTest, EntriesOfOtherWritersNameNoBackendServer) {
+  Write("servers/good", BackendText("a:1", "ready"));
+  for (const char* value :
+       {"", "{}", "[1]", "\xff\xfe", R"({"service":3,"address":"a:2"})"}) {
+    Write("servers/bad", value);
+    EXPECT_EQ(Backends(), 1U) << value;
+  }
+  Write("servers/odd", BackendText("a:3", "sleeping"));
+  EXPECT_EQ(Backends(), 1U);
+  // One that turns unreadable names none any more either.
+  Write("servers/good", "{");
+  EXPECT_EQ(Backends(), 0U);
+}
+
+TEST_F(FleetBuilderTest, DrainingAndEmptiedZonesGetNoNewWork) {
+  Write("servers/a", BackendText("a:1", "ready"));
+  Write("servers/b", BackendText("b:1", "ready", "south"));
+  Write("servers/a", BackendText("a:1", "draining"));
+  EXPECT_EQ(Backends(), 1U);
+  Write("op/evacuate/south", "{}");
+  EXPECT_EQ(Backends(), 0U);
+  Remove("op/evacuate/south");
+  EXPECT_EQ(Backends(), 1U);
+}
+
+TEST_F(FleetBuilderTest, AnEntryThatVanishesInCalmIsGoneAtOnce) {
+  Write("servers/a", BackendText("a:1", "ready"));
+  Remove("servers/a");
+  EXPECT_EQ(Backends(), 0U);
+}
+
+TEST_F(FleetBuilderTest, EntriesThatLapsedWithTheStoreAwayAreKeptForAWhile) {
+  Write("servers/a", BackendText("a:1", "ready"));
+  Write("servers/b", BackendText("b:1", "ready"));
+  contact_ = {.is_answering = true, .answering_since = now_};
+  Remove("servers/a");
+  Remove("servers/b");
+  EXPECT_EQ(Backends(), 2U);
+  now_ += milliseconds(1'500);
+  Write("servers/a", BackendText("a:1", "ready"));
+  EXPECT_FALSE(builder_.OnTime(contact_, now_));
+  now_ += seconds(1);
+  EXPECT_TRUE(builder_.OnTime(contact_, now_));
+  ASSERT_EQ(Backends(), 1U);
+  EXPECT_EQ(builder_.View()->backends[0].id, InstanceId("a"));
+}
+
+TEST_F(FleetBuilderTest, TheNewestEntryOfAnAddressCounts) {
+  Write("servers/old", BackendText("a:1", "ready"));
+  Write("servers/new", BackendText("a:1", "ready"));
+  // A heartbeat of the old one, still on its way, doesn't make it newer.
+  Write("servers/old", BackendText("a:1", "ready"));
+  ASSERT_EQ(Backends(), 1U);
+  EXPECT_EQ(builder_.View()->backends[0].id, InstanceId("new"));
+}
+
+TEST_F(FleetBuilderTest, ADeploymentFromAPeerIsTakenIfItIsNewer) {
+  Write("op/config", DeploymentText(7));
+  EXPECT_TRUE(builder_.TakeDeployment({.key = "op/config",
+                                       .value = DeploymentText(9),
+                                       .revision = Revision(50)}));
+  EXPECT_FALSE(builder_.TakeDeployment({.key = "op/config",
+                                        .value = DeploymentText(8),
+                                        .revision = Revision(40)}));
+  EXPECT_EQ(builder_.View()->deployment_revision, Revision(50));
+}
+
+TEST(StoreReplica, ChangesMadeWhilePagesAreReadAreNotLost) {
+  StoreReplica replica;
+  const auto item = [](const char* key, std::uint64_t revision) {
+    return StoreItem{.key = key, .value = "v", .revision = Revision(revision)};
+  };
+  replica.BeginListing();
+  replica.OnPage({.items = {item("a", 1), item("b", 2)},
+                  .has_more = true,
+                  .at = Revision(5)});
+  // In between, a is deleted at 6 and c written at 7.
+  replica.OnPage({.items = {item("c", 7)}, .at = Revision(7)});
+  EXPECT_EQ(replica.at(), Revision(5));
+  replica.OnEvents({.events = {{.item = {.key = "a", .revision = Revision(6)},
+                                .is_deleted = true},
+                               {.item = item("c", 7)}},
+                    .at = Revision(7)});
+  EXPECT_EQ(replica.Find("a"), nullptr);
+  EXPECT_NE(replica.Find("c"), nullptr);
+  EXPECT_EQ(replica.at(), Revision(7));
+}
+
+TEST(StoreReplica, AnOlderEventChangesNothing) {
+  StoreReplica replica;
+  replica.OnEvents({.events = {{.item = {.key = "a",
+                                         .value = "new",
+                                         .revision = Revision(9)}}},
+                    .at = Revision(9)});
+  const auto changed =
+      replica.OnEvents({.events = {{.item = {.key = "a",
+                                             .value = "old",
+                                             .revision = Revision(4)}}},
+                        .at = Revision(9)});
+  EXPECT_TRUE(changed.empty());
+  EXPECT_EQ(replica.Find("a")->value, "new");
+}
+
+TEST(StoreReplica, AListingTellsWhatVanishedMeanwhile) {
+  StoreReplica replica;
+  replica.OnEvents({.events = {{.item = {.key = "a", .revision = Revision(1)}}},
+                    .at = Revision(1)});
+  replica.BeginListing();
+  EXPECT_NE(replica.Find("a"), nullptr);
+  const auto changed = replica.OnPage({.items = {}, .at = Revision(3)});
+  EXPECT_EQ(changed, std::vector<std::string>{"a"});
+  EXPECT_EQ(replica.Find("a"), nullptr);
+}
+
+}  // namespace
+}  // namespace mangohold
