Test an entry of the direct way as a process among faulty neighbours

Two faults showed, red first: the limit on a request's head was judged before the head's bytes were counted, so that no head was ever too large; and a second Host field was passed on.

--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -11,6 +11,6 @@
 run() {
   local name=$1
   shift
-  "$@" 2>"$logs/$name.log" &
+  "$@" >"$logs/$name.log" 2>&1 &
   pids+=($!)
 }
--- a/src/caller/caller_connection.cc
+++ b/src/caller/caller_connection.cc
@@ -75,8 +75,7 @@
   const CallerLimits& limits = host_.limits();
   if (parser_.has_failed()) {
     refusal_ = kBadRequest;
-  } else if (!parser_.has_head() &&
-             parser_.head_bytes() > limits.max_header_bytes) {
+  } else if (parser_.head_bytes() > limits.max_header_bytes) {
     refusal_ = kFieldsTooLarge;
   }
   return refusal_ != 0;
@@ -88,9 +87,6 @@
   message_.fields = std::move(head.fields);
   message_.body.clear();
   keeps_alive_ = head.keeps_alive;
-  if (parser_.head_bytes() > host_.limits().max_header_bytes) {
-    refusal_ = kFieldsTooLarge;
-  }
   if (HasToken(FieldValue(message_.fields, "Expect"), "100-continue")) {
     Send("HTTP/1.1 100 Continue\r\n\r\n");
   }
--- a/src/net/http1_parser.cc
+++ b/src/net/http1_parser.cc
@@ -6,6 +6,8 @@
 #include <cctype>
 #include <utility>
 
+#include "net/field_rules.h"
+
 namespace mangohold {
 namespace {
 
@@ -28,6 +30,10 @@
          });
 }
 
+bool IsHost(const HttpField& field) {
+  return EqualsIgnoringCase(field.name, "Host");
+}
+
 }  // namespace
 
 struct Http1Parser::State {
@@ -87,6 +93,7 @@
     state.head_done = true;
     Http1Head& head = state.head;
     if (!std::ranges::all_of(head.fields, IsSound)) return kStop;
+    if (std::ranges::count_if(head.fields, IsHost) > 1) return kStop;
     // Without "chunked" as its last coding a request's body has no end.
     const bool has_coding =
         !FieldValue(head.fields, "Transfer-Encoding").empty();
@@ -137,6 +144,7 @@
   bool HasFoldedLine(std::string_view data) {
     for (const char c : data) {
       if (scanned_head) return false;
+      ++head_size;
       if (c == '\n') {
         scanned_head = !is_first_line && line_size == 0;
         line_size = 0;
@@ -180,7 +188,6 @@
   }
   const std::size_t used = http_parser_execute(
       &state.parser, &State::Settings(), data.data(), data.size());
-  if (!state.head_done) state.head_size += used;
   const auto error = static_cast<http_errno>(state.parser.http_errno);
   if (error == HPE_PAUSED) {
     state.sink.OnMessageEnd();
--- /dev/null
+++ b/tests/direct_site.cc
@@ -0,0 +1,291 @@
+#include "direct_site.h"
+
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace mangohold::testing {
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr char kId[] = "X-Mangohold-Request-Id";
+
+std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: piece\n\n";
+}
+
+std::string Head(int status, const std::string& id, const std::string& fields) {
+  return "HTTP/1.1 " + std::to_string(status) + " Standin\r\n" + kId + ": " +
+         id + "\r\nX-Mangohold-Response-Signature: s." + id + "\r\n" + fields +
+         "\r\n";
+}
+
+std::string Whole(int status, const std::string& id, const std::string& body,
+                  const std::string& fields = "") {
+  return Head(status, id,
+              fields + "Content-Length: " + std::to_string(body.size()) +
+                  "\r\n") +
+         body;
+}
+
+}  // namespace
+
+BackendStandin::BackendStandin(const std::string& address, std::string id)
+    : address_(address), id_(std::move(id)) {
+  standin::Serve(io_, address,
+                 [this](HttpRequest request, standin::Connection& connection) {
+                   return Handle(std::move(request), connection);
+                 });
+  thread_ = std::thread([this] { io_.run(); });
+}
+
+BackendStandin::~BackendStandin() {
+  io_.stop();
+  thread_.join();
+}
+
+std::map<std::string, int> BackendStandin::runs() const {
+  const std::lock_guard lock(mutex_);
+  return runs_;
+}
+
+int BackendStandin::runs_in_all() const {
+  const std::lock_guard lock(mutex_);
+  int sum = 0;
+  for (const auto& [id, count] : runs_) sum += count;
+  return sum;
+}
+
+HttpRequest BackendStandin::last_request() const {
+  const std::lock_guard lock(mutex_);
+  return last_request_;
+}
+
+asio::awaitable<void> BackendStandin::Handle(HttpRequest request,
+                                             standin::Connection& connection) {
+  const std::string id(request.Field(kId));
+  const Manner manner = manner_;
+  {
+    const std::lock_guard lock(mutex_);
+    last_request_ = request;
+    if (manner != Manner::kReject && manner != Manner::kMisdirected) ++runs_[id];
+  }
+  const std::string body = id + ":" + request.body;
+  switch (manner) {
+    case Manner::kAnswer:
+      co_await connection.Send(Whole(200, id, body));
+      break;
+    case Manner::kStream:
+      co_await Stream(std::move(request), connection, false);
+      break;
+    case Manner::kBreakStream:
+      co_await Stream(std::move(request), connection, true);
+      break;
+    case Manner::kReject:
+      co_await connection.Send(
+          Whole(503, id, "", "X-Mangohold-Not-Executed: 1\r\n"));
+      break;
+    case Manner::kMisdirected:
+      co_await connection.Send(
+          Whole(421, id, "", "X-Mangohold-Instance-Id: other\r\n"));
+      break;
+    case Manner::kError:
+      co_await connection.Send(Whole(500, id, "error"));
+      break;
+    case Manner::kDropLate:
+      connection.Drop();
+      break;
+    case Manner::kCutAnswer:
+      co_await connection.Send(Head(200, id, "Content-Length: 100\r\n") + "ab");
+      connection.Drop();
+      break;
+    case Manner::kExtraAnswer:
+      co_await connection.Send(Whole(200, id, body));
+      co_await connection.Send(Whole(200, "somebody", "foreign"));
+      break;
+    case Manner::kEndless:
+      co_await connection.Send(Head(200, id, "Connection: close\r\n") + body);
+      connection.Finish();
+      break;
+    case Manner::kHang:
+      if (co_await connection.IsClosedWithin(milliseconds(20'000))) {
+        ++cancelled_;
+      }
+      break;
+  }
+}
+
+asio::awaitable<void> BackendStandin::Stream(HttpRequest request,
+                                             standin::Connection& connection,
+                                             bool breaks) {
+  constexpr int kEvents = 10;
+  constexpr int kBroken = 5;
+  const std::string id(request.Field(kId));
+  const std::string last(request.Field("Last-Event-Id"));
+  co_await connection.Send(Head(200, id,
+                                "Content-Type: text/event-stream\r\n"
+                                "Transfer-Encoding: chunked\r\n"));
+  for (int event = last.empty() ? 1 : std::stoi(last) + 1; event <= kEvents;
+       ++event) {
+    const std::string text = Event(event);
+    if (breaks && event == kBroken) {
+      co_await connection.Chunk(text.substr(0, text.size() / 2));
+      co_await standin::Sleep(milliseconds(30));
+      connection.Drop();
+      co_return;
+    }
+    co_await connection.Chunk(text);
+    if (co_await connection.IsClosedWithin(milliseconds(20))) {
+      ++cancelled_;
+      connection.Drop();
+      co_return;
+    }
+  }
+  co_await connection.EndChunks();
+}
+
+DirectSite::DirectSite(Options options) : options_(options) {
+  static std::atomic<int> sites = 0;
+  const int pid = getpid();
+  ++sites;
+  net_ = "127." + std::to_string(220 + pid / 250 % 30) + "." +
+         std::to_string(pid % 250) + ".";
+  directory_ = "/tmp/mangohold-direct-" + std::to_string(pid) + "-" +
+               std::to_string(sites);
+  std::filesystem::create_directories(directory_);
+  store_ = std::make_unique<standin::KvStore>(Ip(1) + ":7000");
+  for (int i = 0; i < options_.backends; ++i) {
+    backends_.push_back(std::make_unique<BackendStandin>(
+        Ip(100 + i) + ":9000", "i-" + std::to_string(i)));
+  }
+  entries_.resize(static_cast<std::size_t>(options_.entries));
+}
+
+DirectSite::~DirectSite() {
+  entries_.clear();
+  std::filesystem::remove_all(directory_);
+}
+
+std::string DirectSite::Ip(int last) const {
+  return net_ + std::to_string(last);
+}
+
+Endpoint DirectSite::CallerAddress(int entry) const {
+  return Endpoint(Ip(10 + entry) + ":8080");
+}
+
+void DirectSite::PutDeployment(int version,
+                               const std::vector<std::string>& keys) {
+  const auto route = [](const char* name, const char* kind, bool resumes) {
+    return Json{{"name", name},
+                {"host", "h.example"},
+                {"prefix", std::string("/") + name + "/"},
+                {"route_type", kind},
+                {"timeout_ms", 4'000},
+                {"target_latency_ms", 400},
+                {"target_gap_ms", 120},
+                {"priority", 1},
+                {"max_attempts", 2},
+                {"anonymous", false},
+                {"sticky", false},
+                {"stream_resume", resumes},
+                {"service", "s"}};
+  };
+  store_->Put(
+      "op/config",
+      Json{{"version", version},
+           {"routes",
+            {route("once", "non_idempotent", false),
+             route("again", "idempotent", false),
+             route("stream", "streaming", true)}},
+           {"services", {{{"name", "s"}, {"max_connections", 100}}}},
+           {"limits",
+            {{"max_header_bytes", 2'000},
+             {"max_body_bytes", 5'000},
+             {"header_timeout_ms", 500},
+             {"idle_timeout_ms", 15'000}}},
+           {"tenants", {{{"name", "sales"}, {"api_keys", keys}}}}}
+          .dump());
+}
+
+void DirectSite::ListBackend(int index, const std::string& state) {
+  const BackendStandin& backend = *backends_[index];
+  store_->Put("servers/" + backend.id(),
+              Json{{"service", "s"},
+                   {"address", backend.address()},
+                   {"zone", "north"},
+                   {"slots", 8},
+                   {"state", state},
+                   {"cold_remaining_ms", 0}}
+                  .dump());
+}
+
+void DirectSite::StartEntry(int index) {
+  const std::string ip = Ip(10 + index);
+  const std::string name = "entry-" + std::to_string(index);
+  const std::string file = directory_ + "/" + name + ".jsonc";
+  std::ofstream(file) << Json{{"instance", name},
+                              {"zone", "north"},
+                              {"platform_url", "http://" + Ip(1) + ":7000"},
+                              {"caller_address", ip + ":8080"},
+                              {"ready_address", ip + ":8081"},
+                              {"directory_address", ip + ":8082"},
+                              {"peer_address", ip + ":8083"},
+                              {"metrics_address", ip + ":8084"},
+                              {"revocation_ms", options_.revocation_ms},
+                              {"grace_s", options_.grace_s},
+                              {"retry_slack", 60}};
+  entries_[index] = std::make_unique<Process>(
+      std::vector<std::string>{
+          std::string(MANGOHOLD_BINARY_DIR) + "/mangohold-direct-entry",
+          "--config", file},
+      directory_ + "/" + name + ".log");
+}
+
+void DirectSite::Start() {
+  PutDeployment(1);
+  for (int i = 0; i < options_.backends; ++i) ListBackend(i);
+  for (int i = 0; i < options_.entries; ++i) StartEntry(i);
+  for (int i = 0; i < options_.entries; ++i) {
+    WaitFor([this, i] { return IsReady(i); });
+  }
+}
+
+bool DirectSite::IsReady(int entry) const {
+  return Send(Endpoint(Ip(10 + entry) + ":8081"), "GET", "/mangohold/readyz",
+              "")
+             .status == 200;
+}
+
+std::string DirectSite::Directory(int entry) const {
+  return Send(Endpoint(Ip(10 + entry) + ":8082"), "GET",
+              "/mangohold/resolve?name=h.example&region=r&zone=north", "")
+      .body;
+}
+
+std::string DirectSite::Metrics(int entry) const {
+  return Send(Endpoint(Ip(10 + entry) + ":8084"), "GET", "/metrics", "").body;
+}
+
+std::string DirectSite::Log(int entry) const {
+  std::ifstream file(directory_ + "/entry-" + std::to_string(entry) + ".log");
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+HttpResponse DirectSite::Call(const std::string& method,
+                              const std::string& path, const std::string& id,
+                              const std::string& body, const std::string& key,
+                              int entry) const {
+  HttpFields fields = {{"Host", "h.example"},
+                       {kId, id},
+                       {"X-Mangohold-Deadline-Ms", "3000"}};
+  if (!key.empty()) fields.push_back({"Authorization", "Bearer " + key});
+  return Send(CallerAddress(entry), method, path, body, fields);
+}
+
+}  // namespace mangohold::testing
--- /dev/null
+++ b/tests/direct_site.h
@@ -0,0 +1,114 @@
+// Runs real entries of the direct way as processes, before stand-ins of the
+// store and of backend servers that live in the test itself.
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "harness.h"
+#include "standins/kv_store.h"
+#include "standins/raw_http.h"
+
+namespace mangohold::testing {
+
+// What a backend server stand-in does with its next requests.
+enum class Manner {
+  kAnswer,        // 200 with the request's id and body
+  kStream,        // ten events, 20 ms apart
+  kBreakStream,   // four events and half of the fifth, then a reset
+  kReject,        // 503, not run
+  kMisdirected,   // 421, another instance
+  kError,         // 500 of its own
+  kDropLate,      // runs the request and drops the connection
+  kCutAnswer,     // half of the body that it announced
+  kExtraAnswer,   // a second answer, to nobody, behind the first
+  kEndless,       // no length; the answer ends with its connection
+  kHang           // no answer at all
+};
+
+class BackendStandin {
+ public:
+  BackendStandin(const std::string& address, std::string id);
+  ~BackendStandin();
+  BackendStandin(const BackendStandin&) = delete;
+  BackendStandin& operator=(const BackendStandin&) = delete;
+
+  void SetManner(Manner manner) { manner_ = manner; }
+  // Requests that it ran, by request id.
+  std::map<std::string, int> runs() const;
+  int runs_in_all() const;
+  // Requests whose connection closed before the answer was whole.
+  int cancelled() const { return cancelled_; }
+  HttpRequest last_request() const;
+  const std::string& id() const { return id_; }
+  const std::string& address() const { return address_; }
+
+ private:
+  asio::awaitable<void> Handle(HttpRequest request,
+                               standin::Connection& connection);
+  asio::awaitable<void> Stream(HttpRequest request,
+                               standin::Connection& connection, bool breaks);
+
+  std::string address_;
+  std::string id_;
+  std::atomic<Manner> manner_ = Manner::kAnswer;
+  std::atomic<int> cancelled_ = 0;
+  mutable std::mutex mutex_;
+  std::map<std::string, int> runs_;
+  HttpRequest last_request_;
+  asio::io_context io_;
+  std::thread thread_;
+};
+
+class DirectSite {
+ public:
+  struct Options {
+    int entries = 1;
+    int backends = 1;
+    int revocation_ms = 5'000;
+    double grace_s = 8;
+  };
+
+  explicit DirectSite(Options options);
+  ~DirectSite();
+
+  // Waits until each entry is ready.
+  void Start();
+  void StartEntry(int index);
+  // Writes the deployment; the service's routes are /once/ (not repeatable),
+  // /again/ (idempotent) and /stream/ (resumable).
+  void PutDeployment(int version, const std::vector<std::string>& keys = {"k"});
+  void ListBackend(int index, const std::string& state = "ready");
+
+  standin::KvStore& store() { return *store_; }
+  BackendStandin& backend(int index) { return *backends_[index]; }
+  Process& entry(int index) { return *entries_[index]; }
+  Endpoint CallerAddress(int entry) const;
+  bool IsReady(int entry) const;
+  std::string Directory(int entry) const;
+  std::string Metrics(int entry) const;
+  // Everything that the entries have logged.
+  std::string Log(int entry) const;
+
+  HttpResponse Call(const std::string& method, const std::string& path,
+                    const std::string& id, const std::string& body = "",
+                    const std::string& key = "k", int entry = 0) const;
+
+ private:
+  std::string Ip(int last) const;
+
+  Options options_;
+  std::string directory_;
+  std::string net_;
+  std::unique_ptr<standin::KvStore> store_;
+  std::vector<std::unique_ptr<BackendStandin>> backends_;
+  std::vector<std::unique_ptr<Process>> entries_;
+};
+
+}  // namespace mangohold::testing
--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -38,6 +38,7 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
   const int error = posix_spawn(&pid_, arguments[0], &actions, nullptr,
                                 arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -15,7 +15,7 @@
 
 namespace mangohold::testing {
 
-// A child process. Its standard error goes to a file; destruction kills it.
+// A child process. What it prints goes to a file; destruction kills it.
 class Process {
  public:
   Process(const std::vector<std::string>& command, const std::string& log);
--- a/tests/raw_caller.h
+++ b/tests/raw_caller.h
@@ -26,6 +26,10 @@
     asio::write(socket_, asio::buffer(text));
   }
 
+  void Send(const std::string& text) {
+    asio::write(socket_, asio::buffer(text));
+  }
+
   // Reads until `marker` has arrived; returns all that was read.
   std::string ReadUntil(const std::string& marker) {
     asio::error_code error;
--- a/tests/standins/raw_http.cc
+++ b/tests/standins/raw_http.cc
@@ -117,6 +117,31 @@
   co_await asio::async_write(socket_, asio::buffer(text), use_awaitable);
 }
 
+asio::awaitable<void> Connection::Send(std::string text) {
+  co_await asio::async_write(socket_, asio::buffer(text), use_awaitable);
+}
+
+void Connection::Finish() {
+  asio::error_code ignored;
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  socket_.close(ignored);
+}
+
+asio::awaitable<bool> Connection::IsClosedWithin(
+    std::chrono::milliseconds duration) {
+  constexpr std::chrono::milliseconds kStep{5};
+  socket_.non_blocking(true);
+  while (duration.count() > 0) {
+    std::array<char, 1> byte{};
+    asio::error_code error;
+    socket_.receive(asio::buffer(byte), tcp::socket::message_peek, error);
+    if (error && error != asio::error::would_block) co_return true;
+    co_await Sleep(std::min(kStep, duration));
+    duration -= kStep;
+  }
+  co_return false;
+}
+
 void Connection::Drop() {
   asio::error_code ignored;
   socket_.close(ignored);
--- a/tests/standins/raw_http.h
+++ b/tests/standins/raw_http.h
@@ -22,6 +22,12 @@
   asio::awaitable<void> StartChunks(int status, std::string type);
   asio::awaitable<void> Chunk(std::string data);
   asio::awaitable<void> EndChunks();
+  // Sends bytes as they are.
+  asio::awaitable<void> Send(std::string text);
+  // Ends the connection behind what was sent.
+  void Finish();
+  // Waits; true once the peer has closed the connection.
+  asio::awaitable<bool> IsClosedWithin(std::chrono::milliseconds duration);
   // Closes the connection at once, whatever was sent.
   void Drop();
   bool is_open() const { return socket_.is_open(); }
--- /dev/null
+++ b/tests/system/direct_way_test.cc
@@ -0,0 +1,300 @@
+// An entry of the direct way under rude callers, faulty backend servers and a
+// store in trouble.
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <thread>
+
+#include "direct_site.h"
+#include "raw_caller.h"
+
+namespace mangohold::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::string AllEvents() {
+  std::string text;
+  for (int id = 1; id <= 10; ++id) {
+    text += "id: " + std::to_string(id) + "\ndata: piece\n\n";
+  }
+  return text;
+}
+
+std::string_view SignatureOf(const HttpResponse& response) {
+  return FieldValue(response.fields, "X-Mangohold-Response-Signature");
+}
+
+TEST(DirectWay, PassesARequestOnAndItsAnswerBack) {
+  DirectSite site({});
+  site.Start();
+  const HttpResponse response =
+      site.Call("POST", "/once/a?b=c", "id1", "payload");
+  EXPECT_EQ(response.status, 200);
+  EXPECT_EQ(response.body, "id1:payload");
+  EXPECT_EQ(SignatureOf(response), "s.id1");
+  const HttpRequest seen = site.backend(0).last_request();
+  EXPECT_EQ(seen.path + "?" + seen.query, "/once/a?b=c");
+  EXPECT_EQ(seen.Field("X-Mangohold-Expect-Instance"), "i-0");
+  EXPECT_EQ(seen.Field("X-Mangohold-Tenant-Id"), "sales");
+  EXPECT_EQ(seen.Field("Authorization"), "");
+  const int left =
+      std::stoi(std::string(seen.Field("X-Mangohold-Deadline-Ms")));
+  EXPECT_GT(left, 0);
+  EXPECT_LE(left, 3'000);
+}
+
+TEST(DirectWay, RefusesUnknownKeysAndRoutes) {
+  DirectSite site({});
+  site.Start();
+  EXPECT_EQ(site.Call("GET", "/again/x", "id", "", "wrong").status, 401);
+  EXPECT_EQ(site.Call("GET", "/again/x", "id", "", "").status, 401);
+  EXPECT_EQ(site.Call("GET", "/nowhere/x", "id").status, 404);
+  EXPECT_EQ(site.backend(0).runs_in_all(), 0);
+}
+
+TEST(DirectWay, WorkThatMayHaveRunIsNotSentAgain) {
+  DirectSite site({.backends = 2});
+  site.Start();
+  for (int i = 0; i < 2; ++i) site.backend(i).SetManner(Manner::kDropLate);
+  EXPECT_EQ(site.Call("POST", "/once/x", "id", "b").status, 502);
+  EXPECT_EQ(site.backend(0).runs_in_all() + site.backend(1).runs_in_all(), 1);
+}
+
+TEST(DirectWay, IdempotentWorkIsSentAgainElsewhere) {
+  DirectSite site({.backends = 2});
+  site.Start();
+  for (const Manner fault : {Manner::kDropLate, Manner::kError,
+                             Manner::kCutAnswer, Manner::kReject,
+                             Manner::kMisdirected}) {
+    site.backend(0).SetManner(fault);
+    for (int i = 0; i < 4; ++i) {
+      const HttpResponse response = site.Call("GET", "/again/x", "id");
+      EXPECT_EQ(response.status, 200) << static_cast<int>(fault);
+      EXPECT_EQ(response.body, "id:");
+    }
+  }
+}
+
+TEST(DirectWay, ARejectionIsTruthfullySaidNotToHaveRun) {
+  DirectSite site({});
+  site.Start();
+  site.backend(0).SetManner(Manner::kReject);
+  const HttpResponse response = site.Call("POST", "/once/x", "id", "b");
+  EXPECT_EQ(response.status, 503);
+  EXPECT_NE(FieldValue(response.fields, "Retry-After"), "");
+  EXPECT_EQ(SignatureOf(response), "");
+  EXPECT_EQ(site.backend(0).runs_in_all(), 0);
+}
+
+TEST(DirectWay, ACutAnswerIsNeverPassedOnAsWhole) {
+  DirectSite site({});
+  site.Start();
+  site.backend(0).SetManner(Manner::kCutAnswer);
+  const HttpResponse response = site.Call("POST", "/once/x", "id", "b");
+  EXPECT_EQ(response.status, 502);
+  EXPECT_EQ(SignatureOf(response), "");
+}
+
+TEST(DirectWay, AnAnswerThatEndsWithItsConnectionIsWhole) {
+  DirectSite site({});
+  site.Start();
+  site.backend(0).SetManner(Manner::kEndless);
+  EXPECT_EQ(site.Call("POST", "/once/x", "id", "b").body, "id:b");
+}
+
+TEST(DirectWay, AnExtraAnswerReachesNobody) {
+  DirectSite site({});
+  site.Start();
+  site.backend(0).SetManner(Manner::kExtraAnswer);
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = "id" + std::to_string(i);
+    const HttpResponse response = site.Call("POST", "/once/x", id, "b");
+    EXPECT_EQ(response.status, 200);
+    EXPECT_EQ(response.body, id + ":b");
+  }
+}
+
+TEST(DirectWay, AStreamPassesWhole) {
+  DirectSite site({});
+  site.Start();
+  site.backend(0).SetManner(Manner::kStream);
+  const HttpResponse response = site.Call("POST", "/stream/x", "id", "b");
+  EXPECT_EQ(response.result, HttpResult::kComplete);
+  EXPECT_EQ(response.body, AllEvents());
+}
+
+TEST(DirectWay, ABrokenStreamGoesOnElsewhereWithinTheSameAnswer) {
+  DirectSite site({.backends = 2});
+  site.Start();
+  site.backend(0).SetManner(Manner::kBreakStream);
+  site.backend(1).SetManner(Manner::kStream);
+  for (int i = 0; i < 4; ++i) {
+    const HttpResponse response = site.Call("POST", "/stream/x", "id", "b");
+    EXPECT_EQ(response.result, HttpResult::kComplete);
+    EXPECT_EQ(response.body, AllEvents());
+  }
+}
+
+TEST(DirectWay, AStreamThatCannotGoOnNeverLooksComplete) {
+  DirectSite site({});
+  site.Start();
+  site.backend(0).SetManner(Manner::kBreakStream);
+  const HttpResponse response = site.Call("POST", "/stream/x", "id", "b");
+  EXPECT_EQ(response.result, HttpResult::kBroken);
+}
+
+TEST(DirectWay, ACallerThatLeavesCancelsItsWork) {
+  DirectSite site({});
+  site.Start();
+  site.backend(0).SetManner(Manner::kHang);
+  RawCaller caller(site.CallerAddress(0));
+  caller.Send(
+      "GET /again/x HTTP/1.1\r\nHost: h.example\r\n"
+      "Authorization: Bearer k\r\nX-Mangohold-Request-Id: gone\r\n\r\n");
+  ASSERT_TRUE(WaitFor([&] { return site.backend(0).runs_in_all() == 1; }));
+  caller.Close();
+  EXPECT_TRUE(WaitFor([&] { return site.backend(0).cancelled() == 1; }));
+}
+
+TEST(DirectWay, MalformedAndOversizedRequestsAreRefused) {
+  DirectSite site({});
+  site.Start();
+  const auto answer = [&](const std::string& text) {
+    RawCaller caller(site.CallerAddress(0));
+    caller.Send(text);
+    return caller.ReadUntil("\r\n\r\n").substr(0, 12);
+  };
+  EXPECT_EQ(answer("POST /once/ HTTP/1.1\r\nContent-Length: 3\r\n"
+                   "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+            "HTTP/1.1 400");
+  EXPECT_EQ(answer("GET / HTTP/1.1\r\nX: " + std::string(4'000, 'a') +
+                   "\r\n\r\n"),
+            "HTTP/1.1 431");
+  EXPECT_EQ(answer("POST /once/ HTTP/1.1\r\nContent-Length: 9000\r\n\r\n" +
+                   std::string(9'000, 'a')),
+            "HTTP/1.1 413");
+  EXPECT_EQ(answer("GET /slow HTTP/1.1\r\nX: "), "HTTP/1.1 408");
+  EXPECT_EQ(site.backend(0).runs_in_all(), 0);
+}
+
+TEST(DirectWay, AKeyThatWasTakenAwayOpensNothing) {
+  DirectSite site({});
+  site.Start();
+  site.PutDeployment(2, {"other"});
+  EXPECT_TRUE(WaitFor([&] {
+    return site.Call("GET", "/again/x", "id").status == 401;
+  }));
+  EXPECT_EQ(site.Call("GET", "/again/x", "id", "", "other").status, 200);
+}
+
+// The store may have taken a key away meanwhile, so that nothing with a key
+// runs; the refusal says so and is true.
+TEST(DirectWay, WithoutConfirmationNothingWithAKeyRuns) {
+  DirectSite site({.revocation_ms = 1'000});
+  site.Start();
+  site.store().SetFaults({.is_silent = true});
+  EXPECT_TRUE(WaitFor([&] {
+    return site.Call("GET", "/again/x", "id").status == 503;
+  }));
+  EXPECT_FALSE(site.IsReady(0));
+  const int runs = site.backend(0).runs_in_all();
+  EXPECT_EQ(site.Call("GET", "/again/x", "id2").status, 503);
+  EXPECT_EQ(site.backend(0).runs_in_all(), runs);
+  site.store().SetFaults({});
+  EXPECT_TRUE(WaitFor([&] {
+    return site.Call("GET", "/again/x", "id3").status == 200;
+  }));
+}
+
+TEST(DirectWay, APeerConfirmsAnEntryThatTheStoreTurnsAway) {
+  DirectSite site({.entries = 2, .revocation_ms = 1'500});
+  site.Start();
+  ASSERT_TRUE(WaitFor([&] {
+    return site.Log(0).find("peers_alive\",\"count\":1") != std::string::npos;
+  }));
+  // A stopped process reads nothing from the store; woken, it is told by its
+  // peer before it hears from the store again.
+  site.entry(1).Signal(SIGSTOP);
+  std::this_thread::sleep_for(seconds(2));
+  site.entry(1).Signal(SIGCONT);
+  EXPECT_TRUE(WaitFor([&] {
+    return site.Call("GET", "/again/x", "id", "", "k", 1).status == 200;
+  }));
+}
+
+TEST(DirectWay, LostHistoryAndLapsedLeasesAreMended) {
+  DirectSite site({.entries = 2});
+  site.Start();
+  ASSERT_TRUE(WaitFor([&] { return site.store().Has("members/entry-1"); }));
+  site.store().SetFaults({.forgets_history = true});
+  site.store().LapseLeases();
+  EXPECT_TRUE(WaitFor([&] {
+    return site.store().Has("members/entry-0") &&
+           site.store().Has("members/entry-1");
+  }));
+  site.PutDeployment(3, {"k3"});
+  EXPECT_TRUE(WaitFor([&] {
+    return site.Call("GET", "/again/x", "id", "", "k3").status == 200;
+  }));
+}
+
+TEST(DirectWay, ADrainingBackendServerGetsNothingNew) {
+  DirectSite site({.backends = 2});
+  site.Start();
+  site.ListBackend(0, "draining");
+  ASSERT_TRUE(WaitFor([&] {
+    return site.Log(0).find("\"draining\":1") != std::string::npos;
+  }));
+  const int before = site.backend(0).runs_in_all();
+  for (int i = 0; i < 20; ++i) site.Call("GET", "/again/x", "id");
+  EXPECT_EQ(site.backend(0).runs_in_all(), before);
+}
+
+TEST(DirectWay, AGracefulEndFinishesWhatIsInProgress) {
+  DirectSite site({.entries = 2});
+  site.Start();
+  ASSERT_TRUE(WaitFor([&] {
+    return site.Directory(1).find("8080\",\"") != std::string::npos;
+  }));
+  site.backend(0).SetManner(Manner::kStream);
+  HttpResponse response;
+  std::thread caller([&] {
+    response = site.Call("POST", "/stream/x", "id", "b");
+  });
+  ASSERT_TRUE(WaitFor([&] { return site.backend(0).runs_in_all() == 1; }));
+  site.entry(0).Signal(SIGTERM);
+  EXPECT_TRUE(WaitFor([&] { return !site.IsReady(0); }));
+  caller.join();
+  EXPECT_EQ(response.body, AllEvents());
+  EXPECT_EQ(site.entry(0).WaitForExit(seconds(10)), 0);
+  // The other one no longer names it.
+  EXPECT_EQ(site.Directory(1).find("8080\",\""), std::string::npos);
+}
+
+TEST(DirectWay, AHangUpReadsTheSettingsAgain) {
+  DirectSite site({});
+  site.Start();
+  site.entry(0).Signal(SIGHUP);
+  EXPECT_TRUE(WaitFor([&] {
+    return site.Log(0).find("\"reloaded\"") != std::string::npos;
+  }));
+  EXPECT_EQ(site.Call("GET", "/again/x", "id").status, 200);
+}
+
+TEST(DirectWay, RefusalsAndRetriesAreCounted) {
+  DirectSite site({.backends = 2});
+  site.Start();
+  site.Call("GET", "/nowhere/x", "id");
+  site.backend(0).SetManner(Manner::kError);
+  for (int i = 0; i < 4; ++i) site.Call("GET", "/again/x", "id");
+  const std::string metrics = site.Metrics(0);
+  EXPECT_NE(metrics.find("refusals_total{reason=\"unknown_route\"} 1"),
+            std::string::npos);
+  EXPECT_NE(metrics.find("retries_total{reason=\"backend_failed\"}"),
+            std::string::npos);
+}
+
+}  // namespace
+}  // namespace mangohold::testing
--- a/tests/unit/http1_parser_test.cc
+++ b/tests/unit/http1_parser_test.cc
@@ -83,6 +83,7 @@
       start + std::string("X-A: a\0b\r\n\r\n", 12),
       start + "X-A: a\rb\r\n\r\n",
       start + ": 1\r\n\r\n",
+      start + "host: y\r\n\r\n",
       start + "Transfer-Encoding: gzip\r\n\r\nabc",
       start + "Transfer-Encoding: chunked\r\nTransfer-Encoding: x\r\n\r\n",
       "GET / HTTP/9.9.9\r\n\r\n",
