Model the map switch, and remember orders to arm that may come late

Cause: a successor that undoes the arming could be overtaken by an order to arm that was left unanswered and is carried out seconds later; the model shows it (IGNORE_LATE). Besides, the agents' word that a preparation was accepted never left them. Change: specs/map_switch.pml with five mutants; agents tell for 13 s that an order to arm may come late, and nothing is undone meanwhile.

--- /dev/null
+++ b/specs/map_switch.pml
@@ -0,0 +1,139 @@
+/* The switch of a group's expert map under a hold.
+ *
+ * Three ranks have prepared the new map. A leader beside rank 0 holds the pass
+ * at rank 1, arms ranks 1 and 2 in any order, then its own rank, and releases
+ * the hold. It may stop for good at any point, and then rank 0 can't be reached
+ * for as long as it pleases. An order to arm may be left unanswered and carried
+ * out at any later time until the pass has begun; the rank's agent remembers
+ * that. A successor beside rank 2 ends the leader's power over each rank that it
+ * reads and goes on from what it finds. The claim: the pass never begins with
+ * some ranks armed and others not.
+ *
+ * Each mutant must violate it:
+ *   NO_HOLD         the leader arms without a hold
+ *   EARLY_RELEASE   the hold is released before all are confirmed armed
+ *   NO_READING      the successor releases without reading the ranks
+ *   OWN_RANK_FIRST  the leader arms its own rank before the others
+ *   IGNORE_LATE     the arming is undone although an order may still be late
+ */
+#define RANKS 3
+
+bool armed[RANKS];
+bool late[RANKS];         /* an order to arm is on its way */
+bool may_arm_late[RANKS]; /* the agent sent one that got no answer */
+bool fenced[RANKS];       /* the agent has seen the successor's term */
+bool held;
+bool begun;
+bool stopped;             /* the leader, with the way to rank 0 */
+bool reachable = true;    /* rank 0 */
+bool done;
+
+#define ALL_ARMED (armed[0] && armed[1] && armed[2])
+#define NONE_ARMED (!armed[0] && !armed[1] && !armed[2])
+
+#ifdef IGNORE_LATE
+#define CAN_UNDO (!(armed[1] && armed[2]))
+#else
+#define CAN_UNDO (!(armed[1] && armed[2]) && !may_arm_late[1] && !may_arm_late[2])
+#endif
+
+/* An order to arm: carried out, or left unanswered for later. */
+inline arm(r) {
+  if
+  :: begun
+  :: !begun -> armed[r] = true
+  :: !begun -> late[r] = true; may_arm_late[r] = true
+  fi
+}
+
+proctype Leader() {
+#ifndef NO_HOLD
+  held = true;
+#endif
+#ifdef OWN_RANK_FIRST
+  do
+  :: atomic { !stopped && !fenced[0] && !armed[0] -> arm(0) }
+  :: armed[0] -> break
+  :: stopped || fenced[0] -> goto end
+  od;
+#endif
+  do
+  :: atomic { !stopped && !fenced[1] && !armed[1] -> arm(1) }
+  :: atomic { !stopped && !fenced[2] && !armed[2] -> arm(2) }
+  :: armed[1] && armed[2] -> break
+#ifdef EARLY_RELEASE
+  :: armed[1] -> break
+#endif
+  :: stopped || fenced[1] || fenced[2] -> goto end
+  od;
+#ifdef EARLY_RELEASE
+  held = false;
+#endif
+  do
+  :: atomic { !stopped && !fenced[0] && !armed[0] -> arm(0) }
+  :: armed[0] -> break
+  :: stopped || fenced[0] -> goto end
+  od;
+  atomic { !stopped && !fenced[1] -> held = false };
+  done = true;
+end:
+  skip
+}
+
+/* Takes over once the leader has stopped. */
+proctype Successor() {
+  stopped;
+#ifdef NO_READING
+  held = false;
+  goto end;
+#endif
+  fenced[1] = true;
+  fenced[2] = true;
+  if
+  :: !held -> goto end           /* nothing in progress, or all armed */
+  :: else
+  fi;
+  if
+  :: reachable ->
+       fenced[0] = true;
+forward:
+       do
+       :: atomic { !armed[0] -> arm(0) }
+       :: atomic { !armed[1] -> arm(1) }
+       :: atomic { !armed[2] -> arm(2) }
+       :: ALL_ARMED -> break
+       od
+  :: !reachable && CAN_UNDO ->
+       armed[1] = false;
+       armed[2] = false
+  :: !reachable && !CAN_UNDO ->
+       reachable;                /* waits for rank 0 */
+       fenced[0] = true;
+       goto forward
+  fi;
+  held = false;
+end:
+  skip
+}
+
+proctype World() {
+  byte r;
+  do
+  :: atomic { !stopped && !done -> stopped = true;
+       if
+       :: reachable = false
+       :: skip
+       fi }
+  :: atomic { stopped && !reachable -> reachable = true }
+  :: atomic { late[0] && !begun -> late[0] = false; armed[0] = true }
+  :: atomic { late[1] && !begun -> late[1] = false; armed[1] = true }
+  :: atomic { late[2] && !begun -> late[2] = false; armed[2] = true }
+  :: atomic { !held && !begun -> assert(ALL_ARMED || NONE_ARMED);
+       begun = true }
+  :: begun -> break
+  od
+}
+
+init {
+  atomic { run Leader(); run Successor(); run World() }
+}
--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -180,6 +180,7 @@
     if (!rank.is_known || rank.heard + options_.status_memory < now) {
       return false;
     }
+    if (rank.status.may_arm_late) return false;
     is_all_armed = is_all_armed && rank.status.report.armed.has_value();
     is_working = is_working || rank.status.report.running > 0;
   }
--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -14,7 +14,7 @@
 // armed, the way on is to arm the others, and the hold keeps S from beginning
 // until that is done. Only a rank of a former leader that can't be reached is
 // known not to be armed as long as another one isn't; then those that are armed
-// are disarmed instead. An order may be carried out
+// are disarmed instead, unless one of them may still be armed by a late order. An order may be carried out
 // late: one that arms or holds for S is void once S has begun or the group has
 // formed anew, and until then it asks for what all ranks are brought to anyway.
 //
@@ -43,6 +43,8 @@
   std::vector<std::vector<int>> holdings;  // experts by set, of the map in use
   // The newest map that the engine has accepted to prepare in this epoch.
   MapVersion accepted;
+  // An order to arm that got no answer may still be carried out.
+  bool may_arm_late = false;
 };
 
 // What a leader asks of a rank's agent.
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -18,6 +18,8 @@
 constexpr Millis kTimeToAnswer{300};
 // Candidates wait this much longer for each rank before them.
 constexpr Millis kCandidateSpacing{150};
+// Engines carry out an order that they left unanswered within this time.
+constexpr std::chrono::seconds kLatestExecution(13);
 // Choices that a plan has to rest on, for each expert of all sets.
 constexpr double kLeastChoicesPerExpert = 20;
 
@@ -45,6 +47,7 @@
       options_.self.peer, [this](std::string_view data) { OnDatagram(data); });
   if (!status.ok()) return status;
   leader_heard_ = BootNow();
+  may_arm_late_until_ = BootNow() + kLatestExecution;
   lease_.Start();
   ReadMembers();
   Poll();
@@ -141,8 +144,12 @@
 void RankAgent::SendStatus(ExpertCounts choices) {
   if (!report_ || report_->group.empty()) return;
   RankMessage message = NewMessage(RankMessageKind::kStatus);
-  message.status = {
-      .agent = options_.self.id, .term = term_, .report = *report_};
+  const bool has_accepted = accepted_epoch_ == report_->epoch;
+  message.status = {.agent = options_.self.id,
+                    .term = term_,
+                    .report = *report_,
+                    .accepted = has_accepted ? accepted_ : MapVersion(),
+                    .may_arm_late = BootNow() < may_arm_late_until_};
   if (holdings_version_ == report_->map && holdings_epoch_ == report_->epoch) {
     message.status.holdings = holdings_;
   }
@@ -213,6 +220,10 @@
               accepted_ = command.version;
               accepted_epoch_ = command.epoch;
             }
+            if (command.order == OrderKind::kArm &&
+                fate == OrderFate::kUnknown) {
+              may_arm_late_until_ = BootNow() + kLatestExecution;
+            }
             engine_.Report(options_.self.backend, [this](const auto& report) {
               OnReport(report);
               FinishJob();
--- a/src/group/rank_messages.cc
+++ b/src/group/rank_messages.cc
@@ -103,7 +103,8 @@
         .term = message.term,
         .report = ToReport(json.at("report")),
         .holdings = json.at("holdings").get<std::vector<std::vector<int>>>(),
-        .accepted = json.at("accepted").get<MapVersion>()};
+        .accepted = json.at("accepted").get<MapVersion>(),
+                      .may_arm_late = json.at("late").get<bool>()};
     message.choices = json.at("choices").get<ExpertCounts>();
   } else if (message.kind == RankMessageKind::kCommand) {
     message.command = ToCommand(json.at("command"));
@@ -124,6 +125,7 @@
     json["report"] = FromReport(message.status.report);
     json["holdings"] = message.status.holdings;
     json["accepted"] = message.status.accepted;
+    json["late"] = message.status.may_arm_late;
     json["choices"] = message.choices;
   } else if (message.kind == RankMessageKind::kCommand) {
     json["command"] = FromCommand(message.command);
