--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -14,9 +14,10 @@
 // armed, the way on is to arm the others, and the hold keeps S from beginning
 // until that is done. Only a rank of a former leader that can't be reached is
 // known not to be armed as long as another one isn't; then those that are armed
-// are disarmed instead, unless one of them may still be armed by a late order. An order may be carried out
-// late: one that arms or holds for S is void once S has begun or the group has
-// formed anew, and until then it asks for what all ranks are brought to anyway.
+// are disarmed instead, unless one of them may still be armed by a late order.
+// An order may be carried out late: one that arms or holds for S is void once S
+// has begun or the group has formed anew, and until then it asks for what all
+// ranks are brought to anyway.
 //
 // A new leader reads all ranks first, which also ends the power of the leader
 // before it over each rank that it has read, and then goes on from what it
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -213,22 +213,22 @@
                        report_->epoch != command.epoch ||
                        report_->rank != command.rank;
   if (is_void) return FinishJob();
-  OrderAt(options_.self.backend, *report_, command,
-          [this, command](OrderFate fate) {
-            if (command.order == OrderKind::kPrepare &&
-                fate == OrderFate::kAccepted) {
-              accepted_ = command.version;
-              accepted_epoch_ = command.epoch;
-            }
-            if (command.order == OrderKind::kArm &&
-                fate == OrderFate::kUnknown) {
-              may_arm_late_until_ = BootNow() + kLatestExecution;
-            }
-            engine_.Report(options_.self.backend, [this](const auto& report) {
-              OnReport(report);
-              FinishJob();
-            });
-          });
+  OrderAt(
+      options_.self.backend, *report_, command,
+      [this, command](OrderFate fate) {
+        if (command.order == OrderKind::kPrepare &&
+            fate == OrderFate::kAccepted) {
+          accepted_ = command.version;
+          accepted_epoch_ = command.epoch;
+        }
+        if (command.order == OrderKind::kArm && fate == OrderFate::kUnknown) {
+          may_arm_late_until_ = BootNow() + kLatestExecution;
+        }
+        engine_.Report(options_.self.backend, [this](const auto& report) {
+          OnReport(report);
+          FinishJob();
+        });
+      });
 }
 
 // The order is void once the engine has accepted another one since `report`.
--- a/src/group/rank_messages.cc
+++ b/src/group/rank_messages.cc
@@ -104,7 +104,7 @@
         .report = ToReport(json.at("report")),
         .holdings = json.at("holdings").get<std::vector<std::vector<int>>>(),
         .accepted = json.at("accepted").get<MapVersion>(),
-                      .may_arm_late = json.at("late").get<bool>()};
+        .may_arm_late = json.at("late").get<bool>()};
     message.choices = json.at("choices").get<ExpertCounts>();
   } else if (message.kind == RankMessageKind::kCommand) {
     message.command = ToCommand(json.at("command"));
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -110,11 +110,16 @@
 }
 
 // A request joins the queue only with time to spare, so that few of those that
-// wait are refused later on.
-bool Dispatcher::HasHope(const Waiting& waiting, Duration wait, TimePoint now) {
+// wait are refused later on. Of a closed group's return too little is known to
+// ask for more.
+bool Dispatcher::HasHope(const Waiting& waiting, Duration wait,
+                         TimePoint now) const {
   const double expected = ToSeconds(wait);
   const double left = ToSeconds(waiting.query.give_up - now);
-  return expected <= left * (waiting.is_new ? kShareOfPatience : 1.0);
+  const auto gate = gates_.find(waiting.query.service);
+  const bool is_closed = gate != gates_.end() && gate->second.is_closed;
+  const bool needs_margin = waiting.is_new && !is_closed;
+  return expected <= left * (needs_margin ? kShareOfPatience : 1.0);
 }
 
 Dispatcher::Backend* Dispatcher::Choose(const Query& query, TimePoint now) {
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -162,7 +162,7 @@
   const ServiceSpec* SpecOf(const ServiceName& service) const;
   bool HasBackends(const ServiceName& service) const;
   void Eject(Backend& backend, TimePoint now);
-  static bool HasHope(const Waiting& waiting, Duration wait, TimePoint now);
+  bool HasHope(const Waiting& waiting, Duration wait, TimePoint now) const;
   Duration ExpectedWait(const ServiceName& service, int ahead,
                         TimePoint now) const;
   Decision Send(const Query& query, Backend& backend, TimePoint now);
--- a/tests/direct_site.cc
+++ b/tests/direct_site.cc
@@ -71,7 +71,8 @@
   {
     const std::lock_guard lock(mutex_);
     last_request_ = request;
-    if (manner != Manner::kReject && manner != Manner::kMisdirected) ++runs_[id];
+    if (manner != Manner::kReject && manner != Manner::kMisdirected)
+      ++runs_[id];
   }
   const std::string body = id + ":" + request.body;
   switch (manner) {
@@ -194,33 +195,31 @@
                 {"stream_resume", resumes},
                 {"service", "s"}};
   };
-  store_->Put(
-      "op/config",
-      Json{{"version", version},
-           {"routes",
-            {route("once", "non_idempotent", false),
-             route("again", "idempotent", false),
-             route("stream", "streaming", true)}},
-           {"services", {{{"name", "s"}, {"max_connections", 100}}}},
-           {"limits",
-            {{"max_header_bytes", 2'000},
-             {"max_body_bytes", 5'000},
-             {"header_timeout_ms", 500},
-             {"idle_timeout_ms", 15'000}}},
-           {"tenants", {{{"name", "sales"}, {"api_keys", keys}}}}}
-          .dump());
+  store_->Put("op/config",
+              Json{{"version", version},
+                   {"routes",
+                    {route("once", "non_idempotent", false),
+                     route("again", "idempotent", false),
+                     route("stream", "streaming", true)}},
+                   {"services", {{{"name", "s"}, {"max_connections", 100}}}},
+                   {"limits",
+                    {{"max_header_bytes", 2'000},
+                     {"max_body_bytes", 5'000},
+                     {"header_timeout_ms", 500},
+                     {"idle_timeout_ms", 15'000}}},
+                   {"tenants", {{{"name", "sales"}, {"api_keys", keys}}}}}
+                  .dump());
 }
 
 void DirectSite::ListBackend(int index, const std::string& state) {
   const BackendStandin& backend = *backends_[index];
-  store_->Put("servers/" + backend.id(),
-              Json{{"service", "s"},
-                   {"address", backend.address()},
-                   {"zone", "north"},
-                   {"slots", 8},
-                   {"state", state},
-                   {"cold_remaining_ms", 0}}
-                  .dump());
+  store_->Put("servers/" + backend.id(), Json{{"service", "s"},
+                                              {"address", backend.address()},
+                                              {"zone", "north"},
+                                              {"slots", 8},
+                                              {"state", state},
+                                              {"cold_remaining_ms", 0}}
+                                             .dump());
 }
 
 void DirectSite::StartEntry(int index) {
@@ -281,9 +280,8 @@
                               const std::string& path, const std::string& id,
                               const std::string& body, const std::string& key,
                               int entry) const {
-  HttpFields fields = {{"Host", "h.example"},
-                       {kId, id},
-                       {"X-Mangohold-Deadline-Ms", "3000"}};
+  HttpFields fields = {
+      {"Host", "h.example"}, {kId, id}, {"X-Mangohold-Deadline-Ms", "3000"}};
   if (!key.empty()) fields.push_back({"Authorization", "Bearer " + key});
   return Send(CallerAddress(entry), method, path, body, fields);
 }
--- a/tests/direct_site.h
+++ b/tests/direct_site.h
@@ -19,17 +19,17 @@
 
 // What a backend server stand-in does with its next requests.
 enum class Manner {
-  kAnswer,        // 200 with the request's id and body
-  kStream,        // ten events, 20 ms apart
-  kBreakStream,   // four events and half of the fifth, then a reset
-  kReject,        // 503, not run
-  kMisdirected,   // 421, another instance
-  kError,         // 500 of its own
-  kDropLate,      // runs the request and drops the connection
-  kCutAnswer,     // half of the body that it announced
-  kExtraAnswer,   // a second answer, to nobody, behind the first
-  kEndless,       // no length; the answer ends with its connection
-  kHang           // no answer at all
+  kAnswer,       // 200 with the request's id and body
+  kStream,       // ten events, 20 ms apart
+  kBreakStream,  // four events and half of the fifth, then a reset
+  kReject,       // 503, not run
+  kMisdirected,  // 421, another instance
+  kError,        // 500 of its own
+  kDropLate,     // runs the request and drops the connection
+  kCutAnswer,    // half of the body that it announced
+  kExtraAnswer,  // a second answer, to nobody, behind the first
+  kEndless,      // no length; the answer ends with its connection
+  kHang          // no answer at all
 };
 
 class BackendStandin {
--- a/tests/standins/kv_store.cc
+++ b/tests/standins/kv_store.cc
@@ -25,10 +25,9 @@
 }  // namespace
 
 KvStore::KvStore(const std::string& address) {
-  Serve(io_, address,
-        [this](HttpRequest request, Connection& connection) {
-          return Handle(std::move(request), connection);
-        });
+  Serve(io_, address, [this](HttpRequest request, Connection& connection) {
+    return Handle(std::move(request), connection);
+  });
   thread_ = std::thread([this] { io_.run(); });
 }
 
@@ -157,9 +156,9 @@
     }
     items.push_back(Json::parse(ItemText(key, item)));
   }
-  return {200, Json{{"items", items}, {"has_more", has_more},
-                    {"at", revision_}}
-                   .dump()};
+  return {
+      200,
+      Json{{"items", items}, {"has_more", has_more}, {"at", revision_}}.dump()};
 }
 
 KvStore::Reply KvStore::Change(const HttpRequest& request) {
--- a/tests/standins/kv_store.h
+++ b/tests/standins/kv_store.h
@@ -18,9 +18,9 @@
 class KvStore {
  public:
   struct Faults {
-    bool is_silent = false;       // calls get no answer
-    bool is_busy = false;         // calls get 503 and do nothing
-    bool loses_answers = false;   // changes are made and not answered
+    bool is_silent = false;        // calls get no answer
+    bool is_busy = false;          // calls get 503 and do nothing
+    bool loses_answers = false;    // changes are made and not answered
     bool forgets_history = false;  // each watch gets 410 once
     std::chrono::milliseconds delay{0};
   };
--- a/tests/system/direct_way_test.cc
+++ b/tests/system/direct_way_test.cc
@@ -65,9 +65,9 @@
 TEST(DirectWay, IdempotentWorkIsSentAgainElsewhere) {
   DirectSite site({.backends = 2});
   site.Start();
-  for (const Manner fault : {Manner::kDropLate, Manner::kError,
-                             Manner::kCutAnswer, Manner::kReject,
-                             Manner::kMisdirected}) {
+  for (const Manner fault :
+       {Manner::kDropLate, Manner::kError, Manner::kCutAnswer, Manner::kReject,
+        Manner::kMisdirected}) {
     site.backend(0).SetManner(fault);
     for (int i = 0; i < 4; ++i) {
       const HttpResponse response = site.Call("GET", "/again/x", "id");
@@ -169,9 +169,9 @@
   EXPECT_EQ(answer("POST /once/ HTTP/1.1\r\nContent-Length: 3\r\n"
                    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
             "HTTP/1.1 400");
-  EXPECT_EQ(answer("GET / HTTP/1.1\r\nX: " + std::string(4'000, 'a') +
-                   "\r\n\r\n"),
-            "HTTP/1.1 431");
+  EXPECT_EQ(
+      answer("GET / HTTP/1.1\r\nX: " + std::string(4'000, 'a') + "\r\n\r\n"),
+      "HTTP/1.1 431");
   EXPECT_EQ(answer("POST /once/ HTTP/1.1\r\nContent-Length: 9000\r\n\r\n" +
                    std::string(9'000, 'a')),
             "HTTP/1.1 413");
@@ -183,9 +183,8 @@
   DirectSite site({});
   site.Start();
   site.PutDeployment(2, {"other"});
-  EXPECT_TRUE(WaitFor([&] {
-    return site.Call("GET", "/again/x", "id").status == 401;
-  }));
+  EXPECT_TRUE(WaitFor(
+      [&] { return site.Call("GET", "/again/x", "id").status == 401; }));
   EXPECT_EQ(site.Call("GET", "/again/x", "id", "", "other").status, 200);
 }
 
@@ -195,17 +194,15 @@
   DirectSite site({.revocation_ms = 1'000});
   site.Start();
   site.store().SetFaults({.is_silent = true});
-  EXPECT_TRUE(WaitFor([&] {
-    return site.Call("GET", "/again/x", "id").status == 503;
-  }));
+  EXPECT_TRUE(WaitFor(
+      [&] { return site.Call("GET", "/again/x", "id").status == 503; }));
   EXPECT_FALSE(site.IsReady(0));
   const int runs = site.backend(0).runs_in_all();
   EXPECT_EQ(site.Call("GET", "/again/x", "id2").status, 503);
   EXPECT_EQ(site.backend(0).runs_in_all(), runs);
   site.store().SetFaults({});
-  EXPECT_TRUE(WaitFor([&] {
-    return site.Call("GET", "/again/x", "id3").status == 200;
-  }));
+  EXPECT_TRUE(WaitFor(
+      [&] { return site.Call("GET", "/again/x", "id3").status == 200; }));
 }
 
 TEST(DirectWay, APeerConfirmsAnEntryThatTheStoreTurnsAway) {
@@ -244,9 +241,8 @@
   DirectSite site({.backends = 2});
   site.Start();
   site.ListBackend(0, "draining");
-  ASSERT_TRUE(WaitFor([&] {
-    return site.Log(0).find("\"draining\":1") != std::string::npos;
-  }));
+  ASSERT_TRUE(WaitFor(
+      [&] { return site.Log(0).find("\"draining\":1") != std::string::npos; }));
   const int before = site.backend(0).runs_in_all();
   for (int i = 0; i < 20; ++i) site.Call("GET", "/again/x", "id");
   EXPECT_EQ(site.backend(0).runs_in_all(), before);
@@ -260,9 +256,8 @@
   }));
   site.backend(0).SetManner(Manner::kStream);
   HttpResponse response;
-  std::thread caller([&] {
-    response = site.Call("POST", "/stream/x", "id", "b");
-  });
+  std::thread caller(
+      [&] { response = site.Call("POST", "/stream/x", "id", "b"); });
   ASSERT_TRUE(WaitFor([&] { return site.backend(0).runs_in_all() == 1; }));
   site.entry(0).Signal(SIGTERM);
   EXPECT_TRUE(WaitFor([&] { return !site.IsReady(0); }));
@@ -277,9 +272,8 @@
   DirectSite site({});
   site.Start();
   site.entry(0).Signal(SIGHUP);
-  EXPECT_TRUE(WaitFor([&] {
-    return site.Log(0).find("\"reloaded\"") != std::string::npos;
-  }));
+  EXPECT_TRUE(WaitFor(
+      [&] { return site.Log(0).find("\"reloaded\"") != std::string::npos; }));
   EXPECT_EQ(site.Call("GET", "/again/x", "id").status, 200);
 }
 
