Plan maps by the ranks' paces, and let experts be given up

Cause: a rank that ran twelve times slower kept its share of the experts, and the whole group waited for it. A plan also had no step that gives up a copy. Change: loads count as times, by the pace that each engine reports.

--- a/src/group/even_placement.cc
+++ b/src/group/even_placement.cc
@@ -22,6 +22,10 @@
       after, [&before](int expert) { return !Holds(before, expert); }));
 }
 
+double PaceOf(const std::vector<double>& paces, std::size_t rank) {
+  return rank < paces.size() ? paces[rank] : 1.0;
+}
+
 // A map in the making, with the figures that each step needs.
 class Plan {
  public:
@@ -39,6 +43,9 @@
     loads_ = RankLoads(map_, demand_);
     mean_ = std::accumulate(loads_.begin(), loads_.end(), 0.0) /
             static_cast<double>(loads_.size());
+    for (std::size_t rank = 0; rank < loads_.size(); ++rank) {
+      loads_[rank] *= PaceOf(options_.paces, rank);
+    }
   }
 
   // One step that lowers the most loaded rank enough. False if there is none.
@@ -46,6 +53,7 @@
     const int worst = MostLoaded();
     std::optional<Step> best;
     for (const int expert : HeaviestOf(worst)) {
+      ConsiderDrop(expert, worst, best);
       for (int rank = 0; rank < std::ssize(map_); ++rank) {
         if (rank == worst || Holds(map_[rank], expert)) continue;
         ConsiderCopy(expert, rank, best);
@@ -62,9 +70,9 @@
  private:
   struct Step {
     int expert = 0;
-    int to = 0;
+    int to = -1;       // -1: the expert is given up by `from`
     int dropped = -1;  // expert that leaves `to`; -1: a place is free
-    int from = -1;     // rank that gives `expert` up, for swaps
+    int from = -1;     // rank that gives `expert` up; -1: none
     double value = 0;  // what it saves for each copy
   };
 
@@ -96,6 +104,11 @@
            fresh + copies_[rank] < options_.most_copies;
   }
 
+  void ConsiderDrop(int expert, int rank, std::optional<Step>& best) const {
+    if (holders_[expert] < 2) return;
+    Consider({.expert = expert, .from = rank}, best);
+  }
+
   // Copies the expert to `rank`, in a free place or over one that others hold.
   void ConsiderCopy(int expert, int rank, std::optional<Step>& best) const {
     if (!MayTakeNew(rank, expert)) return;
@@ -124,8 +137,8 @@
     const std::vector<double> loads = LoadsAfter(step);
     const double before = Roughness(loads_);
     const double after = Roughness(loads);
-    int copies = IsNew(step.to, step.expert) ? 1 : 0;
-    if (step.from >= 0 && IsNew(step.from, step.dropped)) ++copies;
+    int copies = step.to >= 0 && IsNew(step.to, step.expert) ? 1 : 0;
+    if (step.dropped >= 0 && step.from >= 0 && IsNew(step.from, step.dropped)) ++copies;
     step.value = (before - after) / std::max(1, copies);
     if (step.value < options_.least_saving_per_copy * mean_) return;
     if (!best || step.value > best->value) best = step;
@@ -144,39 +157,54 @@
     return peak + (mean_ > 0 ? 0.25 * squares / mean_ : 0);
   }
 
+  // Adds to the time of a rank what a load takes there.
+  void AddLoad(std::vector<double>& loads, int rank, double load) const {
+    loads[rank] += load * PaceOf(options_.paces, rank);
+  }
+
+  // The times of all ranks but one that hold `expert`, once it has another
+  // number of holders.
+  void Reshare(std::vector<double>& loads, int expert, int holders,
+               int besides) const {
+    const double change = demand_[expert] / holders - ShareOf(expert);
+    for (int rank = 0; rank < std::ssize(map_); ++rank) {
+      if (rank == besides || !Holds(map_[rank], expert)) continue;
+      AddLoad(loads, rank, change);
+    }
+  }
+
   std::vector<double> LoadsAfter(const Step& step) const {
     std::vector<double> loads = loads_;
-    const auto holds = [this](int rank, int expert) {
-      return Holds(map_[rank], expert);
-    };
+    const bool is_swap = step.from >= 0 && step.to >= 0;
     const int before = holders_[step.expert];
-    const bool is_swap = step.from >= 0;
-    const double old_share = ShareOf(step.expert);
-    const double new_share =
-        is_swap ? old_share : demand_[step.expert] / (before + 1);
-    for (int rank = 0; rank < std::ssize(map_); ++rank) {
-      if (holds(rank, step.expert)) loads[rank] += new_share - old_share;
+    const double share = ShareOf(step.expert);
+    if (step.to < 0) {
+      Reshare(loads, step.expert, before - 1, step.from);
+      AddLoad(loads, step.from, -share);
+      return loads;
     }
-    loads[step.to] += new_share;
-    if (is_swap) loads[step.from] -= new_share;
-    if (step.dropped < 0) return loads;
-    const double dropped_share = ShareOf(step.dropped);
-    loads[step.to] -= dropped_share;
     if (is_swap) {
-      loads[step.from] += dropped_share;
+      const double given = ShareOf(step.dropped);
+      AddLoad(loads, step.to, share - given);
+      AddLoad(loads, step.from, given - share);
       return loads;
     }
-    const double raised = demand_[step.dropped] / (holders_[step.dropped] - 1);
-    for (int rank = 0; rank < std::ssize(map_); ++rank) {
-      if (rank != step.to && holds(rank, step.dropped)) {
-        loads[rank] += raised - dropped_share;
-      }
+    Reshare(loads, step.expert, before + 1, -1);
+    AddLoad(loads, step.to, demand_[step.expert] / (before + 1));
+    if (step.dropped >= 0) {
+      Reshare(loads, step.dropped, holders_[step.dropped] - 1, step.to);
+      AddLoad(loads, step.to, -ShareOf(step.dropped));
     }
     return loads;
   }
 
   void Apply(const Step& step) {
     loads_ = LoadsAfter(step);
+    if (step.to < 0) {
+      std::erase(map_[step.from], step.expert);
+      --holders_[step.expert];
+      return;
+    }
     map_[step.to].push_back(step.expert);
     ++holders_[step.expert];
     if (step.dropped >= 0) {
@@ -226,17 +254,22 @@
   return loads;
 }
 
-double SkewOf(const SetMap& map, const std::vector<double>& demand) {
-  const std::vector<double> loads = RankLoads(map, demand);
+double SkewOf(const SetMap& map, const std::vector<double>& demand,
+              const std::vector<double>& paces) {
+  std::vector<double> loads = RankLoads(map, demand);
   const double sum = std::accumulate(loads.begin(), loads.end(), 0.0);
   if (sum <= 0) return 1;
+  for (std::size_t rank = 0; rank < loads.size(); ++rank) {
+    loads[rank] *= PaceOf(paces, rank);
+  }
   return std::ranges::max(loads) * static_cast<double>(loads.size()) / sum;
 }
 
-double SkewOf(const GroupMap& map, const ExpertDemand& demand) {
+double SkewOf(const GroupMap& map, const ExpertDemand& demand,
+              const std::vector<double>& paces) {
   double sum = 0;
   for (std::size_t set = 0; set < map.size(); ++set) {
-    sum += SkewOf(map[set], demand[set]);
+    sum += SkewOf(map[set], demand[set], paces);
   }
   return map.empty() ? 1 : sum / static_cast<double>(map.size());
 }
@@ -258,7 +291,7 @@
   std::vector<std::size_t> order(present.size());
   std::iota(order.begin(), order.end(), 0);
   std::ranges::sort(order, std::greater<>(), [&](std::size_t set) {
-    return SkewOf(present[set], demand[set]);
+    return SkewOf(present[set], demand[set], options.paces);
   });
   GroupMap next = present;
   std::vector<int> copies(present.empty() ? 0 : present.front().size());
--- a/src/group/even_placement.h
+++ b/src/group/even_placement.h
@@ -4,7 +4,7 @@
 // A pass takes, set by set, as long as its most loaded rank. A map is improved
 // by copies: an expert of the most loaded rank is copied to a rank that carries
 // less, into a free place or in place of an expert that is held elsewhere too,
-// or two experts change places. Each copy costs its bytes, so that one which
+// two experts change places, or one that is held elsewhere is given up. Each copy costs its bytes, so that one which
 // saves little is left out.
 #pragma once
 
@@ -27,7 +27,9 @@
   // after the other.
   int most_copies = 3;
   // The part of the mean load by which a copy must lower the most loaded rank.
-  double least_saving_per_copy = 0.05;
+  double least_saving_per_copy = 0.02;
+  // How many times as long as usual each rank takes; empty: all as usual.
+  std::vector<double> paces;
 };
 
 // Experts dealt out in turn, each to one rank.
@@ -35,10 +37,13 @@
 // Load of each rank; experts that no rank holds count for none.
 std::vector<double> RankLoads(const SetMap& map,
                               const std::vector<double>& demand);
-// Most loaded rank over the mean; 1 without any load.
-double SkewOf(const SetMap& map, const std::vector<double>& demand);
+// The time of the slowest rank over that of a mean load at the usual pace; 1
+// without any load.
+double SkewOf(const SetMap& map, const std::vector<double>& demand,
+              const std::vector<double>& paces = {});
 // The mean over the sets.
-double SkewOf(const GroupMap& map, const ExpertDemand& demand);
+double SkewOf(const GroupMap& map, const ExpertDemand& demand,
+              const std::vector<double>& paces = {});
 // The next map of one set. `copies` are those that each rank makes already, and
 // is raised by those of this set.
 SetMap PlanEvenly(const SetMap& present, const std::vector<double>& demand,
--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -330,6 +330,15 @@
   return map;
 }
 
+std::vector<double> MapSwitch::Paces() const {
+  std::vector<double> paces;
+  std::ranges::transform(ranks_, std::back_inserter(paces),
+                         [](const Rank& rank) {
+                           return std::max(1.0, rank.status.report.pace);
+                         });
+  return paces;
+}
+
 void MapSwitch::Begin(GroupMap map, TimePoint now) {
   version_ =
       MapVersion(options_.term.value() * kVersionsPerTerm + ++maps_made_);
--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -101,6 +101,8 @@
   bool CanBegin(TimePoint now) const;
   // The map in use, if all ranks agree and have told what they hold.
   std::optional<GroupMap> PresentMap(TimePoint now) const;
+  // How many times as long as usual each rank takes, as last told.
+  std::vector<double> Paces() const;
   void Begin(GroupMap map, TimePoint now);
 
   Phase phase() const { return phase_; }
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -431,9 +431,10 @@
   if (!present || present->size() != demand.demand().size()) return;
   const auto experts = static_cast<double>(demand.demand().size()) * experts_;
   if (demand.Weight() < kLeastChoicesPerExpert * experts) return;
+  placement_.paces = map_switch.Paces();
   const GroupMap next = PlanEvenly(*present, demand.demand(), placement_);
-  const double before = SkewOf(*present, demand.demand());
-  const double after = SkewOf(next, demand.demand());
+  const double before = SkewOf(*present, demand.demand(), placement_.paces);
+  const double after = SkewOf(next, demand.demand(), placement_.paces);
   if (before - after < options_.least_gain) return;
   Log(LogLevel::kInfo, "map_planned",
       {{"skew_before_percent", static_cast<int>(before * 100)},
--- a/tests/unit/even_placement_test.cc
+++ b/tests/unit/even_placement_test.cc
@@ -14,7 +14,7 @@
 
 constexpr int kRanks = 12;
 constexpr int kExperts = 96;
-constexpr EvenPlacementOptions kOptions = {.places = 11, .spare_places = 4};
+const EvenPlacementOptions kOptions = {.places = 11, .spare_places = 4};
 
 // Popularity that falls off as a power of the rank, in random order.
 std::vector<double> SkewedDemand(Random& random) {
@@ -66,6 +66,23 @@
   EXPECT_LE(sum / kSeeds, 1.3);
 }
 
+// One rank takes twelve times as long as the others, which bear its load.
+TEST(EvenPlacement, RelievesASlowRank) {
+  Random random(4);
+  const std::vector<double> demand = SkewedDemand(random);
+  EvenPlacementOptions options = kOptions;
+  options.paces = std::vector<double>(kRanks, 1.0);
+  options.paces[5] = 12.0;
+  SetMap map = DealtInTurn(kRanks, kExperts);
+  for (int step = 0; step < 6; ++step) {
+    std::vector<int> copies(kRanks);
+    const SetMap next = PlanEvenly(map, demand, options, copies);
+    ExpectSound(map, next);
+    map = next;
+  }
+  EXPECT_LE(SkewOf(map, demand, options.paces), 1.5);
+}
+
 TEST(EvenPlacement, LeavesAnEvenMapAlone) {
   const GroupMap map = {DealtInTurn(kRanks, kExperts)};
   const ExpertDemand demand = {std::vector<double>(kExperts, 5.0)};
