Have the holding rank's agent grant the arming of the leader's own rank

Change: the leader arms its own rank only once the holding rank's agent has granted it, so that a successor knows; the model and the schedules have it, with a mutant. Commands follow as soon as a rank has obeyed. Counts of a backend server are kept while work is in progress there.

--- a/specs/map_switch.pml
+++ b/specs/map_switch.pml
@@ -1,8 +1,8 @@
 /* The switch of a group's expert map under a hold.
  *
  * Three ranks have prepared the new map. A leader beside rank 0 holds the pass
- * at rank 1, arms ranks 1 and 2 in any order, then its own rank, and releases
- * the hold. It may stop for good at any point, and then rank 0 can't be reached
+ * at rank 1, arms ranks 1 and 2 in any order, has rank 1 grant that it arms its
+ * own rank, arms it, and releases the hold. It may stop for good at any point, and then rank 0 can't be reached
  * for as long as it pleases. An order to arm may be left unanswered and carried
  * out at any later time until the pass has begun; the rank's agent remembers
  * that. A successor beside rank 2 ends the leader's power over each rank that it
@@ -13,7 +13,7 @@
  *   NO_HOLD         the leader arms without a hold
  *   EARLY_RELEASE   the hold is released before all are confirmed armed
  *   NO_READING      the successor releases without reading the ranks
- *   OWN_RANK_FIRST  the leader arms its own rank before the others
+ *   NO_GRANT        the leader arms its own rank without a grant
  *   IGNORE_LATE     the arming is undone although an order may still be late
  */
 #define RANKS 3
@@ -22,6 +22,7 @@
 bool late[RANKS];         /* an order to arm is on its way */
 bool may_arm_late[RANKS]; /* the agent sent one that got no answer */
 bool fenced[RANKS];       /* the agent has seen the successor's term */
+bool granted;             /* rank 1 let the leader arm rank 0 */
 bool held;
 bool begun;
 bool stopped;             /* the leader, with the way to rank 0 */
@@ -32,9 +33,9 @@
 #define NONE_ARMED (!armed[0] && !armed[1] && !armed[2])
 
 #ifdef IGNORE_LATE
-#define CAN_UNDO (!(armed[1] && armed[2]))
+#define CAN_UNDO (!granted)
 #else
-#define CAN_UNDO (!(armed[1] && armed[2]) && !may_arm_late[1] && !may_arm_late[2])
+#define CAN_UNDO (!granted && !may_arm_late[1] && !may_arm_late[2])
 #endif
 
 /* An order to arm: carried out, or left unanswered for later. */
@@ -49,13 +50,6 @@
 proctype Leader() {
 #ifndef NO_HOLD
   held = true;
-#endif
-#ifdef OWN_RANK_FIRST
-  do
-  :: atomic { !stopped && !fenced[0] && !armed[0] -> arm(0) }
-  :: armed[0] -> break
-  :: stopped || fenced[0] -> goto end
-  od;
 #endif
   do
   :: atomic { !stopped && !fenced[1] && !armed[1] -> arm(1) }
@@ -68,6 +62,12 @@
   od;
 #ifdef EARLY_RELEASE
   held = false;
+#endif
+#ifndef NO_GRANT
+  if
+  :: atomic { !stopped && !fenced[1] -> granted = true }
+  :: stopped || fenced[1] -> goto end
+  fi;
 #endif
   do
   :: atomic { !stopped && !fenced[0] && !armed[0] -> arm(0) }
--- a/src/group/even_placement.h
+++ b/src/group/even_placement.h
@@ -4,8 +4,8 @@
 // A pass takes, set by set, as long as its most loaded rank. A map is improved
 // by copies: an expert of the most loaded rank is copied to a rank that carries
 // less, into a free place or in place of an expert that is held elsewhere too,
-// two experts change places, or one that is held elsewhere is given up. Each copy costs its bytes, so that one which
-// saves little is left out.
+// two experts change places, or one that is held elsewhere is given up. Each
+// copy costs its bytes, so that one which saves little is left out.
 #pragma once
 
 #include <cstdint>
--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -29,6 +29,11 @@
     GoTo(Phase::kReading, now);
   }
   Rank& rank = ranks_[report.rank];
+  const RankReport& before = rank.status.report;
+  const bool has_obeyed = before.prepared != report.prepared ||
+                          before.armed != report.armed ||
+                          before.held != report.held;
+  if (has_obeyed) rank.commanded.reset();
   rank.status = status;
   rank.is_known = status.term >= options_.term;
   rank.heard = now;
@@ -159,17 +164,17 @@
   GoTo(Phase::kReleasing, now);
 }
 
-// A former leader armed its own rank only after all others. If it is the only
-// one that can't be reached, and another rank isn't armed, then its own isn't
-// either, and the arming can be undone. In an idle group the hold does no harm
-// and an order that is carried out late might still find its pass ahead, so
-// that the hold is left.
+// A former leader armed its own rank only after the holding rank's agent had
+// granted it. If that rank is the only one that can't be reached, and nothing
+// was granted, then it isn't armed, and the arming can be undone. In an idle
+// group the hold does no harm and an order that is carried out late might still
+// find its pass ahead, so that the hold is left.
 bool MapSwitch::CanUndo(TimePoint now) const {
   if (!options_.former_leader || *options_.former_leader >= size() ||
       !HoldingRank()) {
     return false;
   }
-  bool is_all_armed = true;
+  const MapVersion granted = ranks_[*HoldingRank()].status.granted;
   bool is_working = false;
   for (int index = 0; index < size(); ++index) {
     const Rank& rank = ranks_[index];
@@ -181,10 +186,10 @@
       return false;
     }
     if (rank.status.may_arm_late) return false;
-    is_all_armed = is_all_armed && rank.status.report.armed.has_value();
+    if (rank.status.report.armed == granted) return false;
     is_working = is_working || rank.status.report.running > 0;
   }
-  return !is_all_armed && is_working;
+  return is_working;
 }
 
 bool MapSwitch::IsArmed(const Rank& rank) const {
@@ -198,6 +203,15 @@
   return true;
 }
 
+bool MapSwitch::IsGranted() const {
+  return ranks_[holder_].status.granted == version_;
+}
+
+bool MapSwitch::NeedsGrant() const {
+  return OthersAreArmed() && !IsGranted() &&
+         !IsArmed(ranks_[options_.own_rank]);
+}
+
 bool MapSwitch::HasSwitched(const Rank& rank) const {
   return rank.is_known && rank.status.report.map == version_;
 }
@@ -270,7 +284,10 @@
       }
       break;
     case Phase::kArming:
-      if (!IsArmed(rank) && (index != options_.own_rank || OthersAreArmed())) {
+      if (index == holder_ && NeedsGrant()) {
+        return RankCommand{.version = version_, .is_grant = true};
+      }
+      if (!IsArmed(rank) && (index != options_.own_rank || IsGranted())) {
         return RankCommand{
             .order = OrderKind::kArm, .version = version_, .pass = pass_};
       }
@@ -332,10 +349,9 @@
 
 std::vector<double> MapSwitch::Paces() const {
   std::vector<double> paces;
-  std::ranges::transform(ranks_, std::back_inserter(paces),
-                         [](const Rank& rank) {
-                           return std::max(1.0, rank.status.report.pace);
-                         });
+  std::ranges::transform(
+      ranks_, std::back_inserter(paces),
+      [](const Rank& rank) { return std::max(1.0, rank.status.report.pace); });
   return paces;
 }
 
--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -6,15 +6,17 @@
 // 2. One rank holds a pass S that lies ahead, and the hold is confirmed. It is
 //    never the leader's own, so that a leader whose machine stops can be
 //    succeeded.
-// 3. Every rank arms the new map for S, the leader's own one last.
+// 3. Every rank arms the new map for S, the leader's own one last, and that one
+//    only once the agent of the holding rank has granted it.
 // 4. When all are confirmed armed, the hold is released. As long as this comes
 //    before the group reaches S, no rank ever waits.
 //
 // Until a rank is confirmed, its command is given again. Once a rank may be
 // armed, the way on is to arm the others, and the hold keeps S from beginning
-// until that is done. Only a rank of a former leader that can't be reached is
-// known not to be armed as long as another one isn't; then those that are armed
-// are disarmed instead, unless one of them may still be armed by a late order.
+// until that is done. Only the rank of a former leader that can't be reached is
+// known not to be armed as long as the holding rank's agent hasn't granted it;
+// then those that are armed are disarmed instead, unless one of them may still
+// be armed by a late order.
 // An order may be carried out late: one that arms or holds for S is void once S
 // has begun or the group has formed anew, and until then it asks for what all
 // ranks are brought to anyway.
@@ -44,6 +46,8 @@
   std::vector<std::vector<int>> holdings;  // experts by set, of the map in use
   // The newest map that the engine has accepted to prepare in this epoch.
   MapVersion accepted;
+  // The newest map for which the agent let the leader arm its own rank.
+  MapVersion granted;
   // An order to arm that got no answer may still be carried out.
   bool may_arm_late = false;
 };
@@ -59,6 +63,8 @@
   GroupMap map;
   // To be given to the engine itself, not by its agent.
   bool is_direct = false;
+  // Without an order: lets the leader arm its own rank with `version`.
+  bool is_grant = false;
 };
 
 class MapSwitch {
@@ -125,6 +131,8 @@
   bool HasSwitched(const Rank& rank) const;
   bool CanUndo(TimePoint now) const;
   bool OthersAreArmed() const;
+  bool IsGranted() const;
+  bool NeedsGrant() const;
   void GoTo(Phase phase, TimePoint now);
   void Resume(TimePoint now);
   std::optional<int> HoldingRank() const;
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -149,6 +149,7 @@
                     .term = term_,
                     .report = *report_,
                     .accepted = has_accepted ? accepted_ : MapVersion(),
+                    .granted = granted_,
                     .may_arm_late = BootNow() < may_arm_late_until_};
   if (holdings_version_ == report_->map && holdings_epoch_ == report_->epoch) {
     message.status.holdings = holdings_;
@@ -209,6 +210,7 @@
 
 void RankAgent::Execute(const Job& job) {
   const RankCommand& command = job.command;
+  if (command.is_grant && job.term == term_) granted_ = command.version;
   const bool is_void = !report_ || !command.order || job.term < term_ ||
                        report_->epoch != command.epoch ||
                        report_->rank != command.rank;
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -111,6 +111,7 @@
   GroupEpoch holdings_epoch_;
   MapVersion accepted_;  // the newest map that the engine agreed to prepare
   GroupEpoch accepted_epoch_;
+  MapVersion granted_;  // the leader may have armed its own rank with it
   // An order to arm without an answer may be carried out until then. A process
   // that has just started doesn't know what the one before it sent.
   TimePoint may_arm_late_until_;
--- a/src/group/rank_messages.cc
+++ b/src/group/rank_messages.cc
@@ -63,6 +63,7 @@
                {"epoch", command.epoch},
                {"version", command.version},
                {"pass", command.pass}};
+  if (command.is_grant) json["grant"] = true;
   if (command.order) json["order"] = static_cast<int>(*command.order);
   if (!command.map.empty()) json["map"] = command.map;
   return json;
@@ -81,6 +82,7 @@
     }
     command.order = static_cast<OrderKind>(order);
   }
+  command.is_grant = json.value("grant", false);
   if (json.contains("map")) command.map = json.at("map").get<GroupMap>();
   return command;
 }
@@ -104,6 +106,7 @@
         .report = ToReport(json.at("report")),
         .holdings = json.at("holdings").get<std::vector<std::vector<int>>>(),
         .accepted = json.at("accepted").get<MapVersion>(),
+        .granted = json.at("granted").get<MapVersion>(),
         .may_arm_late = json.at("late").get<bool>()};
     message.choices = json.at("choices").get<ExpertCounts>();
   } else if (message.kind == RankMessageKind::kCommand) {
@@ -126,6 +129,7 @@
     json["holdings"] = message.status.holdings;
     json["accepted"] = message.status.accepted;
     json["late"] = message.status.may_arm_late;
+    json["granted"] = message.status.granted;
     json["choices"] = message.choices;
   } else if (message.kind == RankMessageKind::kCommand) {
     json["command"] = FromCommand(message.command);
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -33,17 +33,18 @@
 
 void Dispatcher::SetBackends(const std::vector<BackendRecord>& backends,
                              TimePoint /*now*/) {
-  std::unordered_map<InstanceId, Backend> next;
   by_service_.clear();
+  for (auto& [id, backend] : backends_) backend.is_listed = false;
   for (const BackendRecord& record : backends) {
-    const auto known = backends_.find(record.id);
-    Backend backend =
-        known == backends_.end() ? Backend() : std::move(known->second);
+    Backend& backend = backends_[record.id];
+    if (backend.record.listed != record.listed) backend.is_gone = false;
     backend.record = record;
+    backend.is_listed = true;
     by_service_[record.service].push_back(record.id);
-    next.emplace(record.id, std::move(backend));
   }
-  backends_ = std::move(next);
+  std::erase_if(backends_, [](const auto& item) {
+    return !item.second.is_listed && item.second.own_requests == 0;
+  });
 }
 
 void Dispatcher::SetServices(const std::vector<ServiceSpec>& services) {
@@ -352,7 +353,7 @@
 std::vector<BackendShare> Dispatcher::OwnShares() const {
   std::vector<BackendShare> shares;
   for (const auto& [id, backend] : backends_) {
-    if (backend.own_requests == 0) continue;
+    if (backend.own_requests == 0 || !backend.is_listed) continue;
     shares.push_back({.backend = id,
                       .requests = backend.own_requests,
                       .unread_tokens = backend.own_unread});
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -109,7 +109,10 @@
   std::vector<BackendShare> OwnShares() const;
   // Connections that this entry may open to one backend server.
   int MostConnections(const ServiceName& service) const;
-  bool Knows(const InstanceId& id) const { return backends_.contains(id); }
+  bool Knows(const InstanceId& id) const {
+    const auto it = backends_.find(id);
+    return it != backends_.end() && it->second.is_listed;
+  }
   std::size_t waiting() const { return waiting_.size(); }
   int sent() const { return static_cast<int>(sent_.size()); }
   std::size_t backends() const { return backends_.size(); }
@@ -121,6 +124,8 @@
   };
   struct Backend {
     BackendRecord record;
+    // One that isn't listed any more is kept while work is in progress there.
+    bool is_listed = true;
     int own_requests = 0;
     int own_unread = 0;
     std::map<InstanceId, PeerShare> peers;
--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -273,6 +273,25 @@
   }
 }
 
+// A backend server whose entry lapses and comes back, with work in progress
+// there, was counted with less work than it has, and drew all that came.
+TEST_F(DispatcherTest, ABackendServerThatIsListedAgainKeepsItsCounts) {
+  const auto running = FillGroup();
+  std::vector<BackendRecord> fewer(backends_.begin() + 1, backends_.end());
+  dispatcher_.SetBackends(fewer, now_);
+  dispatcher_.SetBackends(backends_, now_);
+  Submit(kModel);
+  EXPECT_TRUE(Decide().empty());
+  for (const AttemptNumber number : running) {
+    dispatcher_.OnEnded(number, Dispatcher::Result::kServed, now_);
+  }
+  EXPECT_TRUE(dispatcher_.OwnShares().empty());
+  std::map<InstanceId, int> sent;
+  for (int i = 0; i < 2 * kRanks; ++i) Submit(kModel);
+  for (const auto& [number, decision] : Decide()) ++sent[decision.backend->id];
+  for (const auto& [id, count] : sent) EXPECT_LE(count, 3);
+}
+
 TEST_F(DispatcherTest, AnAddressTakenByAnotherIsPassedOverUntilListedAnew) {
   const InstanceId first = SendOne(kDesk);
   dispatcher_.OnEnded(last_, Dispatcher::Result::kGone, now_);
