Release holds that came late from a deposed leader

Change: before any rank is armed, a leader releases each hold that isn't its own; a status with a later term deposes the switch.

--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -14,12 +14,17 @@
 constexpr std::uint64_t kMostAhead = 40;
 constexpr double kPaceSmoothing = 0.3;
 
+RankCommand Release(const RankReport& report) {
+  return {.order = OrderKind::kGo, .pass = *report.held};
+}
+
 }  // namespace
 
 void MapSwitch::OnStatus(const RankStatus& status, TimePoint now) {
   const RankReport& report = status.report;
   if (report.size <= 0 || report.rank < 0 || report.rank >= report.size) return;
-  if (report.epoch < epoch_) return;
+  if (status.term > options_.term) phase_ = Phase::kDeposed;
+  if (report.epoch < epoch_ || phase_ == Phase::kDeposed) return;
   // A group that has formed anew holds and knows nothing of before.
   if (report.epoch > epoch_ || size() != report.size) {
     epoch_ = report.epoch;
@@ -97,8 +102,7 @@
       break;
     case Phase::kHolding:
       // No rank has been told to arm yet, so that another pass may be chosen.
-      if (HoldingRank() == holder_ &&
-          ranks_[holder_].status.report.held == pass_) {
+      if (ranks_[holder_].status.report.held == pass_) {
         GoTo(Phase::kArming, now);
       } else if (LastPass() >= pass_) {
         pass_ = ChoosePass();
@@ -129,6 +133,7 @@
         GoTo(Phase::kIdle, now);
       }
       break;
+    case Phase::kDeposed:
     case Phase::kCount:
       break;
   }
@@ -258,6 +263,8 @@
   return !rank.commanded || now - *rank.commanded >= retry;
 }
 
+// Before any rank is armed, a hold that isn't this leader's own came late from
+// a leader before it and would stop the group.
 std::optional<RankCommand> MapSwitch::CommandFor(int index) const {
   const Rank& rank = ranks_[index];
   const RankReport& report = rank.status.report;
@@ -266,12 +273,16 @@
       if (!rank.is_known) return RankCommand();
       break;
     case Phase::kPreparing:
+      if (report.held) return Release(report);
       if (report.prepared != version_) {
         return RankCommand{
             .order = OrderKind::kPrepare, .version = version_, .map = map_};
       }
       break;
     case Phase::kHolding:
+      if (report.held && (index != holder_ || report.held != pass_)) {
+        return Release(report);
+      }
       if (index == holder_ && report.held != pass_) {
         return RankCommand{
             .order = OrderKind::kHold, .pass = pass_, .is_direct = true};
@@ -293,12 +304,11 @@
       }
       break;
     case Phase::kReleasing:
-      if (report.held) {
-        return RankCommand{.order = OrderKind::kGo, .pass = *report.held};
-      }
+      if (report.held) return Release(report);
       break;
     case Phase::kIdle:
     case Phase::kSettling:
+    case Phase::kDeposed:
     case Phase::kCount:
       break;
   }
--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -94,6 +94,7 @@
     kUndoing,
     kReleasing,
     kSettling,
+    kDeposed,  // an agent has seen a later term
     kCount
   };
 
