Refuse streams that a slow group can't make whole in time

Cause: with one rank twelve times slower, a pass takes over 500 ms and a usual stream of 28 events 14 s of its 8: all slots were taken by streams that were lost at the end. Change: streams show how far apart their events come; what is expected to need more than its caller's time is refused at once with a time to come back, and shorter ones go on.

--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -95,6 +95,22 @@
   return give_up - kAnswerTime;
 }
 
+// The events that the answer is expected to have still, from the caller's hint
+// or from what is usual for the service.
+double ForwardRun::ExpectedEvents() const {
+  if (job_.route->kind != RouteKind::kStream) return 0;
+  const ServiceSpec* service = job_.routes->FindService(job_.service);
+  if (service == nullptr || !service->engine) return 0;
+  const EngineFigures& engine = *service->engine;
+  double tokens = job_.fields.hinted_answer_tokens
+                      ? *job_.fields.hinted_answer_tokens
+                      : engine.usual_answer_tokens;
+  if (job_.fields.most_answer_tokens) {
+    tokens = std::min<double>(tokens, *job_.fields.most_answer_tokens);
+  }
+  return tokens / std::max(1, engine.steps_per_pass);
+}
+
 void ForwardRun::Submit() {
   phase_ = Phase::kWaiting;
   attempt_ = context_.last_attempt = context_.last_attempt.Next();
@@ -106,6 +122,8 @@
            job_.workspace == nullptr ? WorkspaceName() : job_.workspace->name,
        .prompt_tokens = job_.fields.prompt_tokens.value_or(0),
        .give_up = has_begun_ ? deadline_ : GiveUpTime(),
+       .deadline = deadline_,
+       .events = has_begun_ ? 0 : ExpectedEvents(),
        .tried = tried_,
        .zones = job_.zones});
   context_.request_decisions();
@@ -145,6 +163,7 @@
   body_.clear();
   is_relaying_ = false;
   has_bytes_ = false;
+  last_event_at_.reset();
   std::string request = RequestText(job_.message.method, job_.message.target,
                                     FieldsFor(backend, now));
   request.append(job_.message.body);
@@ -214,6 +233,11 @@
 
 void ForwardRun::Relay(std::string_view data) {
   if (data.empty()) return;
+  const TimePoint now = BootNow();
+  if (last_event_at_) {
+    context_.dispatcher.OnEventGap(job_.service, now - *last_event_at_, now);
+  }
+  last_event_at_ = now;
   if (!has_begun_) {
     has_begun_ = true;
     caller_->BeginStream(status_, answer_fields_);
--- a/src/caller/forward_run.h
+++ b/src/caller/forward_run.h
@@ -51,6 +51,7 @@
   void Send(const BackendRecord& backend);
   HttpFields FieldsFor(const BackendRecord& backend, TimePoint now) const;
   TimePoint GiveUpTime() const;
+  double ExpectedEvents() const;
   int Priority() const;
   void Relay(std::string_view data);
   void OnWholeAnswer();
@@ -76,6 +77,7 @@
   BackendConnection::Ptr connection_;
   std::vector<InstanceId> tried_;
   TimePoint sent_at_;
+  std::optional<TimePoint> last_event_at_;  // of this attempt
   // The answer in progress.
   int status_ = 0;
   HttpFields answer_fields_;
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -17,6 +17,12 @@
 constexpr Millis kMostRetryAfter{2'000};
 // The part of a caller's patience that a new request's expected wait may take.
 constexpr double kShareOfPatience = 0.75;
+// The pace of events is forgotten after this.
+constexpr Millis kPaceMemory{1'000};
+// The part of an expected duration that is taken for certain.
+constexpr double kCertainShare = 0.8;
+// Callers come back after this when a service is too slow for them.
+constexpr Millis kSlowRetry{1'000};
 // Service time of a backend server that has served nothing yet.
 constexpr double kUnknownServiceSeconds = 1.0;
 // Time after which a service without any backend server may have one again.
@@ -85,6 +91,11 @@
   std::vector<Waiting> still;
   for (Waiting& waiting : waiting_) {
     const Query& query = waiting.query;
+    if (!CanFinish(query, now)) {
+      decisions.push_back(
+          Refuse(query, Reason::kDeadlineUnreachable, kSlowRetry));
+      continue;
+    }
     // A request waits behind those before it, unless they may go elsewhere
     // only.
     if (Backend* backend = Choose(query, now)) {
@@ -110,6 +121,28 @@
   return decisions;
 }
 
+// A stream that can't be whole in time would only take the place of a shorter
+// one, which can. The pace is judged by what came lately; without that, streams
+// are let through and show it.
+bool Dispatcher::CanFinish(const Query& query, TimePoint now) const {
+  const auto pace = event_paces_.find(query.service);
+  if (query.events <= 0 || pace == event_paces_.end() ||
+      now - pace->second.at > kPaceMemory) {
+    return true;
+  }
+  const double needed = query.events * pace->second.gap_seconds;
+  return needed * kCertainShare <= ToSeconds(query.deadline - now);
+}
+
+void Dispatcher::OnEventGap(const ServiceName& service, Duration gap,
+                            TimePoint now) {
+  EventPace& pace = event_paces_[service];
+  const bool is_fresh = now - pace.at <= kPaceMemory;
+  pace.gap_seconds =
+      is_fresh ? Smoothed(pace.gap_seconds, ToSeconds(gap)) : ToSeconds(gap);
+  pace.at = now;
+}
+
 // A request joins the queue only with time to spare, so that few of those that
 // wait are refused later on. Of a closed group's return too little is known to
 // ask for more.
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -64,8 +64,12 @@
     int priority = 0;  // 0 is the most urgent
     WorkspaceName workspace;
     int prompt_tokens = 0;
-    // After this an answer comes too late for the caller.
+    // After this an answer begins too late for the caller.
     TimePoint give_up;
+    // When the whole answer has to be there, and the events that it is expected
+    // to have; 0: not a stream.
+    TimePoint deadline = TimePoint::max();
+    double events = 0;
     std::vector<InstanceId> tried;
     // Zones of the regions where it may run; empty: all.
     std::vector<ZoneName> zones;
@@ -105,6 +109,8 @@
   // The first bytes of the answer came: its prompt has been read.
   void OnAnswerBegun(AttemptNumber number, TimePoint now);
   void OnEnded(AttemptNumber number, Result result, TimePoint now);
+  // A stream of the service brought an event `gap` after the one before.
+  void OnEventGap(const ServiceName& service, Duration gap, TimePoint now);
 
   std::vector<BackendShare> OwnShares() const;
   // Connections that this entry may open to one backend server.
@@ -157,6 +163,13 @@
 
   bool IsGroup(const ServiceName& service) const;
   bool MayPassGate(const ServiceName& service, TimePoint now) const;
+  // How far apart the events of a service's streams come.
+  struct EventPace {
+    double gap_seconds = 0;  // smoothed
+    TimePoint at;
+  };
+
+  bool CanFinish(const Query& query, TimePoint now) const;
   Backend* Choose(const Query& query, TimePoint now);
   bool IsOpen(const Backend& backend, const Query& query, TimePoint now);
   int RequestsAt(const Backend& backend, TimePoint now) const;
@@ -180,6 +193,7 @@
   std::map<ServiceName, std::vector<InstanceId>> by_service_;
   std::map<ServiceName, ServiceSpec> services_;
   std::map<ServiceName, GroupGate> gates_;
+  std::map<ServiceName, EventPace> event_paces_;
   std::vector<Waiting> waiting_;  // in the order of their turns
   std::map<AttemptNumber, Sent> sent_;
   std::map<WorkspaceName, int> in_progress_;
--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -265,6 +265,34 @@
   EXPECT_GE(all, kColdPerS);
 }
 
+// One slow rank holds up the whole group: what can't be whole in time would
+// only keep shorter work from it.
+TEST_F(DispatcherTest, SlowGroupRefusesLongStreamsAndTakesShortOnes) {
+  const auto submit = [this](double events) {
+    last_ = last_.Next();
+    dispatcher_.Submit({.number = last_,
+                        .service = kModel,
+                        .give_up = now_ + seconds(2),
+                        .deadline = now_ + seconds(8),
+                        .events = events});
+    return last_;
+  };
+  for (int i = 0; i < 20; ++i) {
+    dispatcher_.OnEventGap(kModel, milliseconds(500), now_);
+  }
+  const AttemptNumber longer = submit(28);
+  const AttemptNumber shorter = submit(10);
+  auto decisions = Decide();
+  EXPECT_FALSE(decisions.at(longer).backend);
+  EXPECT_EQ(decisions.at(longer).reason, Reason::kDeadlineUnreachable);
+  EXPECT_TRUE(decisions.at(shorter).backend);
+  // Without any news of the pace, streams are let through again.
+  now_ += milliseconds(1'100);
+  const AttemptNumber later = submit(28);
+  decisions = Decide();
+  EXPECT_TRUE(decisions.at(later).backend);
+}
+
 TEST_F(DispatcherTest, NothingGoesToABackendServerThatLeft) {
   backends_.erase(backends_.begin());
   dispatcher_.SetBackends(backends_, now_);
