Write logs to standard output, bounded and without waiting

Cause: logs went to standard error, without a bound, and a slow reader could hold up the thread that wrote.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 
 # The formatter's and the linter's findings are errors.
 lint: build
+	scripts/check_names.sh
 	clang-format --dry-run -Werror $(SOURCES)
 	printf "%s\n" $(filter %.cc,$(SOURCES)) | \
 	  xargs -P $(JOBS) -n 1 scripts/tidy.sh $(BUILD)
--- a/src/agent_main.cc
+++ b/src/agent_main.cc
@@ -111,6 +111,7 @@
   traffic.Join();
   // The operating system releases what is left; destroying it here would run
   // the handlers of connections that are still open.
+  CloseLog();
   std::quick_exit(kExitOk);
 }
 
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -33,8 +33,11 @@
 void InitLog(std::string_view program, std::string_view instance,
              LogLevel level);
 void SetLogLevel(LogLevel level);
+// Writes what waits; nothing may be logged afterwards.
+void CloseLog();
 // Writes one line with a time, the level, `event` and the fields. Safe from any
-// thread.
+// thread; never waits for the reader. Beyond 1,000 lines in a second lines are
+// dropped, and a line says how many.
 void Log(LogLevel level, std::string_view event,
          std::initializer_list<LogField> fields = {});
 
--- a/src/direct_entry_main.cc
+++ b/src/direct_entry_main.cc
@@ -136,6 +136,7 @@
   traffic.Join();
   // The operating system releases what is left; destroying it here would run
   // the handlers of connections that are still open.
+  CloseLog();
   std::quick_exit(kExitOk);
 }
 
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -85,6 +85,7 @@
   traffic.Join();
   // The operating system releases what is left; destroying it here would run
   // the handlers of connections that are still open.
+  CloseLog();
   std::quick_exit(kExitOk);
 }
 
--- a/src/rank_agent_main.cc
+++ b/src/rank_agent_main.cc
@@ -46,6 +46,7 @@
       {{"backend", settings.backend_address.value()}});
   loop.Run();
   Log(LogLevel::kInfo, "stopped");
+  CloseLog();
   std::quick_exit(kExitOk);
 }
 
