--- a/src/backend/backend_connection.cc
+++ b/src/backend/backend_connection.cc
@@ -124,7 +124,7 @@
   }
   // Bytes that no request asked for.
   if (phase_ != Phase::kBusy) return Fail();
-  Consume(std::string_view(read_buffer_).substr(0, size));
+  Consume({read_buffer_.data(), size});
   Read();
 }
 
--- a/src/backend/backend_pool.cc
+++ b/src/backend/backend_pool.cc
@@ -12,7 +12,7 @@
   auto& entry = entries_[id];
   if (entry == nullptr) entry = std::make_shared<Entry>();
   while (!entry->waiting.empty()) {
-    const auto connection = std::move(entry->waiting.back());
+    auto connection = std::move(entry->waiting.back());
     entry->waiting.pop_back();
     if (connection->IsReusable(now)) return connection;
     connection->Cancel();
--- a/src/caller/caller_connection.cc
+++ b/src/caller/caller_connection.cc
@@ -225,16 +225,15 @@
 void CallerConnection::CloseIfOverdue(TimePoint now) {
   const CallerLimits& limits = host_.limits();
   const Duration spent = now - phase_began_;
-  if (phase_ == Phase::kIdle && writing_.empty() &&
-      spent > limits.idle_timeout) {
-    Close();
-  } else if (phase_ == Phase::kReading && !parser_.has_head() &&
-             spent > limits.header_timeout) {
-    RefuseAndClose(kRequestTimeout);
-  } else if (phase_ == Phase::kReading && spent > limits.idle_timeout) {
+  const Duration reading_limit =
+      parser_.has_head() ? limits.idle_timeout : limits.header_timeout;
+  const bool is_written = writing_.empty() && output_.empty();
+  const bool is_unused =
+      (phase_ == Phase::kIdle && spent > limits.idle_timeout) ||
+      (phase_ == Phase::kLingering && spent > kLinger);
+  if (phase_ == Phase::kReading && spent > reading_limit) {
     RefuseAndClose(kRequestTimeout);
-  } else if (phase_ == Phase::kLingering && writing_.empty() &&
-             output_.empty() && spent > kLinger) {
+  } else if (is_unused && is_written) {
     Close();
   }
 }
--- a/src/caller/entry_control.cc
+++ b/src/caller/entry_control.cc
@@ -56,7 +56,7 @@
 
 absl::Status EntryControl::Start() {
   for (HttpServer* server : {&ready_, &directory_, &admin_}) {
-    const absl::Status status = server->Listen();
+    absl::Status status = server->Listen();
     if (!status.ok()) return status;
   }
   follower_.Start();
--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -61,8 +61,8 @@
   context_.BudgetOf(job_.service).OnRequest(BootNow());
   caller_->SetListener({.on_gone =
                             [weak = weak_from_this()] {
-                              if (const auto self = weak.lock())
-                                self->OnCallerGone();
+                              const auto self = weak.lock();
+                              if (self != nullptr) self->OnCallerGone();
                             },
                         .on_drained =
                             [weak = weak_from_this()] {
--- a/src/caller/forward_server.cc
+++ b/src/caller/forward_server.cc
@@ -13,6 +13,7 @@
 constexpr Millis kGossipInterval{150};
 // Connections are looked over for overdue ones once in this many ticks.
 constexpr int kTicksOfSweep = 10;
+constexpr int kListenBacklog = asio::socket_base::max_listen_connections;
 constexpr Millis kRefusalRetry{500};
 // A peer's word counts if it is newer than this entry's own by so much.
 constexpr Millis kConfirmationGain{1'000};
@@ -64,8 +65,7 @@
   if (!error) acceptor_.open(endpoint.protocol(), error);
   if (!error) acceptor_.set_option(asio::socket_base::reuse_address(true));
   if (!error) acceptor_.bind(endpoint, error);
-  if (!error)
-    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (!error) acceptor_.listen(kListenBacklog, error);
   if (error) {
     return absl::UnavailableError("can't listen on " + options_.listen.value() +
                                   ": " + error.message());
--- a/src/group/even_placement.cc
+++ b/src/group/even_placement.cc
@@ -138,8 +138,8 @@
     const double before = Roughness(loads_);
     const double after = Roughness(loads);
     int copies = step.to >= 0 && IsNew(step.to, step.expert) ? 1 : 0;
-    if (step.dropped >= 0 && step.from >= 0 && IsNew(step.from, step.dropped))
-      ++copies;
+    const bool is_swap = step.dropped >= 0 && step.from >= 0;
+    if (is_swap && IsNew(step.from, step.dropped)) ++copies;
     step.value = (before - after) / std::max(1, copies);
     if (step.value < options_.least_saving_per_copy * mean_) return;
     if (!best || step.value > best->value) best = step;
--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -15,7 +15,7 @@
 constexpr double kPaceSmoothing = 0.3;
 
 RankCommand Release(const RankReport& report) {
-  return {.order = OrderKind::kGo, .pass = *report.held};
+  return {.order = OrderKind::kGo, .pass = report.held.value_or(PassNumber())};
 }
 
 }  // namespace
@@ -175,11 +175,11 @@
 // group the hold does no harm and an order that is carried out late might still
 // find its pass ahead, so that the hold is left.
 bool MapSwitch::CanUndo(TimePoint now) const {
-  if (!options_.former_leader || *options_.former_leader >= size() ||
-      !HoldingRank()) {
+  const auto holder = HoldingRank();
+  if (!options_.former_leader || *options_.former_leader >= size() || !holder) {
     return false;
   }
-  const MapVersion granted = ranks_[*HoldingRank()].status.granted;
+  const MapVersion granted = ranks_[*holder].status.granted;
   bool is_working = false;
   for (int index = 0; index < size(); ++index) {
     const Rank& rank = ranks_[index];
--- a/src/net/datagram_socket.cc
+++ b/src/net/datagram_socket.cc
@@ -42,7 +42,7 @@
         if (error == asio::error::operation_aborted) return;
         if (!error) {
           counters_.Count(Event::kControlBytes, size);
-          on_datagram_(std::string_view(buffer_).substr(0, size));
+          on_datagram_({buffer_.data(), size});
         }
         Receive();
       });
--- a/src/peer/entry_gossip.cc
+++ b/src/peer/entry_gossip.cc
@@ -74,6 +74,7 @@
     return !item.second.is_listed && !IsHeard(item.second, now);
   });
   std::vector<const Peer*> order;
+  order.reserve(peers_.size());
   for (const auto& [id, peer] : peers_) order.push_back(&peer);
   std::vector<Outgoing> round;
   const std::size_t count = std::min(options_.fan_out, order.size());
--- a/src/store/fleet_builder.cc
+++ b/src/store/fleet_builder.cc
@@ -146,6 +146,7 @@
 
 std::vector<Member> FleetBuilder::Members() const {
   std::vector<Member> members;
+  members.reserve(members_.size());
   for (const auto& [key, member] : members_) members.push_back(member);
   return members;
 }
--- a/tests/direct_site.cc
+++ b/tests/direct_site.cc
@@ -71,8 +71,9 @@
   {
     const std::lock_guard lock(mutex_);
     last_request_ = request;
-    if (manner != Manner::kReject && manner != Manner::kMisdirected)
-      ++runs_[id];
+    const bool runs =
+        manner != Manner::kReject && manner != Manner::kMisdirected;
+    if (runs) ++runs_[id];
   }
   const std::string body = id + ":" + request.body;
   switch (manner) {
--- a/tests/unit/entry_gossip_test.cc
+++ b/tests/unit/entry_gossip_test.cc
@@ -32,13 +32,14 @@
       .confirmed_age_us = 5,
       .shares = {
           {.backend = InstanceId("b"), .requests = 6, .unread_tokens = 7}}};
-  const auto read = DecodeGossip(EncodeGossip(message));
-  ASSERT_TRUE(read);
-  EXPECT_EQ(read->sender.admin, Endpoint("a:90"));
-  EXPECT_TRUE(read->is_leaving);
-  EXPECT_EQ(read->returned_held_us, 3);
-  EXPECT_EQ(read->deployment, Revision(4));
-  EXPECT_EQ(read->shares[0].unread_tokens, 7);
+  const auto decoded = DecodeGossip(EncodeGossip(message));
+  ASSERT_TRUE(decoded);
+  const GossipMessage read = decoded.value_or(GossipMessage());
+  EXPECT_EQ(read.sender.admin, Endpoint("a:90"));
+  EXPECT_TRUE(read.is_leaving);
+  EXPECT_EQ(read.returned_held_us, 3);
+  EXPECT_EQ(read.deployment, Revision(4));
+  EXPECT_EQ(read.shares[0].unread_tokens, 7);
 }
 
 TEST(EntryGossip, BytesThatAreNoMessageAreDropped) {
@@ -98,6 +99,7 @@
 TEST(EntryGossip, TellsBoundedNumbersAndEverybodyInTurn) {
   EntryGossip gossip({.self = Entry("a"), .fan_out = 8});
   std::vector<Member> listed;
+  listed.reserve(30);
   for (int i = 0; i < 30; ++i) listed.push_back(Entry("p" + std::to_string(i)));
   gossip.SetListed(listed);
   std::set<Endpoint> told;
--- a/tests/unit/even_placement_test.cc
+++ b/tests/unit/even_placement_test.cc
@@ -19,6 +19,7 @@
 // Popularity that falls off as a power of the rank, in random order.
 std::vector<double> SkewedDemand(Random& random) {
   std::vector<double> demand;
+  demand.reserve(kExperts);
   for (int expert = 0; expert < kExperts; ++expert) {
     demand.push_back(1'000.0 / std::pow(expert + 1, 1.3));
   }
--- a/tests/unit/event_splitter_test.cc
+++ b/tests/unit/event_splitter_test.cc
@@ -12,11 +12,12 @@
 
 TEST(EventSplitter, PassesWholeEventsInPiecesOfAnySize) {
   const std::string text = EventText(1) + EventText(2) + EventText(3);
+  const std::string_view stream = text;
   for (std::size_t step = 1; step < text.size(); ++step) {
     EventSplitter splitter("");
     std::string out;
     for (std::size_t at = 0; at < text.size(); at += step) {
-      out += splitter.Feed(std::string_view(text).substr(at, step));
+      out += splitter.Feed(stream.substr(at, step));
     }
     EXPECT_EQ(out + splitter.Finish(), text);
     EXPECT_EQ(splitter.last_id(), "3");
@@ -30,7 +31,8 @@
   for (int id = 1; id <= 6; ++id) whole += EventText(id);
   for (std::size_t cut = 0; cut <= whole.size(); ++cut) {
     EventSplitter splitter("");
-    std::string out = splitter.Feed(std::string_view(whole).substr(0, cut));
+    const std::string_view received = whole;
+    std::string out = splitter.Feed(received.substr(0, cut));
     splitter.DropPartial();
     const int last =
         splitter.last_id().empty() ? 0 : std::stoi(splitter.last_id());
--- a/tests/unit/map_switch_test.cc
+++ b/tests/unit/map_switch_test.cc
@@ -53,7 +53,7 @@
 
   bool Carry(int rank, const RankCommand& command, TimePoint now) {
     Engine& engine = engines[rank];
-    if (command.epoch != epoch) return false;
+    if (command.epoch != epoch || !command.order) return false;
     switch (*command.order) {
       case OrderKind::kPrepare:
         if (engine.prepared == command.version ||
@@ -157,8 +157,8 @@
     for (int step = 0; step < steps; ++step) {
       now_ += kStep;
       Deliver();
-      if (step % (kPassInterval / kStep) == 0 && !group_.BeginPass(now_))
-        return false;
+      const bool is_pass_due = step % (kPassInterval / kStep) == 0;
+      if (is_pass_due && !group_.BeginPass(now_)) return false;
       if (step % 10 == 0) Tell();
       Lead();
       if (Happens(rules_.leader_change_per_mille)) Elect();
