--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -11,7 +11,10 @@
 constexpr std::uint64_t kVersionsPerTerm = 100'000;
 // Passes that a hold lies ahead at the least and at the most.
 constexpr std::uint64_t kLeastAhead = 3;
-constexpr std::uint64_t kMostAhead = 40;
+constexpr std::uint64_t kMostAhead = 100;
+// The next arming is given this much more time than the last one took.
+constexpr double kArmingReserve = 1.3;
+constexpr std::chrono::seconds kLongestArming(4);
 constexpr double kPaceSmoothing = 0.3;
 
 RankCommand Release(const RankReport& report) {
@@ -95,6 +98,7 @@
             return rank.status.report.prepared == version_;
           })) {
         pass_ = ChoosePass();
+        pass_chosen_at_ = now;
         GoTo(Phase::kHolding, now);
       } else if (now - phase_began_ > options_.prepare_limit) {
         GoTo(Phase::kReading, now);
@@ -122,6 +126,7 @@
       break;
     case Phase::kReleasing:
       if (!HoldingRank()) {
+        LearnArmingTime(now);
         GoTo(is_undone_ ? Phase::kReading : Phase::kSettling, now);
         is_undone_ = false;
       }
@@ -247,10 +252,23 @@
   return last;
 }
 
+// Orders that get no answer make the arming of all ranks take long, and then
+// the next hold is put further ahead, so that the group doesn't reach it
+// meanwhile.
+void MapSwitch::LearnArmingTime(TimePoint now) {
+  if (pass_chosen_at_ == TimePoint()) return;
+  const auto took = std::chrono::duration_cast<Duration>(
+      (now - pass_chosen_at_) * kArmingReserve);
+  expected_arming_ = std::min<Duration>(
+      kLongestArming, std::max(took, (expected_arming_ + took) / 2));
+  pass_chosen_at_ = TimePoint();
+}
+
 // A pass that the group reaches only after the ranks have been armed.
 PassNumber MapSwitch::ChoosePass() const {
-  const auto ahead = static_cast<std::uint64_t>(
-      std::ceil(passes_per_s_ * ToSeconds(options_.arming_time)));
+  const Duration arming = std::max(options_.arming_time, expected_arming_);
+  const auto ahead =
+      static_cast<std::uint64_t>(std::ceil(passes_per_s_ * ToSeconds(arming)));
   return PassNumber(LastPass().value() +
                     std::clamp(ahead + 1, kLeastAhead, kMostAhead));
 }
--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -139,6 +139,7 @@
   std::optional<int> HoldingRank() const;
   PassNumber LastPass() const;
   PassNumber ChoosePass() const;
+  void LearnArmingTime(TimePoint now);
   void Step(TimePoint now);
   bool IsCommandDue(const Rank& rank, TimePoint now) const;
   std::optional<RankCommand> CommandFor(int index) const;
@@ -155,6 +156,10 @@
   PassNumber pass_;
   int holder_ = 0;
   bool is_undone_ = false;  // the hold is released without a switch
+  // Time from the choice of a pass to the release of its hold, as it was
+  // lately.
+  Duration expected_arming_{0};
+  TimePoint pass_chosen_at_;
   // Passes a second, from the statuses.
   PassNumber paced_pass_;
   TimePoint paced_at_;
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -18,6 +18,8 @@
 constexpr Millis kTimeToAnswer{300};
 // Candidates wait this much longer for each rank before them.
 constexpr Millis kCandidateSpacing{150};
+// An order to the own engine is given so often, until it is answered.
+constexpr int kOrderTries = 5;
 // Engines carry out an order that they left unanswered within this time.
 constexpr std::chrono::seconds kLatestExecution(13);
 // Choices that a plan has to rest on, for each expert of all sets.
@@ -215,25 +217,36 @@
                        report_->epoch != command.epoch ||
                        report_->rank != command.rank;
   if (is_void) return FinishJob();
-  OrderAt(
-      options_.self.backend, *report_, command,
-      [this, command](OrderFate fate) {
-        if (command.order == OrderKind::kPrepare &&
-            fate == OrderFate::kAccepted) {
-          accepted_ = command.version;
-          accepted_epoch_ = command.epoch;
-        }
-        if (command.order == OrderKind::kArm && fate == OrderFate::kUnknown) {
-          may_arm_late_until_ = BootNow() + kLatestExecution;
-        }
-        engine_.Report(options_.self.backend, [this](const auto& report) {
-          OnReport(report);
-          FinishJob();
-        });
-      });
-}
-
-// The order is void once the engine has accepted another one since `report`.
+  OrderOwnEngine(command, kOrderTries);
+}
+
+// An order without an answer is given again at once: it asks for a state, which
+// holds already if the first one was carried out.
+void RankAgent::OrderOwnEngine(const RankCommand& command, int tries) {
+  OrderAt(options_.self.backend, *report_, command,
+          [this, command, tries](OrderFate fate) {
+            OnOwnOrder(command, fate);
+            if (fate == OrderFate::kUnknown && tries > 1 && report_) {
+              return OrderOwnEngine(command, tries - 1);
+            }
+            engine_.Report(options_.self.backend, [this](const auto& report) {
+              OnReport(report);
+              FinishJob();
+            });
+          });
+}
+
+void RankAgent::OnOwnOrder(const RankCommand& command, OrderFate fate) {
+  if (command.order == OrderKind::kPrepare && fate == OrderFate::kAccepted) {
+    accepted_ = command.version;
+    accepted_epoch_ = command.epoch;
+  }
+  if (command.order == OrderKind::kArm && fate == OrderFate::kUnknown) {
+    may_arm_late_until_ = BootNow() + kLatestExecution;
+  }
+}
+
+// The order is void in any other epoch of the group.
 void RankAgent::OrderAt(const Endpoint& engine, const RankReport& report,
                         const RankCommand& command,
                         std::function<void(OrderFate)> on_done) {
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -71,6 +71,8 @@
   void OnCommand(const RankMessage& message);
   void RunNextJob();
   void Execute(const Job& job);
+  void OrderOwnEngine(const RankCommand& command, int tries);
+  void OnOwnOrder(const RankCommand& command, OrderFate fate);
   void FinishJob();
 
   // Leading.
