--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -23,6 +23,8 @@
 constexpr double kCertainShare = 0.8;
 // Callers come back after this when a service is too slow for them.
 constexpr Millis kSlowRetry{1'000};
+// Refusals of two ranks count together within this time.
+constexpr Millis kRefusalMemory{500};
 // Service time of a backend server that has served nothing yet.
 constexpr double kUnknownServiceSeconds = 1.0;
 // Time after which a service without any backend server may have one again.
@@ -327,11 +329,6 @@
   sent_.erase(it);
   GroupGate& gate = gates_[sent.service];
   if (gate.trial == number) gate.trial.reset();
-  if (result == Result::kRejected && IsGroup(sent.service)) {
-    if (!gate.is_closed) gate.closed_since = now;
-    gate.is_closed = true;
-    gate.next_try = now + options_.group_retry;
-  }
   const auto found = backends_.find(sent.backend);
   if (found == backends_.end()) return;
   Backend& backend = found->second;
@@ -347,7 +344,9 @@
               : Smoothed(backend.service_seconds, ToSeconds(now - sent.at));
       break;
     case Result::kRejected:
-      if (!IsGroup(sent.service)) {
+      if (IsGroup(sent.service)) {
+        OnGroupRefusal(backend, now);
+      } else {
         backend.ejected_until = now + options_.ejection / 2;
       }
       break;
@@ -366,6 +365,20 @@
   }
 }
 
+void Dispatcher::OnGroupRefusal(Backend& backend, TimePoint now) {
+  GroupGate& gate = gates_[backend.record.service];
+  const bool has_second = !gate.refused_by.empty() &&
+                          gate.refused_by != backend.record.id &&
+                          now - gate.refused_at <= kRefusalMemory;
+  const bool is_closing = has_second || gate.is_closed;
+  gate.refused_by = backend.record.id;
+  gate.refused_at = now;
+  if (!is_closing) return Eject(backend, now);
+  if (!gate.is_closed) gate.closed_since = now;
+  gate.is_closed = true;
+  gate.next_try = now + options_.group_retry;
+}
+
 // Passes a backend server over for a time that doubles with each failure, as
 // long as enough others are left to bear the load.
 void Dispatcher::Eject(Backend& backend, TimePoint now) {
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -152,9 +152,13 @@
     Query query;
     bool is_new = true;  // not yet judged
   };
-  // All ranks of a group refuse work while it isn't open. One request at a time
-  // tries whether it is open again, the others wait.
+  // All ranks of a group refuse work while it isn't open, which shows when two
+  // of them do without any answer in between. One request at a time tries
+  // whether it is open again, the others wait.
   struct GroupGate {
+    // The rank that refused last, and when.
+    InstanceId refused_by;
+    TimePoint refused_at;
     bool is_closed = false;
     TimePoint closed_since;
     TimePoint next_try;
@@ -162,6 +166,7 @@
   };
 
   bool IsGroup(const ServiceName& service) const;
+  void OnGroupRefusal(Backend& backend, TimePoint now);
   bool MayPassGate(const ServiceName& service, TimePoint now) const;
   // How far apart the events of a service's streams come.
   struct EventPace {
--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -213,6 +213,7 @@
   for (int i = 0; i < 5; ++i) numbers.push_back(Submit(kModel));
   Decide();
   dispatcher_.OnEnded(numbers[0], Dispatcher::Result::kRejected, now_);
+  dispatcher_.OnEnded(numbers[1], Dispatcher::Result::kRejected, now_);
   for (int i = 0; i < 5; ++i) Submit(kModel);
   EXPECT_TRUE(Decide().empty());
   now_ += milliseconds(130);
@@ -224,10 +225,36 @@
   EXPECT_EQ(Decide().size(), 4U);
 }
 
+// A rank that refuses alone, though its group works, is passed over by itself.
+TEST_F(DispatcherTest, GreyRankThatRefusesDoesNotCloseItsGroup) {
+  std::map<InstanceId, int> sent;
+  int served = 0;
+  for (int i = 0; i < 200; ++i) {
+    now_ += milliseconds(20);
+    const AttemptNumber number = Submit(kModel);
+    const auto decisions = Decide();
+    ASSERT_TRUE(decisions.contains(number));
+    ASSERT_TRUE(decisions.at(number).backend);
+    const InstanceId id = decisions.at(number).backend->id;
+    ++sent[id];
+    if (id == Rank(1)) {
+      dispatcher_.OnEnded(number, Dispatcher::Result::kRejected, now_);
+      continue;
+    }
+    ++served;
+    dispatcher_.OnAnswerBegun(number, now_);
+    dispatcher_.OnEnded(number, Dispatcher::Result::kServed, now_);
+  }
+  EXPECT_GT(served, 170);
+  EXPECT_LT(sent[Rank(1)], 25);
+}
+
 TEST_F(DispatcherTest, GroupClosedForLongRefusesInTime) {
   const AttemptNumber first = Submit(kModel);
+  const AttemptNumber second = Submit(kModel);
   Decide();
   dispatcher_.OnEnded(first, Dispatcher::Result::kRejected, now_);
+  dispatcher_.OnEnded(second, Dispatcher::Result::kRejected, now_);
   const AttemptNumber early = Submit(kModel, 1, seconds(2));
   EXPECT_FALSE(Decide().contains(early));
   now_ += milliseconds(1'100);
