--- a/src/agent_main.cc
+++ b/src/agent_main.cc
@@ -1,13 +1,11 @@
 // The agent daemon: wires the control thread to the traffic thread.
 #include <algorithm>
-#include <cstdlib>
 
 #include "backend/agent_server.h"
 #include "core/daemon.h"
 #include "core/log.h"
 #include "core/process_settings.h"
 #include "core/random.h"
-#include "core/status.h"
 #include "net/endpoint.h"
 #include "net/graceful_stop.h"
 #include "net/http_server.h"
@@ -86,12 +84,8 @@
                                const std::shared_ptr<HttpExchange>& exchange) {
                      HandleAdmin(request, *exchange, counters);
                    });
-  for (const absl::Status& status :
-       {server.Start(), node.Start(), admin.Listen()}) {
-    if (status.ok()) continue;
-    Log(LogLevel::kError, "start_failed", {{"error", MessageOf(status)}});
+  if (!HaveStarted({server.Start(), node.Start(), admin.Listen()}))
     return kExitUnavailable;
-  }
   bool is_leaving = false;
   control.OnTerminate([&] {
     if (is_leaving) return control.Stop();
@@ -109,10 +103,7 @@
   traffic.StartThread();
   control.Run();
   traffic.Join();
-  // The operating system releases what is left; destroying it here would run
-  // the handlers of connections that are still open.
-  CloseLog();
-  std::quick_exit(kExitOk);
+  EndProcess();
 }
 
 }  // namespace
--- a/src/backend/backend_connection.cc
+++ b/src/backend/backend_connection.cc
@@ -152,7 +152,6 @@
   if (listener == nullptr) return;
   is_foreign_ = !listener->IsOwnAnswer(head.status, head.fields);
   if (is_foreign_) {
-    ++foreign_answers_;
     keeps_alive_ = false;
     return;
   }
--- a/src/backend/backend_connection.h
+++ b/src/backend/backend_connection.h
@@ -63,8 +63,6 @@
   // True if the connection can take another request at `now`.
   bool IsReusable(TimePoint now) const;
   bool is_open() const { return phase_ != Phase::kClosed; }
-  // Answers that belonged to no request of this connection's time.
-  int foreign_answers() const { return foreign_answers_; }
 
  private:
   enum class Phase { kNew, kConnecting, kBusy, kIdle, kClosed };
@@ -98,7 +96,6 @@
   bool is_interim_ = false;  // a 1xx answer
   bool has_ended_ = false;   // the message in progress is whole
   bool keeps_alive_ = true;
-  int foreign_answers_ = 0;
   TimePoint idle_since_;
   Millis idle_limit_{0};
 };
--- a/src/backend/backend_pool.cc
+++ b/src/backend/backend_pool.cc
@@ -51,9 +51,4 @@
   });
 }
 
-int BackendPool::OpenConnections(const InstanceId& id) const {
-  const auto it = entries_.find(id);
-  return it == entries_.end() ? 0 : it->second->open;
-}
-
 }  // namespace mangohold
--- a/src/backend/backend_pool.h
+++ b/src/backend/backend_pool.h
@@ -29,7 +29,6 @@
   // servers that `keeps` doesn't hold.
   void CloseUnused(TimePoint now,
                    const std::function<bool(const InstanceId&)>& keeps);
-  int OpenConnections(const InstanceId& id) const;
 
  private:
   struct Entry {
--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -219,7 +219,7 @@
   if (phase_ != Phase::kSent) return;
   if (!has_bytes_) {
     has_bytes_ = true;
-    context_.dispatcher.OnAnswerBegun(attempt_, BootNow());
+    context_.dispatcher.OnAnswerBegun(attempt_);
   }
   if (is_relaying_) return Relay(events_.Feed(data));
   body_.append(data);
--- a/src/caller/forward_server.cc
+++ b/src/caller/forward_server.cc
@@ -221,7 +221,7 @@
     context_.dispatcher.SetServices(
         context_.view->routes->deployment().services);
   }
-  context_.dispatcher.SetBackends(context_.view->backends, BootNow());
+  context_.dispatcher.SetBackends(context_.view->backends);
   gossip_.SetListed(context_.view->entries);
   RequestDecisions();
 }
--- a/src/core/daemon.h
+++ b/src/core/daemon.h
@@ -2,15 +2,35 @@
 #pragma once
 
 #include <cstdio>
+#include <cstdlib>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 
 #include "core/command_line.h"
 #include "core/findings.h"
 #include "core/log.h"
+#include "core/status.h"
 
 namespace mangohold {
 
+// True if all of a daemon's parts have started; logs the first that has not.
+inline bool HaveStarted(std::initializer_list<absl::Status> parts) {
+  for (const absl::Status& status : parts) {
+    if (status.ok()) continue;
+    Log(LogLevel::kError, "start_failed", {{"error", MessageOf(status)}});
+    return false;
+  }
+  return true;
+}
+
+// Ends the process. The operating system releases what is left; destroying it
+// would run the handlers of connections that are still open.
+[[noreturn]] inline void EndProcess() {
+  CloseLog();
+  std::quick_exit(kExitOk);
+}
+
 // Reads the settings again after SIGHUP and puts the log level in force; all
 // else takes a restart. Faulty settings change nothing.
 template <typename Settings>
--- a/src/direct_entry_main.cc
+++ b/src/direct_entry_main.cc
@@ -1,12 +1,9 @@
 // The daemon of an entry that sends to backend servers directly.
-#include <cstdlib>
-
 #include "caller/entry_control.h"
 #include "caller/forward_server.h"
 #include "core/daemon.h"
 #include "core/process_settings.h"
 #include "core/random.h"
-#include "core/status.h"
 #include "platform/entry_calls.h"
 #include "platform/headers.h"
 #include "platform/schema.h"
@@ -103,11 +100,7 @@
            }},
       counters);
   to_control = &entry;
-  for (const absl::Status& status : {server.Start(), entry.Start()}) {
-    if (status.ok()) continue;
-    Log(LogLevel::kError, "start_failed", {{"error", MessageOf(status)}});
-    return kExitUnavailable;
-  }
+  if (!HaveStarted({server.Start(), entry.Start()})) return kExitUnavailable;
   control.OnHangUp(
       [&file] { ReloadLogLevel(file, &ParseDirectEntrySettings); });
   bool is_leaving = false;
@@ -134,10 +127,7 @@
   control.Run();
   Log(LogLevel::kInfo, "stopped");
   traffic.Join();
-  // The operating system releases what is left; destroying it here would run
-  // the handlers of connections that are still open.
-  CloseLog();
-  std::quick_exit(kExitOk);
+  EndProcess();
 }
 
 }  // namespace
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -1,12 +1,9 @@
 // The entry daemon: wires the control thread to the traffic thread.
-#include <cstdlib>
-
 #include "caller/entry_server.h"
 #include "core/daemon.h"
 #include "core/log.h"
 #include "core/process_settings.h"
 #include "core/random.h"
-#include "core/status.h"
 #include "net/endpoint.h"
 #include "net/graceful_stop.h"
 #include "operator/operator_server.h"
@@ -58,12 +55,8 @@
                             .instance = settings.instance,
                             .operators = settings.operators},
                            node, platform);
-  for (const absl::Status& status :
-       {server.Start(), node.Start(), operators.Start()}) {
-    if (status.ok()) continue;
-    Log(LogLevel::kError, "start_failed", {{"error", MessageOf(status)}});
+  if (!HaveStarted({server.Start(), node.Start(), operators.Start()}))
     return kExitUnavailable;
-  }
   bool is_leaving = false;
   control.OnTerminate([&] {
     if (is_leaving) return control.Stop();
@@ -83,10 +76,7 @@
   traffic.StartThread();
   control.Run();
   traffic.Join();
-  // The operating system releases what is left; destroying it here would run
-  // the handlers of connections that are still open.
-  CloseLog();
-  std::quick_exit(kExitOk);
+  EndProcess();
 }
 
 }  // namespace
--- a/src/rank_agent_main.cc
+++ b/src/rank_agent_main.cc
@@ -1,9 +1,6 @@
 // The daemon beside an engine that is a rank of a group.
-#include <cstdlib>
-
 #include "core/daemon.h"
 #include "core/process_settings.h"
-#include "core/status.h"
 #include "group/rank_agent.h"
 #include "net/http_server.h"
 #include "platform/engine_client.h"
@@ -35,19 +32,14 @@
         exchange->Reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                         counters.PrometheusText());
       });
-  for (const absl::Status& status : {agent.Start(), metrics.Listen()}) {
-    if (status.ok()) continue;
-    Log(LogLevel::kError, "start_failed", {{"error", MessageOf(status)}});
-    return kExitUnavailable;
-  }
+  if (!HaveStarted({agent.Start(), metrics.Listen()})) return kExitUnavailable;
   loop.OnHangUp([&file] { ReloadLogLevel(file, &ParseRankAgentSettings); });
   loop.OnTerminate([&loop] { loop.Stop(); });
   Log(LogLevel::kInfo, "started",
       {{"backend", settings.backend_address.value()}});
   loop.Run();
   Log(LogLevel::kInfo, "stopped");
-  CloseLog();
-  std::quick_exit(kExitOk);
+  EndProcess();
 }
 
 }  // namespace
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -39,8 +39,7 @@
 Dispatcher::Dispatcher(Options options)
     : options_(std::move(options)), random_(options_.seed) {}
 
-void Dispatcher::SetBackends(const std::vector<BackendRecord>& backends,
-                             TimePoint /*now*/) {
+void Dispatcher::SetBackends(const std::vector<BackendRecord>& backends) {
   by_service_.clear();
   for (auto& [id, backend] : backends_) backend.is_listed = false;
   for (const BackendRecord& record : backends) {
@@ -311,7 +310,7 @@
       std::chrono::duration<double>(turn * (ahead + 1)));
 }
 
-void Dispatcher::OnAnswerBegun(AttemptNumber number, TimePoint /*now*/) {
+void Dispatcher::OnAnswerBegun(AttemptNumber number) {
   const auto it = sent_.find(number);
   if (it == sent_.end()) return;
   gates_[it->second.service] = GroupGate();
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -93,7 +93,7 @@
 
   // Takes the backend servers that may be used; what is known of those that
   // stay is kept.
-  void SetBackends(const std::vector<BackendRecord>& backends, TimePoint now);
+  void SetBackends(const std::vector<BackendRecord>& backends);
   void SetServices(const std::vector<ServiceSpec>& services);
   // The entries that may be sending.
   void SetEntries(int entries) { entries_ = entries; }
@@ -107,7 +107,7 @@
   std::vector<Decision> Decide(TimePoint now);
 
   // The first bytes of the answer came: its prompt has been read.
-  void OnAnswerBegun(AttemptNumber number, TimePoint now);
+  void OnAnswerBegun(AttemptNumber number);
   void OnEnded(AttemptNumber number, Result result, TimePoint now);
   // A stream of the service brought an event `gap` after the one before.
   void OnEventGap(const ServiceName& service, Duration gap, TimePoint now);
--- a/src/routing/event_splitter.cc
+++ b/src/routing/event_splitter.cc
@@ -1,9 +1,9 @@
 #include "routing/event_splitter.h"
 
-#include <charconv>
-#include <optional>
 #include <utility>
 
+#include "core/numbers.h"
+
 namespace mangohold {
 namespace {
 
@@ -38,22 +38,11 @@
   return id;
 }
 
-std::optional<std::int64_t> ToNumber(std::string_view text) {
-  std::int64_t value = 0;
-  const auto [end, error] =
-      std::from_chars(text.data(), text.data() + text.size(), value);
-  if (text.empty() || error != std::errc() ||
-      end != text.data() + text.size()) {
-    return std::nullopt;
-  }
-  return value;
-}
-
 }  // namespace
 
 bool EventSplitter::IsKnown(std::string_view id) const {
-  const auto number = ToNumber(id);
-  const auto last = ToNumber(last_id_);
+  const auto number = ParseInteger(id);
+  const auto last = ParseInteger(last_id_);
   return number && last && *number <= *last;
 }
 
--- a/src/routing/sliding_count.h
+++ b/src/routing/sliding_count.h
@@ -19,10 +19,6 @@
     }
     return times_.size();
   }
-  // When the oldest event counted leaves the window, or `now` without events.
-  TimePoint NextExpiry(TimePoint now) const {
-    return Count(now) == 0 ? now : times_.front() + window_;
-  }
 
  private:
   Duration window_;
--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -44,7 +44,7 @@
           .engine =
               EngineFigures{.usual_prompt_tokens = 800, .expert_sets = 3}},
          {.name = kDesk, .cold_per_s = 0}});
-    dispatcher_.SetBackends(backends_, now_);
+    dispatcher_.SetBackends(backends_);
   }
 
   AttemptNumber Submit(const ServiceName& service, int priority = 1,
@@ -221,7 +221,7 @@
   ASSERT_EQ(trial.size(), 1U);
   now_ += milliseconds(130);
   EXPECT_TRUE(Decide().empty());
-  dispatcher_.OnAnswerBegun(trial.begin()->first, now_);
+  dispatcher_.OnAnswerBegun(trial.begin()->first);
   EXPECT_EQ(Decide().size(), 4U);
 }
 
@@ -242,7 +242,7 @@
       continue;
     }
     ++served;
-    dispatcher_.OnAnswerBegun(number, now_);
+    dispatcher_.OnAnswerBegun(number);
     dispatcher_.OnEnded(number, Dispatcher::Result::kServed, now_);
   }
   EXPECT_GT(served, 170);
@@ -277,7 +277,7 @@
     Dispatcher dispatcher({.cold_overrun = kOverrun, .cold_slack = kSlack});
     dispatcher.SetServices({{.name = kDesk, .cold_per_s = kColdPerS}});
     dispatcher.SetBackends(
-        {{.id = InstanceId("cold"), .service = kDesk, .slots = 1'000}}, now_);
+        {{.id = InstanceId("cold"), .service = kDesk, .slots = 1'000}});
     dispatcher.SetEntries(kEntries);
     for (int i = 0; i < 100; ++i) {
       dispatcher.Submit({.number = AttemptNumber(i + 1),
@@ -322,7 +322,7 @@
 
 TEST_F(DispatcherTest, NothingGoesToABackendServerThatLeft) {
   backends_.erase(backends_.begin());
-  dispatcher_.SetBackends(backends_, now_);
+  dispatcher_.SetBackends(backends_);
   for (int i = 0; i < (kRanks - 1) * kSlots; ++i) {
     EXPECT_NE(SendOne(kModel), Rank(0));
   }
@@ -333,8 +333,8 @@
 TEST_F(DispatcherTest, ABackendServerThatIsListedAgainKeepsItsCounts) {
   const auto running = FillGroup();
   std::vector<BackendRecord> fewer(backends_.begin() + 1, backends_.end());
-  dispatcher_.SetBackends(fewer, now_);
-  dispatcher_.SetBackends(backends_, now_);
+  dispatcher_.SetBackends(fewer);
+  dispatcher_.SetBackends(backends_);
   Submit(kModel);
   EXPECT_TRUE(Decide().empty());
   for (const AttemptNumber number : running) {
