--- a/src/agent_main.cc
+++ b/src/agent_main.cc
@@ -84,8 +84,9 @@
                                const std::shared_ptr<HttpExchange>& exchange) {
                      HandleAdmin(request, *exchange, counters);
                    });
-  if (!HaveStarted({server.Start(), node.Start(), admin.Listen()}))
-    return kExitUnavailable;
+  const bool has_started =
+      HaveStarted({server.Start(), node.Start(), admin.Listen()});
+  if (!has_started) return kExitUnavailable;
   bool is_leaving = false;
   control.OnTerminate([&] {
     if (is_leaving) return control.Stop();
--- a/src/direct_entry_main.cc
+++ b/src/direct_entry_main.cc
@@ -100,7 +100,8 @@
            }},
       counters);
   to_control = &entry;
-  if (!HaveStarted({server.Start(), entry.Start()})) return kExitUnavailable;
+  const bool has_started = HaveStarted({server.Start(), entry.Start()});
+  if (!has_started) return kExitUnavailable;
   control.OnHangUp(
       [&file] { ReloadLogLevel(file, &ParseDirectEntrySettings); });
   bool is_leaving = false;
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -55,8 +55,9 @@
                             .instance = settings.instance,
                             .operators = settings.operators},
                            node, platform);
-  if (!HaveStarted({server.Start(), node.Start(), operators.Start()}))
-    return kExitUnavailable;
+  const bool has_started =
+      HaveStarted({server.Start(), node.Start(), operators.Start()});
+  if (!has_started) return kExitUnavailable;
   bool is_leaving = false;
   control.OnTerminate([&] {
     if (is_leaving) return control.Stop();
--- a/src/rank_agent_main.cc
+++ b/src/rank_agent_main.cc
@@ -32,7 +32,8 @@
         exchange->Reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                         counters.PrometheusText());
       });
-  if (!HaveStarted({agent.Start(), metrics.Listen()})) return kExitUnavailable;
+  const bool has_started = HaveStarted({agent.Start(), metrics.Listen()});
+  if (!has_started) return kExitUnavailable;
   loop.OnHangUp([&file] { ReloadLogLevel(file, &ParseRankAgentSettings); });
   loop.OnTerminate([&loop] { loop.Stop(); });
   Log(LogLevel::kInfo, "started",
