--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -45,7 +45,7 @@
               .value = EncodeMember(options_.self)}) {}
 
 absl::Status RankAgent::Start() {
-  const absl::Status status = socket_.Open(
+  absl::Status status = socket_.Open(
       options_.self.peer, [this](std::string_view data) { OnDatagram(data); });
   if (!status.ok()) return status;
   leader_heard_ = BootNow();
@@ -357,7 +357,7 @@
   if (!report_ || term <= term_) return;
   term_ = term;
   leader_ = options_.self.peer;
-  leadership_.emplace();
+  leadership_ = std::make_unique<Leadership>();
   leadership_->term = term;
   leadership_->began = BootNow();
   direct_.clear();
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -128,7 +128,7 @@
   std::optional<int> leader_rank_;
   TimePoint leader_heard_;
   bool is_challenging_ = false;
-  std::optional<Leadership> leadership_;
+  std::unique_ptr<Leadership> leadership_;
   std::map<InstanceId, Member> members_;
   std::map<int, InstanceId> agents_;  // by rank
   // Engines whose agents are silent, by rank.
--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -76,6 +76,7 @@
 
   std::vector<AttemptNumber> FillGroup() {
     std::vector<AttemptNumber> numbers;
+    numbers.reserve(kRanks * kSlots);
     for (int i = 0; i < kRanks * kSlots; ++i) numbers.push_back(Submit(kModel));
     Decide();
     return numbers;
@@ -210,6 +211,7 @@
 
 TEST_F(DispatcherTest, ClosedGroupIsTriedByOneRequestAtATime) {
   std::vector<AttemptNumber> numbers;
+  numbers.reserve(5);
   for (int i = 0; i < 5; ++i) numbers.push_back(Submit(kModel));
   Decide();
   dispatcher_.OnEnded(numbers[0], Dispatcher::Result::kRejected, now_);
