--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -76,7 +76,7 @@
 
   std::vector<AttemptNumber> FillGroup() {
     std::vector<AttemptNumber> numbers;
-    numbers.reserve(kRanks * kSlots);
+    numbers.reserve(std::size_t{kRanks} * kSlots);
     for (int i = 0; i < kRanks * kSlots; ++i) numbers.push_back(Submit(kModel));
     Decide();
     return numbers;
