Read all pages of the agents' list, and only when an agent is missing

Cause: the store pages at 50 items; with 104 members a leader knew the first 50 only, and the list of engines beside silent agents was cut as well. Change: ListAll takes all pages; AgentDirectory (out of RankAgent) is read by leaders, when a rank's agent is missing, and each 20 s; beats go to the own group once it is known; agents' leases are renewed each 4 s instead of 1 s.

--- /dev/null
+++ b/src/group/agent_directory.cc
@@ -0,0 +1,97 @@
+#include "group/agent_directory.h"
+
+#include <utility>
+
+#include "core/log.h"
+#include "core/status.h"
+#include "store/list_all.h"
+
+namespace mangohold {
+namespace {
+
+// An agent that is missing is looked for at this interval.
+constexpr Millis kSearchInterval{500};
+// The list is read anew after this in any case.
+constexpr std::chrono::seconds kLongestAge(20);
+// An agent that isn't listed any more is forgotten after this.
+constexpr std::chrono::seconds kUnlistedMemory(60);
+
+}  // namespace
+
+AgentDirectory::AgentDirectory(Store& store, std::string prefix,
+                               InstanceId self)
+    : store_(store), prefix_(std::move(prefix)), self_(std::move(self)) {}
+
+void AgentDirectory::Refresh(TimePoint now, bool is_missing) {
+  if (is_reading_) return;
+  const bool is_old = !read_at_ || now - *read_at_ > kLongestAge;
+  const bool is_due =
+      tried_at_ == TimePoint() ||
+      ((is_missing || is_old) && now - tried_at_ >= kSearchInterval);
+  if (is_due) Read(now);
+}
+
+void AgentDirectory::Read(TimePoint now) {
+  is_reading_ = true;
+  tried_at_ = now;
+  ListAll(store_, prefix_, Freshness::kMayBeStale,
+          [this, now](const auto& items) {
+            is_reading_ = false;
+            if (items.ok()) return OnItems(*items, now);
+            Log(LogLevel::kWarning, "agents_unread",
+                {{"error", MessageOf(items.status())}});
+          });
+}
+
+// An agent whose lease lapses while the store is in trouble is kept for a
+// while.
+void AgentDirectory::OnItems(const std::vector<StoreItem>& items,
+                             TimePoint now) {
+  read_at_ = now;
+  for (const StoreItem& item : items) {
+    const auto member = DecodeMember(item.value);
+    if (!member || member->role != MemberRole::kAgent) continue;
+    members_[member->id] = {.member = *member, .at = now};
+  }
+  std::erase_if(members_, [now](const auto& item) {
+    return now - item.second.at > kUnlistedMemory;
+  });
+}
+
+void AgentDirectory::OnHeard(int rank, const InstanceId& agent) {
+  agents_[rank] = agent;
+}
+
+const Member* AgentDirectory::Find(const InstanceId& agent) const {
+  const auto listed = members_.find(agent);
+  return listed == members_.end() ? nullptr : &listed->second.member;
+}
+
+const Member* AgentDirectory::AgentOf(int rank) const {
+  const auto agent = agents_.find(rank);
+  return agent == agents_.end() ? nullptr : Find(agent->second);
+}
+
+std::vector<Member> AgentDirectory::Peers(int ranks, bool is_missing) const {
+  if (!is_missing) {
+    if (auto peers = GroupPeers(ranks)) return *std::move(peers);
+  }
+  std::vector<Member> peers;
+  for (const auto& [id, listed] : members_) {
+    if (id != self_) peers.push_back(listed.member);
+  }
+  return peers;
+}
+
+// Nothing if the agent of a rank isn't known.
+std::optional<std::vector<Member>> AgentDirectory::GroupPeers(int ranks) const {
+  std::vector<Member> peers;
+  for (int rank = 0; rank < ranks; ++rank) {
+    const Member* agent = AgentOf(rank);
+    if (agent == nullptr) return std::nullopt;
+    if (agent->id != self_) peers.push_back(*agent);
+  }
+  return peers;
+}
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/group/agent_directory.h
@@ -0,0 +1,57 @@
+// The agents that the store lists, and which of them stands beside which rank
+// of the own group. Belongs to one event loop's thread.
+//
+// The list is read when it is needed: at first, when a rank's agent is missing,
+// and rarely otherwise.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "store/member.h"
+#include "store/store.h"
+
+namespace mangohold {
+
+class AgentDirectory {
+ public:
+  // `prefix` is the one of the members' keys in the store.
+  AgentDirectory(Store& store, std::string prefix, InstanceId self);
+
+  // Call it often. Reads the list if that is due; `is_missing` tells that an
+  // agent is looked for in vain.
+  void Refresh(TimePoint now, bool is_missing);
+  void OnHeard(int rank, const InstanceId& agent);
+
+  // Nothing for an agent that isn't known or not listed.
+  const Member* Find(const InstanceId& agent) const;
+  const Member* AgentOf(int rank) const;
+  // The agents that were heard beside the group's `ranks`, all other agents if
+  // one isn't known, or if one `is_missing`.
+  std::vector<Member> Peers(int ranks, bool is_missing) const;
+
+ private:
+  struct Listed {
+    Member member;
+    TimePoint at;  // it was listed then
+  };
+
+  void Read(TimePoint now);
+  void OnItems(const std::vector<StoreItem>& items, TimePoint now);
+  std::optional<std::vector<Member>> GroupPeers(int ranks) const;
+
+  Store& store_;
+  std::string prefix_;
+  InstanceId self_;
+  std::map<InstanceId, Listed> members_;
+  std::map<int, InstanceId> agents_;  // by rank
+  bool is_reading_ = false;
+  std::optional<TimePoint>
+      read_at_;  // asked for at; absent: never with success
+  TimePoint tried_at_;
+};
+
+}  // namespace mangohold
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -1,10 +1,12 @@
 #include "group/rank_agent.h"
 
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 #include "core/log.h"
 #include "core/status.h"
+#include "store/list_all.h"
 
 namespace mangohold {
 namespace {
@@ -12,7 +14,10 @@
 constexpr Millis kBeatInterval{200};
 constexpr Millis kSwitchInterval{50};
 constexpr Millis kPlanInterval{250};
-constexpr Millis kMembersInterval{2'000};
+constexpr Millis kDirectoryInterval{500};
+// Being listed tells a leader an address, not that the agent is well.
+constexpr Millis kLeaseTtl{12'000};
+constexpr Millis kLeaseRenewal{4'000};
 constexpr Millis kSilentAgentsInterval{300};
 // Agents answer a new leader within this time, if they can.
 constexpr Millis kTimeToAnswer{300};
@@ -42,7 +47,10 @@
       socket_(loop.io(), counters),
       lease_(loop, store,
              {.key = options_.schema.member_prefix + options_.self.id.value(),
-              .value = EncodeMember(options_.self)}) {}
+              .value = EncodeMember(options_.self),
+              .ttl = kLeaseTtl,
+              .renewal = kLeaseRenewal}),
+      agents_(store, options_.schema.member_prefix, options_.self.id) {}
 
 absl::Status RankAgent::Start() {
   absl::Status status = socket_.Open(
@@ -51,7 +59,6 @@
   leader_heard_ = BootNow();
   may_arm_late_until_ = BootNow() + kLatestExecution;
   lease_.Start();
-  ReadMembers();
   Poll();
   loop_.Every(options_.poll, [this] { Poll(); });
   loop_.Every(kBeatInterval, [this] {
@@ -60,7 +67,7 @@
   });
   loop_.Every(kSwitchInterval, [this] { AdvanceSwitch(); });
   loop_.Every(kPlanInterval, [this] { Plan(); });
-  loop_.Every(kMembersInterval, [this] { ReadMembers(); });
+  loop_.Every(kDirectoryInterval, [this] { RefreshDirectory(); });
   loop_.Every(kSilentAgentsInterval, [this] { ActForSilentAgents(); });
   return absl::OkStatus();
 }
@@ -109,16 +116,16 @@
     ExpertCounts choices = ChoicesSince(*counts);
     if (holdings_version_ != report_->map ||
         holdings_epoch_ != report_->epoch || holdings_.empty()) {
-      ReadHoldings();
+      ReadHoldings(*report_);
     }
     is_polling_ = false;
     SendStatus(std::move(choices));
   });
 }
 
-void RankAgent::ReadHoldings() {
-  const MapVersion version = report_->map;
-  const GroupEpoch epoch = report_->epoch;
+void RankAgent::ReadHoldings(const RankReport& report) {
+  const MapVersion version = report.map;
+  const GroupEpoch epoch = report.epoch;
   engine_.Holdings(options_.self.backend,
                    [this, version, epoch](const auto& lists) {
                      if (!lists.ok()) {
@@ -223,10 +230,11 @@
 // An order without an answer is given again at once: it asks for a state, which
 // holds already if the first one was carried out.
 void RankAgent::OrderOwnEngine(const RankCommand& command, int tries) {
+  if (!report_) return FinishJob();
   OrderAt(options_.self.backend, *report_, command,
           [this, command, tries](OrderFate fate) {
             OnOwnOrder(command, fate);
-            if (fate == OrderFate::kUnknown && tries > 1 && report_) {
+            if (fate == OrderFate::kUnknown && tries > 1) {
               return OrderOwnEngine(command, tries - 1);
             }
             engine_.Report(options_.self.backend, [this](const auto& report) {
@@ -250,6 +258,7 @@
 void RankAgent::OrderAt(const Endpoint& engine, const RankReport& report,
                         const RankCommand& command,
                         std::function<void(OrderFate)> on_done) {
+  if (!command.order) return on_done(OrderFate::kRefused);
   const RankOrder order = {.kind = *command.order,
                            .epoch = command.epoch,
                            .expected = report.sequence,
@@ -317,6 +326,7 @@
 // Reads the term in force. A process that has just started only learns it; one
 // that misses the leader tries to follow it.
 void RankAgent::Challenge() {
+  if (!report_) return;
   is_challenging_ = true;
   const std::string key =
       options_.schema.leader_prefix + report_->group.value();
@@ -328,12 +338,9 @@
       if (item.key == key) revision = item.revision;
     }
     const LeaderTerm term(revision.value());
-    if (!std::exchange(knows_term_, true)) {
-      if (term > term_) FollowTerm(term, Endpoint());
-      return;
-    }
+    const bool knew_term = std::exchange(knows_term_, true);
     if (term > term_) return FollowTerm(term, Endpoint());
-    TakeOver(revision);
+    if (knew_term) TakeOver(revision);
   });
 }
 
@@ -365,17 +372,35 @@
       .term = term, .own_rank = report_->rank, .former_leader = leader_rank_});
   Log(LogLevel::kInfo, "leading_began",
       {{"group", report_->group.value()}, {"term", term.value()}});
+  RefreshDirectory();
   Beat();
 }
 
 void RankAgent::Beat() {
   if (!leadership_) return;
   const RankMessage beat = NewMessage(RankMessageKind::kBeat);
-  for (const auto& [id, member] : members_) {
-    if (id != options_.self.id) SendTo(member.peer, beat);
+  const int ranks = report_ ? report_->size : 0;
+  for (const Member& peer : agents_.Peers(ranks, IsAgentMissing())) {
+    SendTo(peer.peer, beat);
   }
 }
 
+// Only a leader addresses other agents.
+void RankAgent::RefreshDirectory() {
+  if (leadership_) agents_.Refresh(BootNow(), IsAgentMissing());
+}
+
+// A leader misses agents of ranks that say nothing, or that it can't address.
+bool RankAgent::IsAgentMissing() const {
+  if (!leadership_ || !report_) return false;
+  const MapSwitch& map_switch = *leadership_->map_switch;
+  if (map_switch.size() < report_->size) return true;
+  if (!map_switch.SilentRanks(BootNow()).empty()) return true;
+  return std::ranges::any_of(
+      std::views::iota(0, report_->size),
+      [this](int rank) { return agents_.AgentOf(rank) == nullptr; });
+}
+
 void RankAgent::OnStatus(const RankMessage& message) {
   if (!leadership_) return;
   if (message.term > leadership_->term) {
@@ -383,7 +408,7 @@
   }
   const TimePoint now = BootNow();
   direct_.erase(message.status.report.rank);
-  agents_[message.status.report.rank] = message.sender;
+  agents_.OnHeard(message.status.report.rank, message.sender);
   leadership_->map_switch->OnStatus(message.status, now);
   leadership_->demand.Add(message.choices, experts_);
   AdvanceSwitch();
@@ -403,13 +428,6 @@
   }
 }
 
-const Member* RankAgent::AgentOf(int rank) const {
-  const auto agent = agents_.find(rank);
-  if (agent == agents_.end()) return nullptr;
-  const auto member = members_.find(agent->second);
-  return member == members_.end() ? nullptr : &member->second;
-}
-
 void RankAgent::Give(const RankCommand& command) {
   RankMessage message = NewMessage(RankMessageKind::kCommand);
   message.command = command;
@@ -419,7 +437,7 @@
     loop_.Post([this] { RunNextJob(); });
     return;
   }
-  const Member* agent = AgentOf(command.rank);
+  const Member* agent = agents_.AgentOf(command.rank);
   if (command.is_direct && agent != nullptr) {
     return GiveDirectly(agent->backend, command);
   }
@@ -429,9 +447,7 @@
   }
   if (agent != nullptr) return SendTo(agent->peer, message);
   // The agent isn't known yet: all are asked, and the right one answers.
-  for (const auto& [id, member] : members_) {
-    if (id != options_.self.id) SendTo(member.peer, message);
-  }
+  for (const Member& peer : agents_.Peers(0, true)) SendTo(peer.peer, message);
 }
 
 // Looks for a better map and begins the switch to it.
@@ -475,14 +491,15 @@
       map_switch.SilentRanks(now).empty()) {
     return;
   }
-  store_.List(options_.schema.backend_prefix, "", Freshness::kMayBeStale,
-              [this](const auto& page) {
-                if (page.ok()) ReadSilentRanks(*page);
-              });
+  ListAll(store_, options_.schema.backend_prefix, Freshness::kMayBeStale,
+          [this](const auto& engines) {
+            if (engines.ok()) return ReadSilentRanks(*engines);
+            LogLost("backend servers", engines.status());
+          });
 }
 
-void RankAgent::ReadSilentRanks(const StorePage& engines) {
-  for (const StoreItem& item : engines.items) {
+void RankAgent::ReadSilentRanks(const std::vector<StoreItem>& engines) {
+  for (const StoreItem& item : engines) {
     const auto record = options_.schema.decode_backend(
         InstanceId(item.key.substr(options_.schema.backend_prefix.size())),
         item.value);
@@ -528,7 +545,7 @@
     if (is_void) return;
     OrderAt(engine, *report, command,
             [this, engine, rank = command.rank](OrderFate /*fate*/) {
-              const Member* agent = AgentOf(rank);
+              const Member* agent = agents_.AgentOf(rank);
               if (direct_.contains(rank) || agent == nullptr) {
                 return ReadRemote(engine);
               }
@@ -560,16 +577,4 @@
               });
 }
 
-void RankAgent::ReadMembers() {
-  store_.List(options_.schema.member_prefix, "", Freshness::kMayBeStale,
-              [this](const auto& page) {
-                if (!page.ok()) return;
-                for (const StoreItem& item : page->items) {
-                  const auto member = DecodeMember(item.value);
-                  if (!member || member->role != MemberRole::kAgent) continue;
-                  members_[member->id] = *member;
-                }
-              });
-}
-
 }  // namespace mangohold
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -14,6 +14,7 @@
 #include "absl/status/status.h"
 #include "backend/engine_api.h"
 #include "core/counters.h"
+#include "group/agent_directory.h"
 #include "group/expert_demand.h"
 #include "group/map_switch.h"
 #include "group/rank_messages.h"
@@ -62,7 +63,7 @@
   void Poll();
   void OnReport(const absl::StatusOr<RankReport>& report);
   void ReadCounts();
-  void ReadHoldings();
+  void ReadHoldings(const RankReport& report);
   void SendStatus(ExpertCounts choices);
   ExpertCounts ChoicesSince(const ExpertCounts& counts);
 
@@ -92,11 +93,11 @@
                std::function<void(OrderFate)> on_done);
   void GiveDirectly(const Endpoint& engine, const RankCommand& command);
   bool IsSilent(int rank) const;
-  void ReadSilentRanks(const StorePage& engines);
+  void ReadSilentRanks(const std::vector<StoreItem>& engines);
   void ReadRemote(const Endpoint& engine);
   void ReadFigures();
-  void ReadMembers();
-  const Member* AgentOf(int rank) const;
+  bool IsAgentMissing() const;
+  void RefreshDirectory();
   RankMessage NewMessage(RankMessageKind kind) const;
   void SendTo(const Endpoint& to, const RankMessage& message);
 
@@ -129,8 +130,7 @@
   TimePoint leader_heard_;
   bool is_challenging_ = false;
   std::unique_ptr<Leadership> leadership_;
-  std::map<InstanceId, Member> members_;
-  std::map<int, InstanceId> agents_;  // by rank
+  AgentDirectory agents_;
   // Engines whose agents are silent, by rank.
   std::map<int, Endpoint> direct_;
   EvenPlacementOptions placement_;  // places: 0 until it is known
--- /dev/null
+++ b/tests/unit/agent_directory_test.cc
@@ -0,0 +1,132 @@
+#include "group/agent_directory.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+
+namespace mangohold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A store that lists its items in pages and answers at once, or not at all.
+class PagedStore : public Store {
+ public:
+  void List(const std::string& prefix, const std::string& after,
+            Freshness /*freshness*/,
+            Callback<absl::StatusOr<StorePage>> on_page) override {
+    ++calls;
+    if (is_down) return on_page(absl::UnavailableError("down"));
+    constexpr std::size_t kPage = 50;
+    StorePage page;
+    for (const StoreItem& item : items) {
+      if (!item.key.starts_with(prefix) || item.key <= after) continue;
+      if (page.items.size() == kPage) {
+        page.has_more = true;
+        break;
+      }
+      page.items.push_back(item);
+    }
+    on_page(page);
+  }
+  void Watch(const std::string& /*prefix*/, Revision /*after*/, Millis /*wait*/,
+             Callback<absl::StatusOr<StoreEvents>> /*on_events*/) override {}
+  void Change(const StoreChange& /*change*/,
+              Callback<ChangeResult> /*on_result*/) override {}
+  void GrantLease(Millis /*ttl*/,
+                  Callback<absl::StatusOr<LeaseId>> /*on_lease*/) override {}
+  void KeepLease(LeaseId /*lease*/, Callback<LeaseFate> /*on_fate*/) override {}
+  void EndLease(LeaseId /*lease*/) override {}
+
+  void Add(const std::string& id, MemberRole role) {
+    const Member member = {
+        .id = InstanceId(id), .role = role, .peer = Endpoint(id + ":7000")};
+    items.push_back({.key = "m/" + id, .value = EncodeMember(member)});
+    std::ranges::sort(items, {}, &StoreItem::key);
+  }
+
+  std::vector<StoreItem> items;
+  bool is_down = false;
+  int calls = 0;
+};
+
+std::string AgentName(int number) {
+  return "side-" + std::to_string(1'000 + number);
+}
+
+class AgentDirectoryTest : public testing::Test {
+ protected:
+  AgentDirectoryTest() {
+    for (int i = 0; i < 32; ++i) {
+      store_.Add("edge-" + std::to_string(i), MemberRole::kEntry);
+    }
+    for (int i = 0; i < 72; ++i) store_.Add(AgentName(i), MemberRole::kAgent);
+  }
+
+  PagedStore store_;
+  AgentDirectory directory_{store_, "m/", InstanceId(AgentName(0))};
+  TimePoint now_ = TimePoint() + seconds(100);
+};
+
+// The agents fill more pages than one, and entries come before them.
+TEST_F(AgentDirectoryTest, KnowsAgentsOfAllPages) {
+  directory_.Refresh(now_, false);
+  EXPECT_EQ(directory_.Peers(24, false).size(), 71U);
+  EXPECT_NE(directory_.Find(InstanceId(AgentName(71))), nullptr);
+  EXPECT_EQ(directory_.Find(InstanceId("edge-1")), nullptr);
+}
+
+// With several groups in a fleet a leader speaks to its own one.
+TEST_F(AgentDirectoryTest, PeersAreTheGroupsOnceAllAreHeard) {
+  directory_.Refresh(now_, false);
+  for (int rank = 0; rank < 23; ++rank) {
+    directory_.OnHeard(rank, InstanceId(AgentName(rank * 3)));
+  }
+  EXPECT_EQ(directory_.Peers(24, false).size(), 71U);
+  directory_.OnHeard(23, InstanceId(AgentName(69)));
+  EXPECT_EQ(directory_.Peers(24, false).size(), 23U);
+  EXPECT_EQ(directory_.Peers(24, true).size(), 71U);
+  ASSERT_NE(directory_.AgentOf(23), nullptr);
+  EXPECT_EQ(directory_.AgentOf(23)->id, InstanceId(AgentName(69)));
+}
+
+TEST_F(AgentDirectoryTest, ReadsOnlyWhatIsNeeded) {
+  directory_.Refresh(now_, false);
+  const int first = store_.calls;
+  for (int i = 0; i < 100; ++i) {
+    now_ += milliseconds(100);
+    directory_.Refresh(now_, false);
+  }
+  EXPECT_EQ(store_.calls, first) << "all is known";
+  directory_.Refresh(now_, true);
+  EXPECT_EQ(store_.calls, 2 * first);
+  directory_.Refresh(now_ + milliseconds(100), true);
+  EXPECT_EQ(store_.calls, 2 * first) << "asked a moment ago";
+}
+
+// Leases lapse while the store is in trouble; their holders live on.
+TEST_F(AgentDirectoryTest, AgentsThatAreNotListedAreKeptForAWhile) {
+  directory_.Refresh(now_, false);
+  store_.items.clear();
+  now_ += seconds(30);
+  directory_.Refresh(now_, true);
+  EXPECT_EQ(directory_.Peers(24, true).size(), 71U);
+  now_ += seconds(40);
+  directory_.Refresh(now_, true);
+  EXPECT_TRUE(directory_.Peers(24, true).empty());
+}
+
+TEST_F(AgentDirectoryTest, AsksAgainUntilTheStoreAnswers) {
+  store_.is_down = true;
+  directory_.Refresh(now_, false);
+  EXPECT_TRUE(directory_.Peers(24, true).empty());
+  store_.is_down = false;
+  now_ += milliseconds(500);
+  directory_.Refresh(now_, false);
+  EXPECT_EQ(directory_.Peers(24, true).size(), 71U);
+}
+
+}  // namespace
+}  // namespace mangohold
