--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 bench: build
 	$(BUILD)/bench/routing_bench
 	$(BUILD)/bench/overload_bench
+	$(BUILD)/bench/even_placement_bench
 	bench/load.sh
 	$(BUILD)/bench/fleet_bench
 
