--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -186,7 +186,7 @@
       });
   if (!holder || !can_all_arm) return Undo(now);
   holder_ = *holder;
-  pass_ = *ranks_[holder_].status.report.held;
+  pass_ = ranks_[holder_].status.report.held.value_or(PassNumber());
   GoTo(Phase::kArming, now);
 }
 
