--- a/tests/standins/kv_store.cc
+++ b/tests/standins/kv_store.cc
@@ -1,7 +1,9 @@
 #include "standins/kv_store.h"
 
 #include <absl/strings/escaping.h>
+#include <curl/curl.h>
 
+#include <memory>
 #include <nlohmann/json.hpp>
 
 namespace mangohold::standin {
@@ -22,6 +24,17 @@
   return std::stoull(path.substr(path.rfind('/') + 1));
 }
 
+// A query parameter, with its escapes decoded.
+std::string Text(const HttpRequest& request, std::string_view name) {
+  const std::string value = request.QueryValue(name);
+  int length = 0;
+  const std::unique_ptr<char, decltype(&curl_free)> decoded(
+      curl_easy_unescape(nullptr, value.c_str(), static_cast<int>(value.size()),
+                         &length),
+      &curl_free);
+  return {decoded.get(), static_cast<std::size_t>(length)};
+}
+
 }  // namespace
 
 KvStore::KvStore(const std::string& address) {
@@ -96,7 +109,7 @@
 }
 
 asio::awaitable<KvStore::Reply> KvStore::Watch(HttpRequest request) {
-  const std::string prefix = request.QueryValue("prefix");
+  const std::string prefix = Text(request, "prefix");
   const std::uint64_t after = Number(request, "after");
   milliseconds left(Number(request, "wait_ms"));
   while (true) {
@@ -144,8 +157,8 @@
 KvStore::Reply KvStore::List(const HttpRequest& request) const {
   constexpr std::size_t kPage = 3;
   const std::lock_guard lock(mutex_);
-  const std::string prefix = request.QueryValue("prefix");
-  const std::string after = request.QueryValue("after");
+  const std::string prefix = Text(request, "prefix");
+  const std::string after = Text(request, "after");
   Json items = Json::array();
   bool has_more = false;
   for (const auto& [key, item] : items_) {
--- /dev/null
+++ b/tests/system/rank_agent_test.cc
@@ -0,0 +1,176 @@
+// Real agents beside a stand-in group of ranks: their wiring, from choices that
+// ranks report to a new map in use, with leaders that die and stand still.
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "harness.h"
+#include "standins/kv_store.h"
+#include "standins/rank_group.h"
+
+namespace mangohold::testing {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kRanks = 4;
+// Two of the popular experts are on rank 0 at the start.
+const std::vector<double> kUneven = {0.4, 0.05, 0.05, 0.05,
+                                     0.3, 0.05, 0.05, 0.05};
+const std::vector<double> kShifted = {0.05, 0.4, 0.05, 0.05,
+                                      0.05, 0.3, 0.05, 0.05};
+constexpr double kNearlyEven = 1.3;
+
+class RankSite {
+ public:
+  explicit RankSite(int late_percent) {
+    const int pid = getpid();
+    net_ = "127." + std::to_string(150 + pid / 250 % 30) + "." +
+           std::to_string(pid % 250) + ".";
+    directory_ = "/tmp/mangohold-ranks-" + std::to_string(pid);
+    std::filesystem::create_directories(directory_);
+    store_ = std::make_unique<standin::KvStore>(Ip(1) + ":7000");
+    store_->Put("op/config", Json{{"version", 1},
+                                  {"routes", Json::array()},
+                                  {"services",
+                                   {{{"name", "model"},
+                                     {"engine",
+                                      {{"slots", 8},
+                                       {"sets", 1},
+                                       {"experts", 8},
+                                       {"placements", 4},
+                                       {"spare", 2}}}}}}}
+                                 .dump());
+    standin::RankGroup::Options options{.late_percent = late_percent};
+    for (int rank = 0; rank < kRanks; ++rank) {
+      options.addresses.push_back(EngineAddress(rank));
+      store_->Put("servers/i-" + std::to_string(rank),
+                  Json{{"service", "model"},
+                       {"address", EngineAddress(rank)},
+                       {"zone", "north"},
+                       {"slots", 8},
+                       {"state", "ready"},
+                       {"cold_remaining_ms", 0}}
+                      .dump());
+    }
+    group_ = std::make_unique<standin::RankGroup>(options);
+    group_->SetPopularity(kUneven);
+    agents_.resize(kRanks);
+    for (int rank = 0; rank < kRanks; ++rank) StartAgent(rank);
+  }
+
+  ~RankSite() {
+    agents_.clear();
+    std::filesystem::remove_all(directory_);
+  }
+  RankSite(const RankSite&) = delete;
+  RankSite& operator=(const RankSite&) = delete;
+
+  void StartAgent(int rank) {
+    const std::string name = "agent-" + std::to_string(rank);
+    const std::string file = directory_ + "/" + name + ".jsonc";
+    std::ofstream(file) << Json{{"instance", name},
+                                {"zone", "north"},
+                                {"service", "model"},
+                                {"platform_url", "http://" + Ip(1) + ":7000"},
+                                {"backend_address", EngineAddress(rank)},
+                                {"peer_address", Ip(50 + rank) + ":8083"},
+                                {"metrics_address", Ip(50 + rank) + ":8084"}};
+    agents_[rank] = std::make_unique<Process>(
+        std::vector<std::string>{
+            std::string(MANGOHOLD_BINARY_DIR) + "/mangohold-rank-agent",
+            "--config", file},
+        LogOf(rank));
+  }
+
+  standin::RankGroup& group() { return *group_; }
+  Process& agent(int rank) { return *agents_[rank]; }
+
+  // The rank whose agent began to lead last, by the term that it logged; -1:
+  // none yet.
+  int Leader() const {
+    int leader = -1;
+    std::uint64_t newest = 0;
+    for (int rank = 0; rank < kRanks; ++rank) {
+      std::ifstream file(LogOf(rank));
+      for (std::string line; std::getline(file, line);) {
+        if (line.find("leading_began") == std::string::npos) continue;
+        const Json json = Json::parse(line, nullptr, false);
+        if (json.is_discarded()) continue;
+        const auto term = json.at("term").get<std::uint64_t>();
+        if (term <= newest) continue;
+        newest = term;
+        leader = rank;
+      }
+    }
+    return leader;
+  }
+
+  bool IsEven() const { return group_->skew() < kNearlyEven; }
+
+ private:
+  std::string Ip(int last) const { return net_ + std::to_string(last); }
+  std::string EngineAddress(int rank) const { return Ip(100 + rank) + ":9000"; }
+  std::string LogOf(int rank) const {
+    return directory_ + "/agent-" + std::to_string(rank) + ".log";
+  }
+
+  std::string net_;
+  std::string directory_;
+  std::unique_ptr<standin::KvStore> store_;
+  std::unique_ptr<standin::RankGroup> group_;
+  std::vector<std::unique_ptr<Process>> agents_;
+};
+
+TEST(RankAgent, BringsABetterMapIntoUseAndFollowsAShift) {
+  RankSite site(0);
+  ASSERT_TRUE(WaitFor([&] { return site.IsEven(); }));
+  const std::uint64_t first = site.group().map(0);
+  EXPECT_GT(first, 0U);
+  site.group().SetPopularity(kShifted);
+  EXPECT_FALSE(site.IsEven());
+  ASSERT_TRUE(WaitFor([&] { return site.IsEven(); }));
+  EXPECT_GT(site.group().map(0), first);
+  EXPECT_EQ(site.group().split_passes(), 0);
+}
+
+TEST(RankAgent, ASuccessorGoesOnWhenTheLeaderDies) {
+  RankSite site(0);
+  ASSERT_TRUE(WaitFor([&] { return site.IsEven(); }));
+  const int leader = site.Leader();
+  ASSERT_GE(leader, 0);
+  site.agent(leader).Kill();
+  site.group().SetPopularity(kShifted);
+  // The dead agent's rank switches maps too once its agent is back.
+  ASSERT_TRUE(WaitFor([&] { return site.Leader() != leader; }));
+  site.StartAgent(leader);
+  ASSERT_TRUE(WaitFor([&] { return site.IsEven(); }));
+  EXPECT_EQ(site.group().split_passes(), 0);
+}
+
+// The machine of the leader stands still right after its hold, with the engine
+// beside it, while orders come late.
+TEST(RankAgent, AHoldIsReleasedWhenItsLeaderStandsStill) {
+  RankSite site(40);
+  ASSERT_TRUE(WaitFor([&] { return site.group().map(0) > 0; }));
+  site.group().SetPopularity(kShifted);
+  ASSERT_TRUE(WaitFor([&] { return site.group().holder().has_value(); }));
+  const int leader = site.Leader();
+  ASSERT_GE(leader, 0);
+  site.agent(leader).Signal(SIGSTOP);
+  site.group().SetReachable(leader, false);
+  ASSERT_TRUE(WaitFor([&] { return !site.group().holder().has_value(); }));
+  const std::uint64_t passes = site.group().passes();
+  ASSERT_TRUE(WaitFor([&] { return site.group().passes() > passes + 20; }));
+  site.group().SetReachable(leader, true);
+  site.agent(leader).Signal(SIGCONT);
+  ASSERT_TRUE(WaitFor([&] { return site.IsEven(); }));
+  EXPECT_EQ(site.group().split_passes(), 0);
+}
+
+}  // namespace
+}  // namespace mangohold::testing
