Split the own rank out of the agent; count orders to arm that are on their way

An order to arm that is being sent had no trace until its time was over, so that a successor which read the rank meanwhile could take it for safe. UnansweredArms counts it from its sending; a test fails without that.

--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -27,16 +27,9 @@
 // Candidates wait this much longer for each rank before them.
 constexpr Millis kCandidateSpacing{150};
 constexpr int kMostCandidates = 16;
-// An order to the own engine is given so often, until it is answered.
-constexpr int kOrderTries = 5;
 // Choices that a plan has to rest on, for each expert of all sets.
 constexpr double kLeastChoicesPerExpert = 20;
 
-void LogLost(std::string_view what, const absl::Status& status) {
-  Log(LogLevel::kWarning, "engine_call_failed",
-      {{"call", what}, {"error", MessageOf(status)}});
-}
-
 }  // namespace
 
 RankAgent::RankAgent(EventLoop& loop, Store& store, EngineApi& engine,
@@ -52,6 +45,7 @@
               .value = EncodeMember(options_.self),
               .ttl = kLeaseTtl,
               .renewal = kLeaseRenewal}),
+      rank_(engine, options_.self.backend, counters),
       agents_(store, options_.schema.member_prefix, options_.self.id) {}
 
 absl::Status RankAgent::Start() {
@@ -59,10 +53,14 @@
       options_.self.peer, [this](std::string_view data) { OnDatagram(data); });
   if (!status.ok()) return status;
   leader_heard_ = BootNow();
-  unanswered_arms_.OnStart(BootNow());
+  rank_.OnStart();
   lease_.Start();
-  Poll();
-  loop_.Every(options_.poll, [this] { Poll(); });
+  const auto poll = [this] {
+    rank_.Poll(
+        [this](ExpertCounts choices) { SendStatus(std::move(choices)); });
+  };
+  poll();
+  loop_.Every(options_.poll, poll);
   loop_.Every(kBeatRound, [this] {
     if (++beat_rounds_ % 2 == 0 || MayBeHeld()) Beat();
   });
@@ -74,98 +72,13 @@
   return absl::OkStatus();
 }
 
-// --- Own rank ---------------------------------------------------------------
-
-void RankAgent::Poll() {
-  if (std::exchange(is_polling_, true)) return;
-  engine_.Report(options_.self.backend, [this](const auto& report) {
-    OnReport(report);
-    if (!report.ok() || report->group.empty()) {
-      is_polling_ = false;
-      return;
-    }
-    ReadCounts();
-  });
-}
-
-void RankAgent::OnReport(const absl::StatusOr<RankReport>& report) {
-  if (!report.ok()) {
-    if (report_) {
-      LogLost("report", report.status());
-    }
-    report_.reset();
-    counters_.Count(Event::kBackendReportsLost);
-    return;
-  }
-  if (report_ &&
-      (report_->epoch != report->epoch || report_->map != report->map)) {
-    Log(LogLevel::kInfo, "rank_changed",
-        {{"group", report->group.value()},
-         {"epoch", report->epoch.value()},
-         {"map", report->map.value()},
-         {"pass", report->pass.value()}});
-  }
-  report_ = *report;
-}
-
-void RankAgent::ReadCounts() {
-  engine_.Counts(options_.self.backend, [this](const auto& counts) {
-    if (!counts.ok() || !report_) {
-      is_polling_ = false;
-      if (!counts.ok()) LogLost("counts", counts.status());
-      return;
-    }
-    ExpertCounts choices = ChoicesSince(*counts);
-    if (holdings_version_ != report_->map ||
-        holdings_epoch_ != report_->epoch || holdings_.empty()) {
-      ReadHoldings(*report_);
-    }
-    is_polling_ = false;
-    SendStatus(std::move(choices));
-  });
-}
-
-void RankAgent::ReadHoldings(const RankReport& report) {
-  const MapVersion version = report.map;
-  const GroupEpoch epoch = report.epoch;
-  engine_.Holdings(options_.self.backend,
-                   [this, version, epoch](const auto& lists) {
-                     if (!lists.ok()) {
-                       return LogLost("holdings", lists.status());
-                     }
-                     holdings_ = *lists;
-                     holdings_version_ = version;
-                     holdings_epoch_ = epoch;
-                   });
-}
-
-// Counts that went down begin anew: the engine has started again.
-ExpertCounts RankAgent::ChoicesSince(const ExpertCounts& counts) {
-  ExpertCounts choices = counts;
-  const bool goes_on =
-      std::ranges::equal(last_counts_, counts, std::less_equal<>());
-  if (goes_on) {
-    std::ranges::transform(counts, last_counts_, choices.begin(),
-                           std::minus<>());
-  }
-  last_counts_ = counts;
-  return choices;
-}
-
 void RankAgent::SendStatus(ExpertCounts choices) {
-  if (!report_ || report_->group.empty()) return;
+  if (!rank_.is_in_group()) return;
   RankMessage message = NewMessage(RankMessageKind::kStatus);
-  const bool has_accepted = accepted_epoch_ == report_->epoch;
-  message.status = {.agent = options_.self.id,
-                    .term = term_,
-                    .report = *report_,
-                    .accepted = has_accepted ? accepted_ : MapVersion(),
-                    .granted = granted_,
-                    .may_arm_late = unanswered_arms_.MayArm(
-                        report_->epoch, report_->pass, BootNow())};
-  if (holdings_version_ == report_->map && holdings_epoch_ == report_->epoch) {
-    message.status.holdings = holdings_;
-  }
+  message.status = rank_.Status();
+  message.status.agent = options_.self.id;
+  message.status.term = term_;
+  message.status.granted = granted_;
   message.choices = std::move(choices);
   if (leadership_) return OnStatus(message);
   if (!leader_.empty()) SendTo(leader_, message);
@@ -176,7 +89,7 @@
 void RankAgent::OnDatagram(std::string_view data) {
   const auto message = DecodeRankMessage(data);
   if (!message) return;
-  if (!report_ || message->group != report_->group) return;
+  if (!rank_.report() || message->group != rank_.report()->group) return;
   if (message->term > term_ && message->kind != RankMessageKind::kStatus) {
     FollowTerm(message->term, message->reply_to);
   }
@@ -214,74 +127,18 @@
   is_running_job_ = true;
   const Job job = std::move(jobs_.front());
   jobs_.pop_front();
-  engine_.Report(options_.self.backend, [this, job](const auto& report) {
-    OnReport(report);
-    Execute(job);
-  });
+  rank_.Refresh([this, job] { Execute(job); });
 }
 
 void RankAgent::Execute(const Job& job) {
   const RankCommand& command = job.command;
+  const RankReport* report = rank_.report();
   if (command.is_grant && job.term == term_) granted_ = command.version;
-  const bool is_void = !report_ || !command.order || job.term < term_ ||
-                       report_->epoch != command.epoch ||
-                       report_->rank != command.rank;
+  const bool is_void = !report || !command.order || job.term < term_ ||
+                       report->epoch != command.epoch ||
+                       report->rank != command.rank;
   if (is_void) return FinishJob();
-  OrderOwnEngine(command, kOrderTries);
-}
-
-// An order without an answer is given again at once: it asks for a state, which
-// holds already if the first one was carried out.
-void RankAgent::OrderOwnEngine(const RankCommand& command, int tries) {
-  if (!report_) return FinishJob();
-  OrderAt(options_.self.backend, *report_, command,
-          [this, command, tries](OrderFate fate) {
-            OnOwnOrder(command, fate);
-            if (fate == OrderFate::kUnknown && tries > 1) {
-              return OrderOwnEngine(command, tries - 1);
-            }
-            engine_.Report(options_.self.backend, [this](const auto& report) {
-              OnReport(report);
-              FinishJob();
-            });
-          });
-}
-
-void RankAgent::OnOwnOrder(const RankCommand& command, OrderFate fate) {
-  if (command.order == OrderKind::kPrepare && fate == OrderFate::kAccepted) {
-    accepted_ = command.version;
-    accepted_epoch_ = command.epoch;
-  }
-  if (command.order == OrderKind::kArm && fate == OrderFate::kUnknown) {
-    unanswered_arms_.OnUnanswered(command.epoch, command.pass, BootNow());
-  }
-}
-
-// The order is void in any other epoch of the group.
-void RankAgent::OrderAt(const Endpoint& engine, const RankReport& report,
-                        const RankCommand& command,
-                        std::function<void(OrderFate)> on_done) {
-  if (!command.order) return on_done(OrderFate::kRefused);
-  const RankOrder order = {.kind = *command.order,
-                           .epoch = command.epoch,
-                           .expected = report.sequence,
-                           .version = command.version,
-                           .pass = command.pass,
-                           .map = command.map};
-  engine_.Order(engine, order,
-                [this, command, expected = report.sequence,
-                 on_done = std::move(on_done)](OrderFate fate) {
-                  Log(LogLevel::kInfo, "order_given",
-                      {{"order", static_cast<int>(*command.order)},
-                       {"fate", static_cast<int>(fate)},
-                       {"rank", command.rank},
-                       {"expected", expected.value()},
-                       {"term", term_.value()},
-                       {"epoch", command.epoch.value()},
-                       {"version", command.version.value()},
-                       {"pass", command.pass.value()}});
-                  on_done(fate);
-                });
+  rank_.Order(command, job.term, [this] { FinishJob(); });
 }
 
 void RankAgent::FinishJob() {
@@ -294,10 +151,10 @@
 
 RankMessage RankAgent::NewMessage(RankMessageKind kind) const {
   return {.kind = kind,
-          .group = report_ ? report_->group : GroupName(),
+          .group = rank_.report() ? rank_.report()->group : GroupName(),
           .term = term_,
           .sender = options_.self.id,
-          .rank = report_ ? report_->rank : 0,
+          .rank = rank_.report() ? rank_.report()->rank : 0,
           .reply_to = options_.self.peer};
 }
 
@@ -319,7 +176,7 @@
 }
 
 void RankAgent::WatchLeader() {
-  if (leadership_ || is_challenging_ || !report_ || report_->group.empty()) {
+  if (leadership_ || is_challenging_ || !rank_.is_in_group()) {
     return;
   }
   if (!knows_term_ || BootNow() - leader_heard_ > Patience()) Challenge();
@@ -328,18 +185,19 @@
 // The group stands still while it is held, and the agent beside the rank that
 // holds it is the first to know.
 Duration RankAgent::Patience() const {
-  if (report_ && report_->held) return options_.leader_silence_when_held;
-  const int place = report_ ? report_->rank % kMostCandidates : 0;
+  const RankReport* report = rank_.report();
+  if (report && report->held) return options_.leader_silence_when_held;
+  const int place = report ? report->rank % kMostCandidates : 0;
   return options_.leader_silence + kCandidateSpacing * place;
 }
 
 // Reads the term in force. A process that has just started only learns it; one
 // that misses the leader tries to follow it.
 void RankAgent::Challenge() {
-  if (!report_) return;
+  if (!rank_.report()) return;
   is_challenging_ = true;
   const std::string key =
-      options_.schema.leader_prefix + report_->group.value();
+      options_.schema.leader_prefix + rank_.report()->group.value();
   store_.List(key, "", Freshness::kLinearizable, [this, key](const auto& page) {
     is_challenging_ = false;
     if (!page.ok()) return;
@@ -355,10 +213,10 @@
 }
 
 void RankAgent::TakeOver(Revision expected) {
-  if (!report_) return;
+  if (!rank_.report()) return;
   is_challenging_ = true;
   const std::string key =
-      options_.schema.leader_prefix + report_->group.value();
+      options_.schema.leader_prefix + rank_.report()->group.value();
   store_.Change({.expectations = {{key, expected}},
                  .writes = {{key, options_.self.id.value(), LeaseId()}}},
                 [this](const ChangeResult& result) {
@@ -371,7 +229,7 @@
 }
 
 void RankAgent::Lead(LeaderTerm term) {
-  if (!report_ || term <= term_) return;
+  if (!rank_.report() || term <= term_) return;
   const LeaderTerm former_term = term_;
   term_ = term;
   leader_ = options_.self.peer;
@@ -381,12 +239,12 @@
   direct_.clear();
   leadership_->map_switch = std::make_unique<MapSwitch>(
       MapSwitch::Options{.term = term,
-                         .own_rank = report_->rank,
+                         .own_rank = rank_.report()->rank,
                          .former_leader = leader_rank_,
                          .former_term = former_term,
                          .experts = experts_});
   Log(LogLevel::kInfo, "leading_began",
-      {{"group", report_->group.value()}, {"term", term.value()}});
+      {{"group", rank_.report()->group.value()}, {"term", term.value()}});
   RefreshDirectory();
   Beat();
 }
@@ -394,7 +252,7 @@
 void RankAgent::Beat() {
   if (!leadership_) return;
   const RankMessage beat = NewMessage(RankMessageKind::kBeat);
-  const int ranks = report_ ? report_->size : 0;
+  const int ranks = rank_.report() ? rank_.report()->size : 0;
   for (const Member& peer : agents_.Peers(ranks, IsAgentMissing())) {
     SendTo(peer.peer, beat);
   }
@@ -409,12 +267,12 @@
 
 // A leader misses agents of ranks that say nothing, or that it can't address.
 bool RankAgent::IsAgentMissing() const {
-  if (!leadership_ || !report_) return false;
+  if (!leadership_ || !rank_.report()) return false;
   const MapSwitch& map_switch = *leadership_->map_switch;
-  if (map_switch.size() < report_->size) return true;
+  if (map_switch.size() < rank_.report()->size) return true;
   if (!map_switch.SilentRanks(BootNow()).empty()) return true;
   return std::ranges::any_of(
-      std::views::iota(0, report_->size),
+      std::views::iota(0, rank_.report()->size),
       [this](int rank) { return agents_.AgentOf(rank) == nullptr; });
 }
 
@@ -448,7 +306,7 @@
 void RankAgent::Give(const RankCommand& command) {
   RankMessage message = NewMessage(RankMessageKind::kCommand);
   message.command = command;
-  if (report_ && command.rank == report_->rank) {
+  if (rank_.report() && command.rank == rank_.report()->rank) {
     jobs_.push_back({.command = command, .term = term_});
     // Not at once: this may be called from inside a status.
     loop_.Post([this] { RunNextJob(); });
@@ -523,7 +381,7 @@
   ListAll(store_, options_.schema.backend_prefix, Freshness::kMayBeStale,
           [this](const auto& engines) {
             if (engines.ok()) return ReadSilentRanks(*engines);
-            LogLost("backend servers", engines.status());
+            LogEngineCall("backend servers", engines.status());
           });
 }
 
@@ -546,9 +404,10 @@
 void RankAgent::ReadRemote(const Endpoint& engine) {
   engine_.Report(engine, [this, engine](const auto& report) {
     if (!report.ok()) {
-      return LogLost("report of " + engine.value(), report.status());
+      return LogEngineCall("report of " + engine.value(), report.status());
     }
-    if (!leadership_ || !report_ || report->group != report_->group) return;
+    const RankReport* own = rank_.report();
+    if (!leadership_ || !own || report->group != own->group) return;
     const auto direct = direct_.find(report->rank);
     const bool is_needed = direct != direct_.end() || IsSilent(report->rank);
     if (!is_needed) return;
@@ -572,16 +431,16 @@
                          report->epoch != command.epoch ||
                          report->rank != command.rank;
     if (is_void) return;
-    OrderAt(engine, *report, command,
-            [this, engine, rank = command.rank](OrderFate /*fate*/) {
-              const Member* agent = agents_.AgentOf(rank);
-              if (direct_.contains(rank) || agent == nullptr) {
-                return ReadRemote(engine);
-              }
-              RankMessage question = NewMessage(RankMessageKind::kCommand);
-              question.command.rank = rank;
-              SendTo(agent->peer, question);
-            });
+    GiveOrder(engine_, engine, *report, command, term_,
+              [this, engine, rank = command.rank](OrderFate /*fate*/) {
+                const Member* agent = agents_.AgentOf(rank);
+                if (direct_.contains(rank) || agent == nullptr) {
+                  return ReadRemote(engine);
+                }
+                RankMessage question = NewMessage(RankMessageKind::kCommand);
+                question.command.rank = rank;
+                SendTo(agent->peer, question);
+              });
   });
 }
 
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -17,8 +17,8 @@
 #include "group/agent_directory.h"
 #include "group/expert_demand.h"
 #include "group/map_switch.h"
+#include "group/own_rank.h"
 #include "group/rank_messages.h"
-#include "group/unanswered_arms.h"
 #include "net/datagram_socket.h"
 #include "net/event_loop.h"
 #include "store/lease_keeper.h"
@@ -62,21 +62,13 @@
     LeaderTerm term;
   };
 
-  // Own rank.
-  void Poll();
-  void OnReport(const absl::StatusOr<RankReport>& report);
-  void ReadCounts();
-  void ReadHoldings(const RankReport& report);
   void SendStatus(ExpertCounts choices);
-  ExpertCounts ChoicesSince(const ExpertCounts& counts);
 
   // Commands.
   void OnDatagram(std::string_view data);
   void OnCommand(const RankMessage& message);
   void RunNextJob();
   void Execute(const Job& job);
-  void OrderOwnEngine(const RankCommand& command, int tries);
-  void OnOwnOrder(const RankCommand& command, OrderFate fate);
   void FinishJob();
 
   // Leading.
@@ -93,9 +85,6 @@
   void Give(const RankCommand& command);
   void Plan();
   void ActForSilentAgents();
-  void OrderAt(const Endpoint& engine, const RankReport& report,
-               const RankCommand& command,
-               std::function<void(OrderFate)> on_done);
   void GiveDirectly(const Endpoint& engine, const RankCommand& command);
   bool IsSilent(int rank) const;
   void ReadSilentRanks(const std::vector<StoreItem>& engines);
@@ -113,16 +102,8 @@
   Counters& counters_;
   DatagramSocket socket_;
   LeaseKeeper lease_;
-  std::optional<RankReport> report_;
-  std::vector<std::vector<int>> holdings_;
-  MapVersion holdings_version_;
-  GroupEpoch holdings_epoch_;
-  MapVersion accepted_;  // the newest map that the engine agreed to prepare
-  GroupEpoch accepted_epoch_;
+  OwnRank rank_;
   MapVersion granted_;  // the leader may have armed its own rank with it
-  UnansweredArms unanswered_arms_;
-  ExpertCounts last_counts_;
-  bool is_polling_ = false;
   std::deque<Job> jobs_;
   bool is_running_job_ = false;
 
--- a/tests/unit/map_switch_test.cc
+++ b/tests/unit/map_switch_test.cc
@@ -262,7 +262,8 @@
       if (luck < rules_.lost_percent) return;
       if (luck < rules_.lost_percent + rules_.late_percent) {
         if (command.order == OrderKind::kArm) {
-          unanswered_[rank].OnUnanswered(command.epoch, command.pass, now_);
+          unanswered_[rank].OnSent(command.epoch, command.pass);
+          unanswered_[rank].OnUnanswered(now_);
         }
         late_.push_back(
             {now_ + seconds(2 + random_.Below(10)),
