Read both kinds of connections through one SocketReader

Change: SocketReader owns buffer and flag. No decision moves; the system tests of the direct way pass.

--- a/src/backend/backend_connection.cc
+++ b/src/backend/backend_connection.cc
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr Millis kConnectTimeout{600};
-constexpr std::size_t kReadBytes = 16U << 10U;
 // An idle connection is used again for this long if the backend server doesn't
 // state a limit of its own.
 constexpr Millis kDefaultIdleLimit{3'000};
@@ -42,9 +41,7 @@
       connect_timer_(io),
       endpoint_(endpoint),
       on_closed_(std::move(on_closed)),
-      parser_(Http1Parser::Kind::kResponse, *this) {
-  read_buffer_.resize(kReadBytes);
-}
+      parser_(Http1Parser::Kind::kResponse, *this) {}
 
 void BackendConnection::Send(Exchange exchange) {
   exchange_ = std::move(exchange);
@@ -100,17 +97,16 @@
 }
 
 void BackendConnection::Read() {
-  if (is_reading_ || is_paused_ || phase_ == Phase::kClosed) return;
-  is_reading_ = true;
-  socket_.async_read_some(asio::buffer(read_buffer_),
-                          [self = shared_from_this()](
-                              const std::error_code& error, std::size_t size) {
-                            self->is_reading_ = false;
-                            self->OnRead(error, size);
-                          });
+  if (is_paused_ || phase_ == Phase::kClosed) return;
+  reader_.Read(socket_,
+               [self = shared_from_this()](const std::error_code& error,
+                                           std::string_view bytes) {
+                 self->OnRead(error, bytes);
+               });
 }
 
-void BackendConnection::OnRead(const std::error_code& error, std::size_t size) {
+void BackendConnection::OnRead(const std::error_code& error,
+                               std::string_view bytes) {
   if (phase_ == Phase::kClosed) return;
   if (error) {
     // An answer without a length ends with its connection, but never with a
@@ -124,7 +120,7 @@
   }
   // Bytes that no request asked for.
   if (phase_ != Phase::kBusy) return Fail();
-  Consume({read_buffer_.data(), size});
+  Consume(bytes);
   Read();
 }
 
--- a/src/backend/backend_connection.h
+++ b/src/backend/backend_connection.h
@@ -13,6 +13,7 @@
 #include "core/ids.h"
 #include "net/http1_parser.h"
 #include "net/http_message.h"
+#include "net/socket_reader.h"
 
 namespace mangohold {
 
@@ -74,7 +75,7 @@
   void Connect();
   void Write();
   void Read();
-  void OnRead(const std::error_code& error, std::size_t size);
+  void OnRead(const std::error_code& error, std::string_view bytes);
   void Consume(std::string_view data);
   void FinishAnswer();
   void Fail();
@@ -87,10 +88,9 @@
   Http1Parser parser_;
   Phase phase_ = Phase::kNew;
   Exchange exchange_;
-  std::string read_buffer_;
+  SocketReader reader_;
   bool has_written_ = false;  // a byte of the request may have left
   bool is_written_ = false;   // the whole request has left
-  bool is_reading_ = false;
   bool is_paused_ = false;
   bool is_foreign_ = false;  // the answer in progress is not for this request
   bool is_interim_ = false;  // a 1xx answer
--- a/src/caller/caller_connection.cc
+++ b/src/caller/caller_connection.cc
@@ -24,9 +24,7 @@
     : socket_(std::move(socket)),
       host_(host),
       parser_(Http1Parser::Kind::kRequest, *this),
-      phase_began_(BootNow()) {
-  read_buffer_.resize(kReadBytes);
-}
+      phase_began_(BootNow()) {}
 
 void CallerConnection::Start() {
   SetPeerOptions(socket_);
@@ -34,22 +32,21 @@
 }
 
 void CallerConnection::Read() {
-  if (is_reading_ || phase_ == Phase::kClosed) return;
+  if (phase_ == Phase::kClosed) return;
   if (input_.size() > kMostAhead && phase_ == Phase::kAnswering) return;
-  is_reading_ = true;
-  socket_.async_read_some(asio::buffer(read_buffer_),
-                          [self = shared_from_this()](
-                              const std::error_code& error, std::size_t size) {
-                            self->is_reading_ = false;
-                            self->OnRead(error, size);
-                          });
+  reader_.Read(socket_,
+               [self = shared_from_this()](const std::error_code& error,
+                                           std::string_view bytes) {
+                 self->OnRead(error, bytes);
+               });
 }
 
-void CallerConnection::OnRead(const std::error_code& error, std::size_t size) {
+void CallerConnection::OnRead(const std::error_code& error,
+                              std::string_view bytes) {
   if (phase_ == Phase::kClosed) return;
   if (error) return Drop();
   if (phase_ == Phase::kLingering) return Read();
-  input_.append(read_buffer_, 0, size);
+  input_.append(bytes);
   Parse();
   Read();
 }
--- a/src/caller/caller_connection.h
+++ b/src/caller/caller_connection.h
@@ -12,6 +12,7 @@
 #include "core/clock.h"
 #include "net/http1_parser.h"
 #include "net/http_message.h"
+#include "net/socket_reader.h"
 
 namespace mangohold {
 
@@ -76,7 +77,6 @@
  private:
   enum class Phase { kIdle, kReading, kAnswering, kLingering, kClosed };
   static constexpr std::size_t kCongestedBytes = 256U << 10U;
-  static constexpr std::size_t kReadBytes = 16U << 10U;
   static constexpr std::size_t kMostAhead = 64U << 10U;
 
   void OnHead(Http1Head head) override;
@@ -84,7 +84,7 @@
   void OnMessageEnd() override;
 
   void Read();
-  void OnRead(const std::error_code& error, std::size_t size);
+  void OnRead(const std::error_code& error, std::string_view bytes);
   void Parse();
   bool IsRequestBad();
   void RefuseAndClose(int status);
@@ -103,12 +103,11 @@
   Phase phase_ = Phase::kIdle;
   TimePoint phase_began_;
   std::string input_;  // read and not yet parsed
-  std::string read_buffer_;
+  SocketReader reader_;
   std::string output_;     // to be written
   std::string writing_;    // being written
   CallerMessage message_;  // being read
   int refusal_ = 0;        // status that the message in progress calls for
-  bool is_reading_ = false;
   bool has_whole_message_ = false;
   bool keeps_alive_ = true;
   bool closes_ = false;  // with the answer in progress
