Read documents and run daemons through one function each

Change: ReadDocument, ReadProcess and ReadDirect; OnLeave and RunThreads. Two daemons logged no line when leaving began, or at their end; all do now, and the end of a leave has a name of its own, leaving_ended.

--- a/src/agent_main.cc
+++ b/src/agent_main.cc
@@ -87,10 +87,7 @@
   const bool has_started =
       HaveStarted({server.Start(), node.Start(), admin.Listen()});
   if (!has_started) return kExitUnavailable;
-  bool is_leaving = false;
-  control.OnTerminate([&] {
-    if (is_leaving) return control.Stop();
-    is_leaving = true;
+  OnLeave(control, [&] {
     traffic.Post([&] {
       server.BeginLeaving();
       const TimePoint now = Clock::now();
@@ -101,10 +98,7 @@
   });
   Log(LogLevel::kInfo, "started",
       {{"peer_address", settings.peer_address.value()}});
-  traffic.StartThread();
-  control.Run();
-  traffic.Join();
-  EndProcess();
+  RunThreads(control, traffic);
 }
 
 }  // namespace
--- a/src/config/documents.cc
+++ b/src/config/documents.cc
@@ -98,67 +98,62 @@
 
 ServiceDocument ParseService(const std::string& path, std::string_view text,
                              Findings& findings) {
-  const JsonDocument document = JsonDocument::Parse(path, text, findings);
-  ObjectReader reader(document, "", findings);
-  ServiceDocument out;
-  out.name = ServiceName(NameIn(path));
-  int kind = static_cast<int>(out.kind);
-  reader.OptionalChoice("kind", {"model", "plain"}, kind);
-  out.kind = static_cast<BackendKind>(kind);
-  out.repeatable_calls = ReadRepeatableCalls(reader);
-  reader.Optional("checks_fence", out.checks_fence);
-  reader.Optional("concurrency_limit", out.concurrency_limit, kCountRange);
-  reader.Optional("queue_limit", out.queue_limit, {0, 100'000});
-  out.cold_start = ReadColdStart(reader.Object("cold_start"));
-  reader.OptionalMillis("default_deadline_ms", out.default_deadline,
-                        kMillisRange);
-  reader.Optional("max_attempts", out.max_attempts, {1, 10});
-  reader.Optional("retry_budget_percent", out.retry_budget_percent, {0, 100});
-  reader.OptionalMillis("prefix_gain_ms", out.prefix_gain, {0, 60'000});
-  int when_cut_off = static_cast<int>(out.when_cut_off);
-  reader.OptionalChoice("when_cut_off", {"refuse", "serve"}, when_cut_off);
-  out.when_cut_off = static_cast<CutOffPolicy>(when_cut_off);
-  if (out.cold_start.initial_limit > out.concurrency_limit) {
-    reader.Report("cold_start",
-                  "initial_limit must not exceed concurrency_limit");
-  }
-  reader.RejectUnknown();
-  return out;
+  return ReadDocument<ServiceDocument>(
+      path, text, findings, [&](ObjectReader& reader, ServiceDocument& out) {
+        out.name = ServiceName(NameIn(path));
+        int kind = static_cast<int>(out.kind);
+        reader.OptionalChoice("kind", {"model", "plain"}, kind);
+        out.kind = static_cast<BackendKind>(kind);
+        out.repeatable_calls = ReadRepeatableCalls(reader);
+        reader.Optional("checks_fence", out.checks_fence);
+        reader.Optional("concurrency_limit", out.concurrency_limit,
+                        kCountRange);
+        reader.Optional("queue_limit", out.queue_limit, {0, 100'000});
+        out.cold_start = ReadColdStart(reader.Object("cold_start"));
+        reader.OptionalMillis("default_deadline_ms", out.default_deadline,
+                              kMillisRange);
+        reader.Optional("max_attempts", out.max_attempts, {1, 10});
+        reader.Optional("retry_budget_percent", out.retry_budget_percent,
+                        {0, 100});
+        reader.OptionalMillis("prefix_gain_ms", out.prefix_gain, {0, 60'000});
+        int when_cut_off = static_cast<int>(out.when_cut_off);
+        reader.OptionalChoice("when_cut_off", {"refuse", "serve"},
+                              when_cut_off);
+        out.when_cut_off = static_cast<CutOffPolicy>(when_cut_off);
+        if (out.cold_start.initial_limit > out.concurrency_limit) {
+          reader.Report("cold_start",
+                        "initial_limit must not exceed concurrency_limit");
+        }
+      });
 }
 
 ZoneDocument ParseZone(const std::string& path, std::string_view text,
                        Findings& findings) {
-  const JsonDocument document = JsonDocument::Parse(path, text, findings);
-  ObjectReader reader(document, "", findings);
-  ZoneDocument out;
-  out.name = ZoneName(NameIn(path));
-  int state = static_cast<int>(out.state);
-  reader.OptionalChoice("state", {"in", "out"}, state);
-  out.state = static_cast<ZoneState>(state);
-  reader.RejectUnknown();
-  return out;
+  return ReadDocument<ZoneDocument>(
+      path, text, findings, [&](ObjectReader& reader, ZoneDocument& out) {
+        out.name = ZoneName(NameIn(path));
+        int state = static_cast<int>(out.state);
+        reader.OptionalChoice("state", {"in", "out"}, state);
+        out.state = static_cast<ZoneState>(state);
+      });
 }
 
 WorkspaceDocument ParseWorkspace(const std::string& path, std::string_view text,
                                  Findings& findings) {
-  const JsonDocument document = JsonDocument::Parse(path, text, findings);
-  ObjectReader reader(document, "", findings);
-  WorkspaceDocument out;
-  out.name = WorkspaceName(NameIn(path));
-  reader.Optional("weight", out.weight, {1, 1'000});
-  reader.Optional("max_in_flight", out.max_in_flight, kCountRange);
-  reader.RejectUnknown();
-  return out;
+  return ReadDocument<WorkspaceDocument>(
+      path, text, findings, [&](ObjectReader& reader, WorkspaceDocument& out) {
+        out.name = WorkspaceName(NameIn(path));
+        reader.Optional("weight", out.weight, {1, 1'000});
+        reader.Optional("max_in_flight", out.max_in_flight, kCountRange);
+      });
 }
 
 FleetDocument ParseFleet(const std::string& path, std::string_view text,
                          Findings& findings) {
-  const JsonDocument document = JsonDocument::Parse(path, text, findings);
-  ObjectReader reader(document, "", findings);
-  FleetDocument out;
-  reader.Optional("expected_entries", out.expected_entries, {1, 10'000});
-  reader.RejectUnknown();
-  return out;
+  return ReadDocument<FleetDocument>(
+      path, text, findings, [&](ObjectReader& reader, FleetDocument& out) {
+        reader.Optional("expected_entries", out.expected_entries, {1, 10'000});
+      });
 }
 
 Findings CheckDocument(const std::string& path, std::string_view text) {
--- a/src/core/document_reader.h
+++ b/src/core/document_reader.h
@@ -101,4 +101,17 @@
   std::vector<std::string> known_;
 };
 
+// Reads a whole document into a `Value`: `read` takes the members of its root,
+// and those that it hasn't asked for are reported.
+template <typename Value, typename Read>
+Value ReadDocument(const std::string& file, std::string_view text,
+                   Findings& findings, Read read) {
+  const JsonDocument document = JsonDocument::Parse(file, text, findings);
+  ObjectReader reader(document, "", findings);
+  Value value;
+  read(reader, value);
+  reader.RejectUnknown();
+  return value;
+}
+
 }  // namespace mangohold
--- a/src/core/process_settings.cc
+++ b/src/core/process_settings.cc
@@ -14,13 +14,19 @@
   target = static_cast<LogLevel>(level);
 }
 
-// Reads the members that entries and agents have in common.
+// Reads the members that all daemons have in common.
 template <typename Settings>
-void ReadCommon(ObjectReader& reader, Settings& settings) {
+void ReadProcess(ObjectReader& reader, Settings& settings) {
   reader.Required("instance", settings.instance);
   reader.Required("zone", settings.zone);
   reader.Required("platform_url", settings.platform_url);
   ReadLogLevel(reader, settings.log_level);
+}
+
+// Reads the members that entries and agents have in common.
+template <typename Settings>
+void ReadCommon(ObjectReader& reader, Settings& settings) {
+  ReadProcess(reader, settings);
   reader.OptionalMillis("leave_limit_ms", settings.leave_limit, kLeaveLimitMs);
   reader.Optional("seeds", settings.seeds);
 }
@@ -38,6 +44,14 @@
   }
 }
 
+// Reads the members that the daemons of the direct way have in common.
+template <typename Settings>
+void ReadDirect(ObjectReader& reader, Settings& settings) {
+  ReadProcess(reader, settings);
+  ReadEndpoint(reader, "peer_address", settings.peer_address);
+  ReadEndpoint(reader, "metrics_address", settings.metrics_address);
+}
+
 std::vector<OperatorToken> ReadOperators(ObjectReader& reader) {
   std::vector<OperatorToken> operators;
   for (ObjectReader& element : reader.Objects("operators")) {
@@ -55,53 +69,43 @@
 
 EntrySettings ParseEntrySettings(const std::string& file, std::string_view text,
                                  Findings& findings) {
-  const JsonDocument document = JsonDocument::Parse(file, text, findings);
-  ObjectReader reader(document, "", findings);
-  EntrySettings settings;
-  ReadCommon(reader, settings);
-  ReadEndpoint(reader, "caller_address", settings.caller_address);
-  ReadEndpoint(reader, "operator_address", settings.operator_address);
-  ReadEndpoint(reader, "control_address", settings.control_address);
-  reader.Optional("max_requests", settings.max_requests, {1, 1'000'000});
-  reader.OptionalMillis("address_max_age_ms", settings.address_max_age,
-                        {100, 3'600'000});
-  settings.operators = ReadOperators(reader);
-  reader.RejectUnknown();
-  return settings;
+  return ReadDocument<EntrySettings>(
+      file, text, findings, [&](ObjectReader& reader, EntrySettings& settings) {
+        ReadCommon(reader, settings);
+        ReadEndpoint(reader, "caller_address", settings.caller_address);
+        ReadEndpoint(reader, "operator_address", settings.operator_address);
+        ReadEndpoint(reader, "control_address", settings.control_address);
+        reader.Optional("max_requests", settings.max_requests, {1, 1'000'000});
+        reader.OptionalMillis("address_max_age_ms", settings.address_max_age,
+                              {100, 3'600'000});
+        settings.operators = ReadOperators(reader);
+      });
 }
 
 AgentSettings ParseAgentSettings(const std::string& file, std::string_view text,
                                  Findings& findings) {
-  const JsonDocument document = JsonDocument::Parse(file, text, findings);
-  ObjectReader reader(document, "", findings);
-  AgentSettings settings;
-  ReadCommon(reader, settings);
-  reader.Required("service", settings.service);
-  ReadEndpoint(reader, "peer_address", settings.peer_address);
-  ReadEndpoint(reader, "admin_address", settings.admin_address);
-  reader.Required("backend_url", settings.backend_url);
-  reader.OptionalMillis("confirmation_limit_ms", settings.confirmation_limit,
-                        {500, 60'000});
-  reader.RejectUnknown();
-  return settings;
+  return ReadDocument<AgentSettings>(
+      file, text, findings, [&](ObjectReader& reader, AgentSettings& settings) {
+        ReadCommon(reader, settings);
+        reader.Required("service", settings.service);
+        ReadEndpoint(reader, "peer_address", settings.peer_address);
+        ReadEndpoint(reader, "admin_address", settings.admin_address);
+        reader.Required("backend_url", settings.backend_url);
+        reader.OptionalMillis("confirmation_limit_ms",
+                              settings.confirmation_limit, {500, 60'000});
+      });
 }
 
 RankAgentSettings ParseRankAgentSettings(const std::string& file,
                                          std::string_view text,
                                          Findings& findings) {
-  const JsonDocument document = JsonDocument::Parse(file, text, findings);
-  ObjectReader reader(document, "", findings);
-  RankAgentSettings settings;
-  reader.Required("instance", settings.instance);
-  reader.Required("zone", settings.zone);
-  reader.Required("service", settings.service);
-  reader.Required("platform_url", settings.platform_url);
-  ReadEndpoint(reader, "backend_address", settings.backend_address);
-  ReadEndpoint(reader, "peer_address", settings.peer_address);
-  ReadEndpoint(reader, "metrics_address", settings.metrics_address);
-  ReadLogLevel(reader, settings.log_level);
-  reader.RejectUnknown();
-  return settings;
+  return ReadDocument<RankAgentSettings>(
+      file, text, findings,
+      [&](ObjectReader& reader, RankAgentSettings& settings) {
+        ReadDirect(reader, settings);
+        reader.Required("service", settings.service);
+        ReadEndpoint(reader, "backend_address", settings.backend_address);
+      });
 }
 
 DirectEntrySettings ParseDirectEntrySettings(const std::string& file,
@@ -109,31 +113,27 @@
                                              Findings& findings) {
   constexpr Range kSeconds = {0, 3'600};
   constexpr Range kCount = {0, 1'000'000};
-  const JsonDocument document = JsonDocument::Parse(file, text, findings);
-  ObjectReader reader(document, "", findings);
-  DirectEntrySettings settings;
-  reader.Required("instance", settings.instance);
-  reader.Required("zone", settings.zone);
-  reader.Required("platform_url", settings.platform_url);
-  ReadEndpoint(reader, "caller_address", settings.caller_address);
-  ReadEndpoint(reader, "ready_address", settings.ready_address);
-  ReadEndpoint(reader, "directory_address", settings.directory_address);
-  ReadEndpoint(reader, "peer_address", settings.peer_address);
-  ReadEndpoint(reader, "metrics_address", settings.metrics_address);
-  ReadLogLevel(reader, settings.log_level);
-  reader.Optional("max_connections", settings.max_connections, {1, 1'000'000});
-  reader.OptionalMillis("address_max_age_ms", settings.address_max_age,
-                        {100, 60'000});
-  reader.OptionalMillis("revocation_ms", settings.revocation, {1'000, 60'000});
-  reader.Optional("grace_s", settings.grace_s, kSeconds);
-  reader.Optional("retry_ratio", settings.retry_ratio, {0, 1});
-  reader.Optional("retry_slack", settings.retry_slack, kCount);
-  reader.Optional("retry_window_s", settings.retry_window_s, kSeconds);
-  reader.Optional("cold_overrun", settings.cold_overrun, {0, 100});
-  reader.Optional("cold_slack", settings.cold_slack, kCount);
-  reader.Optional("regions", settings.regions);
-  reader.RejectUnknown();
-  return settings;
+  return ReadDocument<DirectEntrySettings>(
+      file, text, findings,
+      [&](ObjectReader& reader, DirectEntrySettings& settings) {
+        ReadDirect(reader, settings);
+        ReadEndpoint(reader, "caller_address", settings.caller_address);
+        ReadEndpoint(reader, "ready_address", settings.ready_address);
+        ReadEndpoint(reader, "directory_address", settings.directory_address);
+        reader.Optional("max_connections", settings.max_connections,
+                        {1, 1'000'000});
+        reader.OptionalMillis("address_max_age_ms", settings.address_max_age,
+                              {100, 60'000});
+        reader.OptionalMillis("revocation_ms", settings.revocation,
+                              {1'000, 60'000});
+        reader.Optional("grace_s", settings.grace_s, kSeconds);
+        reader.Optional("retry_ratio", settings.retry_ratio, {0, 1});
+        reader.Optional("retry_slack", settings.retry_slack, kCount);
+        reader.Optional("retry_window_s", settings.retry_window_s, kSeconds);
+        reader.Optional("cold_overrun", settings.cold_overrun, {0, 100});
+        reader.Optional("cold_slack", settings.cold_slack, kCount);
+        reader.Optional("regions", settings.regions);
+      });
 }
 
 }  // namespace mangohold
--- a/src/direct_entry_main.cc
+++ b/src/direct_entry_main.cc
@@ -4,6 +4,7 @@
 #include "core/daemon.h"
 #include "core/process_settings.h"
 #include "core/random.h"
+#include "net/graceful_stop.h"
 #include "platform/entry_calls.h"
 #include "platform/headers.h"
 #include "platform/schema.h"
@@ -104,11 +105,7 @@
   if (!has_started) return kExitUnavailable;
   control.OnHangUp(
       [&file] { ReloadLogLevel(file, &ParseDirectEntrySettings); });
-  bool is_leaving = false;
-  control.OnTerminate([&] {
-    if (is_leaving) return control.Stop();
-    is_leaving = true;
-    Log(LogLevel::kInfo, "leaving_began");
+  OnLeave(control, [&] {
     entry.BeginLeaving();
     traffic.Post([&] {
       server.BeginLeaving();
@@ -124,11 +121,7 @@
   });
   Log(LogLevel::kInfo, "started",
       {{"caller_address", settings.caller_address.value()}});
-  traffic.StartThread();
-  control.Run();
-  Log(LogLevel::kInfo, "stopped");
-  traffic.Join();
-  EndProcess();
+  RunThreads(control, traffic);
 }
 
 }  // namespace
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -58,11 +58,7 @@
   const bool has_started =
       HaveStarted({server.Start(), node.Start(), operators.Start()});
   if (!has_started) return kExitUnavailable;
-  bool is_leaving = false;
-  control.OnTerminate([&] {
-    if (is_leaving) return control.Stop();
-    is_leaving = true;
-    Log(LogLevel::kInfo, "leaving_began");
+  OnLeave(control, [&] {
     node.BeginLeaving();
     traffic.Post([&] {
       const TimePoint now = Clock::now();
@@ -74,10 +70,7 @@
   });
   Log(LogLevel::kInfo, "started",
       {{"caller_address", settings.caller_address.value()}});
-  traffic.StartThread();
-  control.Run();
-  traffic.Join();
-  EndProcess();
+  RunThreads(control, traffic);
 }
 
 }  // namespace
--- a/src/net/graceful_stop.cc
+++ b/src/net/graceful_stop.cc
@@ -1,7 +1,9 @@
 #include "net/graceful_stop.h"
 
+#include <memory>
 #include <utility>
 
+#include "core/daemon.h"
 #include "core/log.h"
 
 namespace mangohold {
@@ -18,7 +20,7 @@
   const TimePoint now = Clock::now();
   const bool is_due = now >= earliest && is_idle();
   if (is_due || now >= latest) {
-    Log(LogLevel::kInfo, "stopped", {{"is_idle", is_idle()}});
+    Log(LogLevel::kInfo, "leaving_ended", {{"is_idle", is_idle()}});
     // Answers that were just written leave the process first.
     traffic.After(kLeaveTick, [&control] { control.Stop(); });
     return;
@@ -29,4 +31,22 @@
   });
 }
 
+void OnLeave(EventLoop& control, std::function<void()> leave) {
+  // Shared by all copies of the handler.
+  const auto is_leaving = std::make_shared<bool>(false);
+  control.OnTerminate([&control, leave = std::move(leave), is_leaving] {
+    if (std::exchange(*is_leaving, true)) return control.Stop();
+    Log(LogLevel::kInfo, "leaving_began");
+    leave();
+  });
+}
+
+void RunThreads(EventLoop& control, EventLoop& traffic) {
+  traffic.StartThread();
+  control.Run();
+  Log(LogLevel::kInfo, "stopped");
+  traffic.Join();
+  EndProcess();
+}
+
 }  // namespace mangohold
--- a/src/net/graceful_stop.h
+++ b/src/net/graceful_stop.h
@@ -1,4 +1,5 @@
-// The end of a graceful leave, common to the daemons.
+// The run and the graceful leave of daemons with a control and a traffic
+// thread.
 #pragma once
 
 #include <functional>
@@ -14,4 +15,11 @@
                   std::function<bool()> is_idle, TimePoint earliest,
                   TimePoint latest);
 
+// Calls `leave` at the first SIGTERM; a second one stops `control` at once.
+void OnLeave(EventLoop& control, std::function<void()> leave);
+
+// Runs `traffic` on a thread of its own and `control` on this one until it is
+// stopped, and ends the process.
+[[noreturn]] void RunThreads(EventLoop& control, EventLoop& traffic);
+
 }  // namespace mangohold
