Share the benches' popularity, and name the search for a hold's rank

Cause: the same draw of a power law stood in two benches; HolderFor repeated HoldingRank for one of its cases. Change: bench/popularity.h; HolderOf(pass).

--- a/bench/even_placement_bench.cc
+++ b/bench/even_placement_bench.cc
@@ -4,7 +4,6 @@
 // knowledge and free copies would give. Prints JSON lines. All figures but the
 // planning times repeat exactly.
 #include <algorithm>
-#include <cmath>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <numeric>
@@ -14,6 +13,7 @@
 #include "core/clock.h"
 #include "core/random.h"
 #include "group/even_placement.h"
+#include "popularity.h"
 
 namespace mangohold {
 namespace {
@@ -61,13 +61,7 @@
 constexpr double kLeastGain = 0.25;
 
 std::vector<double> Popularity(int experts, Random& random) {
-  std::vector<double> weights(static_cast<std::size_t>(experts));
-  for (int i = 0; i < experts; ++i) {
-    weights[i] = 1.0 / std::pow(i + 1, kExponent);
-  }
-  for (int i = experts - 1; i > 0; --i) {
-    std::swap(weights[i], weights[random.Below(i + 1)]);
-  }
+  std::vector<double> weights = ShuffledPowerLaw(experts, kExponent, random);
   const double sum = std::accumulate(weights.begin(), weights.end(), 0.0);
   for (double& weight : weights) weight /= sum;
   return weights;
--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -13,6 +13,7 @@
 #include "core/clock.h"
 #include "core/random.h"
 #include "group/placement.h"
+#include "popularity.h"
 
 namespace mangohold {
 namespace {
@@ -36,13 +37,7 @@
 class Popularity {
  public:
   explicit Popularity(std::uint64_t seed) : random_(seed) {
-    weights_.resize(kShape.experts);
-    for (int i = 0; i < kShape.experts; ++i) {
-      weights_[i] = 1.0 / std::pow(i + 1, 0.9);
-    }
-    for (int i = kShape.experts - 1; i > 0; --i) {
-      std::swap(weights_[i], weights_[random_.Below(i + 1)]);
-    }
+    weights_ = ShuffledPowerLaw(kShape.experts, 0.9, random_);
   }
   void Drift() {
     for (double& weight : weights_) {
--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -176,7 +176,8 @@
   // Step 3: under a hold the ranks may be partly armed, also by orders that are
   // still on their way; if all can arm, they do before the release. Otherwise a
   // leader before has begun to undo it.
-  const auto holder = HolderFor(leading.armed_at);
+  const auto holder =
+      leading.armed_at ? HolderOf(*leading.armed_at) : HoldingRank();
   const bool can_all_arm =
       std::ranges::all_of(ranks_, [this](const Rank& rank) {
         const RankReport& report = rank.status.report;
@@ -190,18 +191,6 @@
   GoTo(Phase::kArming, now);
 }
 
-// The rank that holds the pass for which ranks are armed. A leader that doesn't
-// know of its successor may hold another one beside it.
-std::optional<int> MapSwitch::HolderFor(
-    std::optional<PassNumber> armed_at) const {
-  if (!armed_at) return HoldingRank();
-  const auto it = std::ranges::find_if(ranks_, [&](const Rank& rank) {
-    return rank.status.report.held == armed_at;
-  });
-  if (it == ranks_.end()) return std::nullopt;
-  return static_cast<int>(it - ranks_.begin());
-}
-
 void MapSwitch::Undo(TimePoint now) {
   version_ = NextVersion(/*is_void=*/true);
   map_ = MapOfKnownRanks().value_or(GroupMap());
@@ -337,6 +326,16 @@
   return static_cast<int>(it - ranks_.begin());
 }
 
+// A leader that doesn't know of its successor may hold another pass beside the
+// one for which ranks are armed.
+std::optional<int> MapSwitch::HolderOf(PassNumber pass) const {
+  const auto it = std::ranges::find_if(ranks_, [pass](const Rank& rank) {
+    return rank.status.report.held == pass;
+  });
+  if (it == ranks_.end()) return std::nullopt;
+  return static_cast<int>(it - ranks_.begin());
+}
+
 PassNumber MapSwitch::LastPass() const {
   PassNumber last;
   for (const Rank& rank : ranks_) {
--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -133,7 +133,7 @@
   bool IsArmed(const Rank& rank) const;
   bool HasSwitched(const Rank& rank) const;
   bool CanUndo(TimePoint now) const;
-  std::optional<int> HolderFor(std::optional<PassNumber> armed_at) const;
+  std::optional<int> HolderOf(PassNumber pass) const;
   bool IsOfFormerLeader(const Rank& rank) const;
   bool IsNextGranted(const Rank& rank) const;
   bool IsUndone(const Rank& rank) const;
