--- a/src/group/agent_directory.cc
+++ b/src/group/agent_directory.cc
@@ -22,22 +22,26 @@
                                InstanceId self)
     : store_(store), prefix_(std::move(prefix)), self_(std::move(self)) {}
 
-void AgentDirectory::Refresh(TimePoint now, bool is_missing) {
+void AgentDirectory::Refresh(TimePoint now, bool is_missing,
+                             std::function<void()> on_read) {
   if (is_reading_) return;
   const bool is_old = !read_at_ || now - *read_at_ > kLongestAge;
   const bool is_due =
       tried_at_ == TimePoint() ||
       ((is_missing || is_old) && now - tried_at_ >= kSearchInterval);
-  if (is_due) Read(now);
+  if (is_due) Read(now, std::move(on_read));
 }
 
-void AgentDirectory::Read(TimePoint now) {
+void AgentDirectory::Read(TimePoint now, std::function<void()> on_read) {
   is_reading_ = true;
   tried_at_ = now;
   ListAll(store_, prefix_, Freshness::kMayBeStale,
-          [this, now](const auto& items) {
+          [this, now, on_read = std::move(on_read)](const auto& items) {
             is_reading_ = false;
-            if (items.ok()) return OnItems(*items, now);
+            if (items.ok()) {
+              OnItems(*items, now);
+              return on_read();
+            }
             Log(LogLevel::kWarning, "agents_unread",
                 {{"error", MessageOf(items.status())}});
           });
