--- a/src/group/agent_directory.cc
+++ b/src/group/agent_directory.cc
@@ -22,26 +22,22 @@
                                InstanceId self)
     : store_(store), prefix_(std::move(prefix)), self_(std::move(self)) {}
 
-void AgentDirectory::Refresh(TimePoint now, bool is_missing,
-                             std::function<void()> on_read) {
+void AgentDirectory::Refresh(TimePoint now, bool is_missing) {
   if (is_reading_) return;
   const bool is_old = !read_at_ || now - *read_at_ > kLongestAge;
   const bool is_due =
       tried_at_ == TimePoint() ||
       ((is_missing || is_old) && now - tried_at_ >= kSearchInterval);
-  if (is_due) Read(now, std::move(on_read));
+  if (is_due) Read(now);
 }
 
-void AgentDirectory::Read(TimePoint now, std::function<void()> on_read) {
+void AgentDirectory::Read(TimePoint now) {
   is_reading_ = true;
   tried_at_ = now;
   ListAll(store_, prefix_, Freshness::kMayBeStale,
-          [this, now, on_read = std::move(on_read)](const auto& items) {
+          [this, now](const auto& items) {
             is_reading_ = false;
-            if (items.ok()) {
-              OnItems(*items, now);
-              return on_read();
-            }
+            if (items.ok()) return OnItems(*items, now);
             Log(LogLevel::kWarning, "agents_unread",
                 {{"error", MessageOf(items.status())}});
           });
--- a/src/group/agent_directory.h
+++ b/src/group/agent_directory.h
@@ -5,7 +5,6 @@
 // and rarely otherwise.
 #pragma once
 
-#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -23,9 +22,8 @@
   AgentDirectory(Store& store, std::string prefix, InstanceId self);
 
   // Call it often. Reads the list if that is due; `is_missing` tells that an
-  // agent is looked for in vain. `on_read` is called if it was read.
-  void Refresh(
-      TimePoint now, bool is_missing, std::function<void()> on_read = [] {});
+  // agent is looked for in vain.
+  void Refresh(TimePoint now, bool is_missing);
   void OnHeard(int rank, const InstanceId& agent);
 
   // Nothing for an agent that isn't known or not listed.
@@ -41,7 +39,7 @@
     TimePoint at;  // it was listed then
   };
 
-  void Read(TimePoint now, std::function<void()> on_read);
+  void Read(TimePoint now);
   void OnItems(const std::vector<StoreItem>& items, TimePoint now);
   std::optional<std::vector<Member>> GroupPeers(int ranks) const;
 
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -12,9 +12,8 @@
 namespace {
 
 // A leader beats in every round while the group may be held, and in every
-// fourth one otherwise.
-constexpr Millis kBeatRound{50};
-constexpr int kCalmRounds = 4;
+// second one otherwise.
+constexpr Millis kBeatRound{100};
 constexpr Millis kWatchInterval{50};
 constexpr Millis kSwitchInterval{50};
 constexpr Millis kPlanInterval{250};
@@ -63,7 +62,7 @@
   poll();
   loop_.Every(options_.poll, poll);
   loop_.Every(kBeatRound, [this] {
-    if (++beat_rounds_ % kCalmRounds == 0 || MayBeHeld()) Beat();
+    if (++beat_rounds_ % 2 == 0 || MayBeHeld()) Beat();
   });
   loop_.Every(kWatchInterval, [this] { WatchLeader(); });
   loop_.Every(kSwitchInterval, [this] { AdvanceSwitch(); });
@@ -246,11 +245,8 @@
                          .experts = experts_});
   Log(LogLevel::kInfo, "leading_began",
       {{"group", rank_.report()->group.value()}, {"term", term.value()}});
-  // All ranks are asked as soon as their agents can be addressed.
-  agents_.Refresh(BootNow(), /*is_missing=*/true, [this] {
-    Beat();
-    SendStatus({});
-  });
+  RefreshDirectory();
+  Beat();
 }
 
 void RankAgent::Beat() {
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -42,7 +42,7 @@
     // A leader that says nothing for this long is replaced.
     Millis leader_silence{800};
     // The same at the agent beside a rank that holds the group.
-    Millis leader_silence_when_held{200};
+    Millis leader_silence_when_held{300};
   };
 
   RankAgent(EventLoop& loop, Store& store, EngineApi& engine, Options options,
