Plan maps set by set, and judge a step by the ranks that it changes

Change: changes of load by the holders of an expert, targets among the 16 least loaded ranks, EvenPlanner plans one set a call.

--- a/bench/even_placement_bench.cc
+++ b/bench/even_placement_bench.cc
@@ -48,6 +48,20 @@
      .options = {.places = 3,
                  .spare_places = 2,
                  .least_saving_per_copy = 0.03}},
+    {.name = "63 ranks, 8 sets of 252",
+     .ranks = 63,
+     .experts = 252,
+     .sets = 8,
+     .options = {.places = 5,
+                 .spare_places = 2,
+                 .least_saving_per_copy = 0.03}},
+    {.name = "64 ranks, 12 sets of 256",
+     .ranks = 64,
+     .experts = 256,
+     .sets = 12,
+     .options = {.places = 5,
+                 .spare_places = 2,
+                 .least_saving_per_copy = 0.03}},
 };
 
 // Plans follow one another at this distance; popularity shifts in every
--- a/src/group/even_placement.cc
+++ b/src/group/even_placement.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <numeric>
 #include <optional>
+#include <span>
+#include <utility>
 
 namespace mangohold {
 namespace {
@@ -11,6 +13,8 @@
 constexpr int kMostSteps = 256;
 // Experts of the most loaded rank that are tried, the heaviest first.
 constexpr int kExpertsTried = 6;
+// Ranks to which they are tried, the least loaded ones.
+constexpr std::size_t kRanksTried = 16;
 
 bool Holds(const std::vector<int>& experts, int expert) {
   return std::ranges::find(experts, expert) != experts.end();
@@ -26,7 +30,9 @@
   return rank < paces.size() ? paces[rank] : 1.0;
 }
 
-// A map in the making, with the figures that each step needs.
+// The map of one set in the making, with the figures that each step needs. A
+// step is judged by the ranks whose load it changes, so that its cost hardly
+// depends on the size of the group.
 class Plan {
  public:
   Plan(const SetMap& present, const std::vector<double>& demand,
@@ -35,26 +41,33 @@
         map_(present),
         demand_(demand),
         options_(options),
-        copies_(copies) {
-    holders_.resize(demand.size());
-    for (const auto& experts : map_) {
-      for (const int expert : experts) ++holders_[expert];
+        copies_(copies),
+        fresh_(present.size()),
+        holders_(demand.size()),
+        loads_(RankLoads(present, demand)),
+        changes_(present.size()) {
+    for (std::size_t rank = 0; rank < map_.size(); ++rank) {
+      for (const int expert : map_[rank]) {
+        holders_[expert].push_back(static_cast<int>(rank));
+      }
     }
-    loads_ = RankLoads(map_, demand_);
     mean_ = std::accumulate(loads_.begin(), loads_.end(), 0.0) /
             static_cast<double>(loads_.size());
     for (std::size_t rank = 0; rank < loads_.size(); ++rank) {
       loads_[rank] *= PaceOf(options_.paces, rank);
     }
+    order_.resize(loads_.size());
+    std::iota(order_.begin(), order_.end(), 0);
+    Sort();
   }
 
   // One step that lowers the most loaded rank enough. False if there is none.
   bool Improve() {
-    const int worst = MostLoaded();
+    const int worst = order_.front();
     std::optional<Step> best;
     for (const int expert : HeaviestOf(worst)) {
       ConsiderDrop(expert, worst, best);
-      for (int rank = 0; rank < std::ssize(map_); ++rank) {
+      for (const int rank : LightestRanks()) {
         if (rank == worst || Holds(map_[rank], expert)) continue;
         ConsiderCopy(expert, rank, best);
         ConsiderSwap(expert, worst, rank, best);
@@ -76,12 +89,30 @@
     double value = 0;  // what it saves for each copy
   };
 
-  int MostLoaded() const {
-    return static_cast<int>(std::ranges::max_element(loads_) - loads_.begin());
+  // Ranks by load, the most loaded one first, and what follows from it.
+  void Sort() {
+    std::ranges::sort(order_, std::greater<>(),
+                      [this](int rank) { return loads_[rank]; });
+    squares_ = 0;
+    for (const double load : loads_) squares_ += SquaredExcess(load);
+  }
+
+  std::span<const int> LightestRanks() const {
+    const std::span<const int> ranks(order_);
+    return ranks.last(std::min<std::size_t>(ranks.size(), kRanksTried));
+  }
+
+  double SquaredExcess(double load) const {
+    const double excess = std::max(0.0, load - mean_);
+    return excess * excess;
+  }
+
+  int HolderCount(int expert) const {
+    return static_cast<int>(holders_[expert].size());
   }
 
   double ShareOf(int expert) const {
-    return demand_[expert] / std::max(1, holders_[expert]);
+    return demand_[expert] / std::max(1, HolderCount(expert));
   }
 
   std::vector<int> HeaviestOf(int rank) const {
@@ -97,32 +128,29 @@
   }
 
   bool MayTakeNew(int rank, int expert) const {
-    if (!IsNew(rank, expert)) return true;
-    const auto fresh = std::ranges::count_if(
-        map_[rank], [&](int held) { return IsNew(rank, held); });
-    return fresh < options_.spare_places &&
-           fresh + copies_[rank] < options_.most_copies;
+    return !IsNew(rank, expert) ||
+           (fresh_[rank] < options_.spare_places &&
+            fresh_[rank] + copies_[rank] < options_.most_copies);
   }
 
-  void ConsiderDrop(int expert, int rank, std::optional<Step>& best) const {
-    if (holders_[expert] < 2) return;
+  void ConsiderDrop(int expert, int rank, std::optional<Step>& best) {
+    if (HolderCount(expert) < 2) return;
     Consider({.expert = expert, .from = rank}, best);
   }
 
   // Copies the expert to `rank`, in a free place or over one that others hold.
-  void ConsiderCopy(int expert, int rank, std::optional<Step>& best) const {
+  void ConsiderCopy(int expert, int rank, std::optional<Step>& best) {
     if (!MayTakeNew(rank, expert)) return;
     if (std::ssize(map_[rank]) < options_.places) {
       return Consider({.expert = expert, .to = rank}, best);
     }
     for (const int dropped : map_[rank]) {
-      if (holders_[dropped] < 2) continue;
+      if (HolderCount(dropped) < 2) continue;
       Consider({.expert = expert, .to = rank, .dropped = dropped}, best);
     }
   }
 
-  void ConsiderSwap(int expert, int from, int to,
-                    std::optional<Step>& best) const {
+  void ConsiderSwap(int expert, int from, int to, std::optional<Step>& best) {
     if (!MayTakeNew(to, expert)) return;
     for (const int given : map_[to]) {
       if (Holds(map_[from], given) || !MayTakeNew(from, given)) continue;
@@ -133,13 +161,14 @@
   }
 
   // Judges by the most loaded rank, then by how even the ranks are.
-  void Consider(Step step, std::optional<Step>& best) const {
-    const std::vector<double> loads = LoadsAfter(step);
-    const double before = Roughness(loads_);
-    const double after = Roughness(loads);
+  void Consider(Step step, std::optional<Step>& best) {
+    SetChanges(step);
+    const double after = RoughnessAfter();
+    ClearChanges();
     int copies = step.to >= 0 && IsNew(step.to, step.expert) ? 1 : 0;
     const bool is_swap = step.dropped >= 0 && step.from >= 0;
     if (is_swap && IsNew(step.from, step.dropped)) ++copies;
+    const double before = Roughness(loads_[order_.front()], squares_);
     step.value = (before - after) / std::max(1, copies);
     if (step.value < options_.least_saving_per_copy * mean_) return;
     if (!best || step.value > best->value) best = step;
@@ -147,89 +176,119 @@
 
   // The most loaded rank, and a little of the next ones, so that one of several
   // equally loaded ranks is worth relieving.
-  double Roughness(const std::vector<double>& loads) const {
-    double peak = 0;
-    double squares = 0;
-    for (const double load : loads) {
+  double Roughness(double peak, double squares) const {
+    return peak + (mean_ > 0 ? 0.25 * squares / mean_ : 0);
+  }
+
+  double RoughnessAfter() const {
+    const auto unchanged = std::ranges::find_if(
+        order_, [this](int rank) { return changes_[rank] == 0; });
+    double peak = unchanged == order_.end() ? 0 : loads_[*unchanged];
+    double squares = squares_;
+    for (const int rank : changed_) {
+      const double load = loads_[rank] + changes_[rank];
       peak = std::max(peak, load);
-      const double excess = std::max(0.0, load - mean_);
-      squares += excess * excess;
+      squares += SquaredExcess(load) - SquaredExcess(loads_[rank]);
     }
-    return peak + (mean_ > 0 ? 0.25 * squares / mean_ : 0);
+    return Roughness(peak, squares);
   }
 
   // Adds to the time of a rank what a load takes there.
-  void AddLoad(std::vector<double>& loads, int rank, double load) const {
-    loads[rank] += load * PaceOf(options_.paces, rank);
+  void AddLoad(int rank, double load) {
+    if (changes_[rank] == 0) changed_.push_back(rank);
+    changes_[rank] += load * PaceOf(options_.paces, rank);
   }
 
   // The times of all ranks but one that hold `expert`, once it has another
   // number of holders.
-  void Reshare(std::vector<double>& loads, int expert, int holders,
-               int besides) const {
+  void Reshare(int expert, int holders, int besides) {
     const double change = demand_[expert] / holders - ShareOf(expert);
-    for (int rank = 0; rank < std::ssize(map_); ++rank) {
-      if (rank == besides || !Holds(map_[rank], expert)) continue;
-      AddLoad(loads, rank, change);
+    for (const int rank : holders_[expert]) {
+      if (rank != besides) AddLoad(rank, change);
     }
   }
 
-  std::vector<double> LoadsAfter(const Step& step) const {
-    std::vector<double> loads = loads_;
+  void ClearChanges() {
+    for (const int rank : changed_) changes_[rank] = 0;
+    changed_.clear();
+  }
+
+  void SetChanges(const Step& step) {
     const bool is_swap = step.from >= 0 && step.to >= 0;
-    const int before = holders_[step.expert];
+    const int before = HolderCount(step.expert);
     const double share = ShareOf(step.expert);
     if (step.to < 0) {
-      Reshare(loads, step.expert, before - 1, step.from);
-      AddLoad(loads, step.from, -share);
-      return loads;
+      Reshare(step.expert, before - 1, step.from);
+      return AddLoad(step.from, -share);
     }
     if (is_swap) {
       const double given = ShareOf(step.dropped);
-      AddLoad(loads, step.to, share - given);
-      AddLoad(loads, step.from, given - share);
-      return loads;
-    }
-    Reshare(loads, step.expert, before + 1, -1);
-    AddLoad(loads, step.to, demand_[step.expert] / (before + 1));
-    if (step.dropped >= 0) {
-      Reshare(loads, step.dropped, holders_[step.dropped] - 1, step.to);
-      AddLoad(loads, step.to, -ShareOf(step.dropped));
+      AddLoad(step.to, share - given);
+      return AddLoad(step.from, given - share);
     }
-    return loads;
+    Reshare(step.expert, before + 1, -1);
+    AddLoad(step.to, demand_[step.expert] / (before + 1));
+    if (step.dropped < 0) return;
+    Reshare(step.dropped, HolderCount(step.dropped) - 1, step.to);
+    AddLoad(step.to, -ShareOf(step.dropped));
+  }
+
+  void Take(int rank, int expert) {
+    map_[rank].push_back(expert);
+    holders_[expert].push_back(rank);
+    if (IsNew(rank, expert)) ++fresh_[rank];
+  }
+
+  void Drop(int rank, int expert) {
+    std::erase(map_[rank], expert);
+    std::erase(holders_[expert], rank);
+    if (IsNew(rank, expert)) --fresh_[rank];
   }
 
   void Apply(const Step& step) {
-    loads_ = LoadsAfter(step);
-    if (step.to < 0) {
-      std::erase(map_[step.from], step.expert);
-      --holders_[step.expert];
-      return;
-    }
-    map_[step.to].push_back(step.expert);
-    ++holders_[step.expert];
-    if (step.dropped >= 0) {
-      std::erase(map_[step.to], step.dropped);
-      --holders_[step.dropped];
-    }
-    if (step.from >= 0) {
-      std::erase(map_[step.from], step.expert);
-      --holders_[step.expert];
-      map_[step.from].push_back(step.dropped);
-      ++holders_[step.dropped];
-    }
+    SetChanges(step);
+    for (const int rank : changed_) loads_[rank] += changes_[rank];
+    ClearChanges();
+    Sort();
+    if (step.from >= 0) Drop(step.from, step.expert);
+    if (step.to < 0) return;
+    Take(step.to, step.expert);
+    if (step.dropped < 0) return;
+    Drop(step.to, step.dropped);
+    if (step.from >= 0) Take(step.from, step.dropped);
   }
 
   const SetMap& present_;
   SetMap map_;
   const std::vector<double>& demand_;
   const EvenPlacementOptions& options_;
-  const std::vector<int>& copies_;  // of other sets, by rank
-  std::vector<int> holders_;        // ranks that hold each expert
+  const std::vector<int>& copies_;         // of other sets, by rank
+  std::vector<int> fresh_;                 // experts new to each rank
+  std::vector<std::vector<int>> holders_;  // ranks that hold each expert
   std::vector<double> loads_;
   double mean_ = 0;
+  std::vector<int> order_;
+  double squares_ = 0;
+  // By what the step that is looked at changes the loads.
+  std::vector<double> changes_;
+  std::vector<int> changed_;
 };
 
+// The set whose most loaded rank stands out most, first.
+std::vector<std::size_t> MostUnevenFirst(const GroupMap& map,
+                                         const ExpertDemand& demand,
+                                         const std::vector<double>& paces) {
+  std::vector<double> skews;
+  for (std::size_t set = 0; set < map.size(); ++set) {
+    skews.push_back(SkewOf(map[set], demand[set], paces));
+  }
+  std::vector<std::size_t> order(map.size());
+  std::iota(order.begin(), order.end(), 0);
+  std::ranges::sort(order, std::greater<>(),
+                    [&](std::size_t set) { return skews[set]; });
+  return order;
+}
+
 }  // namespace
 
 SetMap DealtInTurn(int ranks, int experts) {
@@ -287,19 +346,28 @@
   return plan.map();
 }
 
+EvenPlanner::EvenPlanner(GroupMap present, ExpertDemand demand,
+                         EvenPlacementOptions options)
+    : present_(std::move(present)),
+      demand_(std::move(demand)),
+      options_(std::move(options)),
+      next_(present_),
+      order_(MostUnevenFirst(present_, demand_, options_.paces)),
+      copies_(present_.empty() ? 0 : present_.front().size()) {}
+
+bool EvenPlanner::PlanNextSet() {
+  if (is_done()) return false;
+  const std::size_t set = order_[planned_++];
+  next_[set] = PlanEvenly(present_[set], demand_[set], options_, copies_);
+  return !is_done();
+}
+
 GroupMap PlanEvenly(const GroupMap& present, const ExpertDemand& demand,
                     const EvenPlacementOptions& options) {
-  std::vector<std::size_t> order(present.size());
-  std::iota(order.begin(), order.end(), 0);
-  std::ranges::sort(order, std::greater<>(), [&](std::size_t set) {
-    return SkewOf(present[set], demand[set], options.paces);
-  });
-  GroupMap next = present;
-  std::vector<int> copies(present.empty() ? 0 : present.front().size());
-  for (const std::size_t set : order) {
-    next[set] = PlanEvenly(present[set], demand[set], options, copies);
-  }
-  return next;
+  EvenPlanner planner(present, demand, options);
+  while (planner.PlanNextSet()) {
+  }
+  return planner.map();
 }
 
 int CountCopies(const GroupMap& from, const GroupMap& to) {
--- a/src/group/even_placement.h
+++ b/src/group/even_placement.h
@@ -8,7 +8,7 @@
 // copy costs its bytes, so that one which saves little is left out.
 #pragma once
 
-#include <cstdint>
+#include <cstddef>
 #include <vector>
 
 namespace mangohold {
@@ -49,7 +49,32 @@
 SetMap PlanEvenly(const SetMap& present, const std::vector<double>& demand,
                   const EvenPlacementOptions& options,
                   std::vector<int>& copies);
-// The next map of all sets, the most uneven one first.
+// Plans the next map of a group, the most uneven set first, one set at a call,
+// so that a loop may turn in between.
+class EvenPlanner {
+ public:
+  // `present` and `demand` have the same sets.
+  EvenPlanner(GroupMap present, ExpertDemand demand,
+              EvenPlacementOptions options);
+
+  // False once all sets are planned.
+  bool PlanNextSet();
+  bool is_done() const { return planned_ == order_.size(); }
+  const GroupMap& present() const { return present_; }
+  const ExpertDemand& demand() const { return demand_; }
+  const GroupMap& map() const { return next_; }
+
+ private:
+  GroupMap present_;
+  ExpertDemand demand_;
+  EvenPlacementOptions options_;
+  GroupMap next_;
+  std::vector<std::size_t> order_;
+  std::size_t planned_ = 0;
+  std::vector<int> copies_;  // by rank
+};
+
+// The same at once.
 GroupMap PlanEvenly(const GroupMap& present, const ExpertDemand& demand,
                     const EvenPlacementOptions& options);
 // Experts that ranks must copy to go from one map to the other.
--- a/tests/unit/even_placement_test.cc
+++ b/tests/unit/even_placement_test.cc
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <set>
 
+#include "bench/popularity.h"
 #include "core/random.h"
 #include "group/expert_demand.h"
 
@@ -84,6 +85,32 @@
   EXPECT_LE(SkewOf(map, demand, options.paces), 1.5);
 }
 
+// 64 ranks that hold 12 sets of 256 experts: the planner goes set by set, so
+// that its loop can turn in between, and comes near the even map in a few
+// plans.
+TEST(EvenPlacement, PlansALargeGroupSetBySet) {
+  constexpr int kSets = 12;
+  constexpr int kLargeRanks = 64;
+  constexpr int kLargeExperts = 256;
+  const EvenPlacementOptions options = {.places = 5, .spare_places = 2};
+  Random random(9);
+  ExpertDemand demand(kSets);
+  for (auto& set : demand) {
+    set = ShuffledPowerLaw(kLargeExperts, 1.1, random);
+  }
+  GroupMap map(kSets, DealtInTurn(kLargeRanks, kLargeExperts));
+  for (int plan = 0; plan < 12; ++plan) {
+    EvenPlanner planner(map, demand, options);
+    int calls = 1;
+    while (planner.PlanNextSet()) ++calls;
+    EXPECT_EQ(calls, kSets);
+    EXPECT_EQ(planner.map(), PlanEvenly(map, demand, options));
+    EXPECT_LE(SkewOf(planner.map(), demand), SkewOf(map, demand));
+    map = planner.map();
+  }
+  EXPECT_LE(SkewOf(map, demand), 1.6);
+}
+
 TEST(EvenPlacement, LeavesAnEvenMapAlone) {
   const GroupMap map = {DealtInTurn(kRanks, kExperts)};
   const ExpertDemand demand = {std::vector<double>(kExperts, 5.0)};
