Groups of 64 ranks: maps as differences, sums of choices, search for the silent only

Not the cause: the store, elections as such. Change: MapDelta (base by version, digest of the result, whole map on a miss), MapShelf, SendPacer (maps fill 0.6 of the link), ChoiceSums with collectors of eight ranks by zone, statuses that slow down with the ranks but for news, EngineSearch (foreign engines remembered, spacing doubles), agents' addresses in statuses, plans set by set on the loop, preparation repeated with growing spacing, candidates one after the other behind the last leader's rank.

--- a/src/core/process_settings.cc
+++ b/src/core/process_settings.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr Range kLeaveLimitMs = {100, 3'600'000};
+constexpr Range kLinkMbps = {1, 1'000'000};
 
 void ReadLogLevel(ObjectReader& reader, LogLevel& target) {
   int level = static_cast<int>(target);
@@ -105,6 +106,7 @@
         ReadDirect(reader, settings);
         reader.Required("service", settings.service);
         ReadEndpoint(reader, "backend_address", settings.backend_address);
+        reader.Optional("link_mbps", settings.link_mbps, kLinkMbps);
       });
 }
 
--- a/src/core/process_settings.h
+++ b/src/core/process_settings.h
@@ -88,6 +88,7 @@
   Endpoint peer_address;     // datagrams of other processes
   Endpoint metrics_address;
   LogLevel log_level = LogLevel::kInfo;
+  double link_mbps = 1'000;  // of the machine
 };
 
 // All read a whole file; faults go to `findings`.
--- a/src/group/agent_directory.cc
+++ b/src/group/agent_directory.cc
@@ -1,5 +1,6 @@
 #include "group/agent_directory.h"
 
+#include <set>
 #include <utility>
 
 #include "core/log.h"
@@ -58,8 +59,9 @@
   });
 }
 
-void AgentDirectory::OnHeard(int rank, const InstanceId& agent) {
-  agents_[rank] = agent;
+void AgentDirectory::OnHeard(int rank, const Member& agent, TimePoint now) {
+  members_[agent.id] = {.member = agent, .at = now};
+  agents_[rank] = agent.id;
 }
 
 const Member* AgentDirectory::Find(const InstanceId& agent) const {
@@ -72,26 +74,14 @@
   return agent == agents_.end() ? nullptr : Find(agent->second);
 }
 
-std::vector<Member> AgentDirectory::Peers(int ranks, bool is_missing) const {
-  if (!is_missing) {
-    if (auto peers = GroupPeers(ranks)) return *std::move(peers);
-  }
-  std::vector<Member> peers;
+std::vector<Member> AgentDirectory::Unplaced() const {
+  std::set<InstanceId> placed = {self_};
+  for (const auto& [rank, agent] : agents_) placed.insert(agent);
+  std::vector<Member> unplaced;
   for (const auto& [id, listed] : members_) {
-    if (id != self_) peers.push_back(listed.member);
-  }
-  return peers;
-}
-
-// Nothing if the agent of a rank isn't known.
-std::optional<std::vector<Member>> AgentDirectory::GroupPeers(int ranks) const {
-  std::vector<Member> peers;
-  for (int rank = 0; rank < ranks; ++rank) {
-    const Member* agent = AgentOf(rank);
-    if (agent == nullptr) return std::nullopt;
-    if (agent->id != self_) peers.push_back(*agent);
+    if (!placed.contains(id)) unplaced.push_back(listed.member);
   }
-  return peers;
+  return unplaced;
 }
 
 }  // namespace mangohold
--- a/src/group/agent_directory.h
+++ b/src/group/agent_directory.h
@@ -24,14 +24,15 @@
   // Call it often. Reads the list if that is due; `is_missing` tells that an
   // agent is looked for in vain.
   void Refresh(TimePoint now, bool is_missing);
-  void OnHeard(int rank, const InstanceId& agent);
+  // An agent told of itself and its rank.
+  void OnHeard(int rank, const Member& agent, TimePoint now);
 
   // Nothing for an agent that isn't known or not listed.
   const Member* Find(const InstanceId& agent) const;
   const Member* AgentOf(int rank) const;
-  // The agents that were heard beside the group's `ranks`, all other agents if
-  // one isn't known, or if one `is_missing`.
-  std::vector<Member> Peers(int ranks, bool is_missing) const;
+  // The other agents that haven't been heard beside a rank of the own group.
+  // Among them are those of ranks that are looked for.
+  std::vector<Member> Unplaced() const;
 
  private:
   struct Listed {
@@ -41,7 +42,6 @@
 
   void Read(TimePoint now);
   void OnItems(const std::vector<StoreItem>& items, TimePoint now);
-  std::optional<std::vector<Member>> GroupPeers(int ranks) const;
 
   Store& store_;
   std::string prefix_;
--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -17,6 +17,8 @@
 constexpr double kArmingReserve = 1.3;
 constexpr std::chrono::seconds kLongestArming(4);
 constexpr double kPaceSmoothing = 0.3;
+// A preparation's spacing is doubled at most so often.
+constexpr int kMostDoublings = 3;
 
 bool IsVoid(MapVersion version) { return version.value() % 2 == 1; }
 
@@ -50,7 +52,11 @@
   const bool has_obeyed = before.prepared != report.prepared ||
                           before.armed != report.armed ||
                           before.held != report.held;
-  if (has_obeyed) rank.commanded.reset();
+  const bool lacks_map = status.missing != rank.status.missing;
+  if (has_obeyed || lacks_map) {
+    rank.commanded.reset();
+    rank.commands = 0;
+  }
   rank.status = status;
   rank.is_known = status.term >= options_.term;
   rank.heard = now;
@@ -80,6 +86,7 @@
     command->rank = index;
     command->epoch = epoch_;
     ranks_[index].commanded = now;
+    ++ranks_[index].commands;
     commands.push_back(*std::move(command));
   }
   return commands;
@@ -193,6 +200,7 @@
 
 void MapSwitch::Undo(TimePoint now) {
   version_ = NextVersion(/*is_void=*/true);
+  delta_.reset();
   map_ = MapOfKnownRanks().value_or(GroupMap());
   GoTo(Phase::kUndoing, now);
 }
@@ -313,6 +321,7 @@
   phase_began_ = now;
   for (Rank& rank : ranks_) {
     rank.commanded.reset();
+    rank.commands = 0;
     // Reading begins anew with every rank.
     if (phase == Phase::kReading) rank.is_known = false;
   }
@@ -366,13 +375,29 @@
 }
 
 bool MapSwitch::IsCommandDue(const Rank& rank, TimePoint now) const {
-  const bool was_accepted =
-      phase_ == Phase::kPreparing && rank.status.accepted == version_;
   const Duration retry =
-      was_accepted ? options_.accepted_retry : options_.command_retry;
+      phase_ == Phase::kPreparing ? PrepareRetry(rank) : options_.command_retry;
   return !rank.commanded || now - *rank.commanded >= retry;
 }
 
+Duration MapSwitch::PrepareRetry(const Rank& rank) const {
+  if (rank.status.accepted == version_) return options_.accepted_retry;
+  const Duration first = std::max(options_.command_retry,
+                                  options_.prepare_retry_per_rank * size());
+  return first * (1 << std::clamp(rank.commands - 1, 0, kMostDoublings));
+}
+
+// An agent that can't use the difference is given the whole map.
+RankCommand MapSwitch::PrepareCommand(const Rank& rank) const {
+  RankCommand command{.order = OrderKind::kPrepare, .version = version_};
+  if (delta_ && rank.status.missing != version_) {
+    command.delta = delta_;
+  } else {
+    command.map = map_;
+  }
+  return command;
+}
+
 // Before any rank is armed, a hold that isn't this leader's own came late from
 // a leader before it and would stop the group.
 std::optional<RankCommand> MapSwitch::CommandFor(int index) const {
@@ -384,10 +409,7 @@
       break;
     case Phase::kPreparing:
       if (report.held) return Release(report);
-      if (report.prepared != version_) {
-        return RankCommand{
-            .order = OrderKind::kPrepare, .version = version_, .map = map_};
-      }
+      if (report.prepared != version_) return PrepareCommand(rank);
       break;
     case Phase::kHolding:
       if (report.held && (index != holder_ || report.held != pass_)) {
@@ -477,6 +499,10 @@
   return map;
 }
 
+MapVersion MapSwitch::PresentVersion() const {
+  return ranks_.empty() ? MapVersion() : ranks_.front().status.report.map;
+}
+
 std::vector<double> MapSwitch::Paces() const {
   std::vector<double> paces;
   std::ranges::transform(
@@ -487,6 +513,11 @@
 
 void MapSwitch::Begin(GroupMap map, TimePoint now) {
   version_ = NextVersion(/*is_void=*/false);
+  const auto present = PresentMap(now);
+  delta_ =
+      present
+          ? std::make_shared<MapDelta>(DeltaOf(PresentVersion(), *present, map))
+          : nullptr;
   map_ = std::move(map);
   holder_ = options_.own_rank == 0 && size() > 1 ? 1 : 0;
   GoTo(Phase::kPreparing, now);
--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -27,11 +27,13 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <vector>
 
 #include "backend/engine_api.h"
 #include "core/clock.h"
+#include "group/map_delta.h"
 
 namespace mangohold {
 
@@ -50,6 +52,9 @@
   MapVersion granted;
   // An order to arm that got no answer may still be carried out.
   bool may_arm_late = false;
+  // A map that the agent can't make out of a difference, since it doesn't know
+  // the one before.
+  MapVersion missing;
 };
 
 // What a leader asks of a rank's agent.
@@ -60,7 +65,9 @@
   GroupEpoch epoch;
   MapVersion version;
   PassNumber pass;
+  // kPrepare: the map, or its difference from one that the agent should know.
   GroupMap map;
+  std::shared_ptr<const MapDelta> delta;
   // To be given to the engine itself, not by its agent.
   bool is_direct = false;
   // Without an order: lets the leader arm its own rank with `version`.
@@ -80,6 +87,9 @@
     Duration status_memory = std::chrono::milliseconds(1'500);
     // A command without effect is given again after this.
     Duration command_retry = std::chrono::milliseconds(200);
+    // A preparation that wasn't accepted is given again after this for each
+    // rank, and after twice as long each time: maps are large.
+    Duration prepare_retry_per_rank = std::chrono::milliseconds(10);
     // The same for a preparation that the engine has accepted.
     Duration accepted_retry = std::chrono::seconds(4);
     // A preparation that doesn't come to an end is given up after this.
@@ -110,6 +120,8 @@
   bool CanBegin(TimePoint now) const;
   // The map in use, if all ranks agree and have told what they hold.
   std::optional<GroupMap> PresentMap(TimePoint now) const;
+  // Its version, as the first rank told.
+  MapVersion PresentVersion() const;
   // How many times as long as usual each rank takes, as last told.
   std::vector<double> Paces() const;
   void Begin(GroupMap map, TimePoint now);
@@ -126,6 +138,7 @@
     bool is_known = false;
     TimePoint heard;
     std::optional<TimePoint> commanded;
+    int commands = 0;  // in this phase, without effect
   };
 
   bool AllKnown(TimePoint now) const;
@@ -151,6 +164,8 @@
   void LearnArmingTime(TimePoint now);
   void Step(TimePoint now);
   bool IsCommandDue(const Rank& rank, TimePoint now) const;
+  Duration PrepareRetry(const Rank& rank) const;
+  RankCommand PrepareCommand(const Rank& rank) const;
   std::optional<RankCommand> CommandFor(int index) const;
 
   Options options_;
@@ -162,6 +177,7 @@
   MapVersion version_;
   std::uint64_t versions_made_ = 0;
   GroupMap map_;
+  std::shared_ptr<const MapDelta> delta_;  // to `map_`; null: not known
   PassNumber pass_;
   int holder_ = 0;
   bool is_undone_ = false;  // the hold is released without a switch
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -17,6 +17,14 @@
 constexpr Millis kWatchInterval{50};
 constexpr Millis kSwitchInterval{50};
 constexpr Millis kPlanInterval{250};
+// Agents that aren't known to be of the group get a beat this often.
+constexpr Millis kSeekInterval{400};
+// Agents tell their leader this much later for each rank of the group, so that
+// what it receives in a second doesn't grow with them.
+constexpr Millis kTellSpacing{5};
+// Maps fill this part of the link at the most.
+constexpr double kMapShareOfLink = 0.6;
+constexpr Millis kPacing{10};
 constexpr Millis kDirectoryInterval{500};
 // Being listed tells a leader an address, not that the agent is well.
 constexpr Millis kLeaseTtl{12'000};
@@ -26,7 +34,7 @@
 constexpr Millis kTimeToAnswer{300};
 // Candidates wait this much longer for each rank before them.
 constexpr Millis kCandidateSpacing{150};
-constexpr int kMostCandidates = 16;
+constexpr Millis kLongestCandidacy{2'400};
 // Choices that a plan has to rest on, for each expert of all sets.
 constexpr double kLeastChoicesPerExpert = 20;
 
@@ -46,7 +54,8 @@
               .ttl = kLeaseTtl,
               .renewal = kLeaseRenewal}),
       rank_(engine, options_.self.backend, counters),
-      agents_(store, options_.schema.member_prefix, options_.self.id) {}
+      agents_(store, options_.schema.member_prefix, options_.self.id),
+      pacer_({.bytes_per_s = options_.link_bytes_per_s * kMapShareOfLink}) {}
 
 absl::Status RankAgent::Start() {
   absl::Status status = socket_.Open(
@@ -56,8 +65,7 @@
   rank_.OnStart();
   lease_.Start();
   const auto poll = [this] {
-    rank_.Poll(
-        [this](ExpertCounts choices) { SendStatus(std::move(choices)); });
+    rank_.Poll([this](const ExpertCounts& choices) { OnPoll(choices); });
   };
   poll();
   loop_.Every(options_.poll, poll);
@@ -72,18 +80,57 @@
   return absl::OkStatus();
 }
 
-void RankAgent::SendStatus(ExpertCounts choices) {
+void RankAgent::OnPoll(const ExpertCounts& choices) {
+  choices_.Add(choices);
+  const bool is_due = BootNow() - told_at_ >= TellInterval();
+  if (is_due || HasNews()) SendStatus();
+  if (is_due) PassOnChoices();
+}
+
+Duration RankAgent::TellInterval() const {
+  const int ranks = rank_.report() ? rank_.report()->size : 0;
+  // A poll that comes a little early is the one that is due.
+  constexpr Millis kTolerance{20};
+  return std::max<Duration>(options_.poll, kTellSpacing * ranks) - kTolerance;
+}
+
+// What a switch waits for is told at once.
+bool RankAgent::HasNews() const {
+  const RankReport* report = rank_.report();
+  if (!report) return false;
+  const RankReport& told = told_.report;
+  return report->epoch != told.epoch || report->is_open != told.is_open ||
+         report->map != told.map || report->prepared != told.prepared ||
+         report->armed != told.armed || report->held != told.held;
+}
+
+void RankAgent::SendStatus() {
   if (!rank_.is_in_group()) return;
   RankMessage message = NewMessage(RankMessageKind::kStatus);
+  message.zone = options_.self.zone;
+  message.backend = options_.self.backend;
   message.status = rank_.Status();
   message.status.agent = options_.self.id;
   message.status.term = term_;
   message.status.granted = granted_;
-  message.choices = std::move(choices);
+  message.status.missing = missing_;
+  told_at_ = BootNow();
+  told_ = message.status;
   if (leadership_) return OnStatus(message);
   if (!leader_.empty()) SendTo(leader_, message);
 }
 
+// An agent that collects for others adds theirs to its own.
+void RankAgent::PassOnChoices() {
+  if (leadership_) return leadership_->demand.Add(choices_.Take(), experts_);
+  const bool is_own = collector_ == options_.self.peer;
+  const Endpoint& to = collector_.empty() || is_own ? leader_ : collector_;
+  if (to.empty() || !rank_.is_in_group()) return;
+  RankMessage message = NewMessage(RankMessageKind::kChoices);
+  message.choices = choices_.Take();
+  if (!message.choices.empty()) SendTo(to, message);
+}
+
 // --- Commands ---------------------------------------------------------------
 
 void RankAgent::OnDatagram(std::string_view data) {
@@ -95,10 +142,7 @@
   }
   switch (message->kind) {
     case RankMessageKind::kBeat:
-      if (message->term != term_ || leadership_) break;
-      leader_ = message->reply_to;
-      leader_rank_ = message->rank;
-      leader_heard_ = BootNow();
+      OnBeat(*message);
       break;
     case RankMessageKind::kStatus:
       OnStatus(*message);
@@ -106,14 +150,28 @@
     case RankMessageKind::kCommand:
       OnCommand(*message);
       break;
+    case RankMessageKind::kChoices:
+      OnChoices(*message);
+      break;
     case RankMessageKind::kCount:
       break;
   }
 }
 
+// A leader that is new learns at once what the rank is at.
+void RankAgent::OnBeat(const RankMessage& message) {
+  if (message.term != term_ || leadership_) return;
+  const bool is_new = leader_ != message.reply_to;
+  leader_ = message.reply_to;
+  leader_rank_ = message.rank;
+  leader_heard_ = BootNow();
+  collector_ = message.collector;
+  if (is_new) SendStatus();
+}
+
 // A command of an older leader is refused: the status tells it the newer term.
 void RankAgent::OnCommand(const RankMessage& message) {
-  if (!knows_term_ || message.term < term_) return SendStatus({});
+  if (!knows_term_ || message.term < term_) return SendStatus();
   leader_ = message.reply_to;
   leader_heard_ = BootNow();
   jobs_.push_back({.command = message.command, .term = message.term});
@@ -130,20 +188,46 @@
   rank_.Refresh([this, job] { Execute(job); });
 }
 
-void RankAgent::Execute(const Job& job) {
-  const RankCommand& command = job.command;
+void RankAgent::Execute(Job job) {
+  RankCommand& command = job.command;
   const RankReport* report = rank_.report();
   if (command.is_grant && job.term == term_) granted_ = command.version;
   const bool is_void = !report || !command.order || job.term < term_ ||
                        report->epoch != command.epoch ||
                        report->rank != command.rank;
-  if (is_void) return FinishJob();
+  if (is_void || !ResolveMap(command)) return FinishJob();
   rank_.Order(command, job.term, [this] { FinishJob(); });
 }
 
+// Makes the whole map of a difference. False if it can't be: the leader is told
+// which one is missing.
+bool RankAgent::ResolveMap(RankCommand& command) {
+  if (command.order != OrderKind::kPrepare) return true;
+  if (!command.delta) {
+    maps_.Put(command.version, command.map);
+    missing_ = MapVersion();
+    return true;
+  }
+  const RankReport& report = *rank_.report();
+  if (command.delta->base == MapVersion() && experts_ > 0) {
+    const auto sets = rank_.Status().holdings.size();
+    maps_.Put(MapVersion(), GroupMap(sets, DealtInTurn(report.size, experts_)));
+  }
+  auto map = maps_.Resolve(command.version, *command.delta);
+  missing_ = map ? MapVersion() : command.version;
+  if (!map) {
+    Log(LogLevel::kInfo, "map_missing",
+        {{"version", command.version.value()},
+         {"base", command.delta->base.value()}});
+    return false;
+  }
+  command.map = *std::move(map);
+  return true;
+}
+
 void RankAgent::FinishJob() {
   is_running_job_ = false;
-  SendStatus({});
+  SendStatus();
   RunNextJob();
 }
 
@@ -169,6 +253,7 @@
         {{"term", leadership_->term.value()}, {"newer", term.value()}});
   }
   leadership_.reset();
+  pacer_.Clear();
   term_ = term;
   leader_ = leader;
   leader_rank_.reset();  // until it beats
@@ -183,12 +268,17 @@
 }
 
 // The group stands still while it is held, and the agent beside the rank that
-// holds it is the first to know.
+// holds it is the first to know. The others step forward one after the other,
+// those beside the ranks after the last leader's first.
 Duration RankAgent::Patience() const {
   const RankReport* report = rank_.report();
   if (report && report->held) return options_.leader_silence_when_held;
-  const int place = report ? report->rank % kMostCandidates : 0;
-  return options_.leader_silence + kCandidateSpacing * place;
+  if (!report || report->size <= 0) return options_.leader_silence;
+  const int after_leader =
+      (report->rank + report->size - leader_rank_.value_or(0)) % report->size;
+  const Duration spacing = std::min<Duration>(
+      kCandidateSpacing, Duration(kLongestCandidacy) / report->size);
+  return options_.leader_silence + spacing * after_leader;
 }
 
 // Reads the term in force. A process that has just started only learns it; one
@@ -237,6 +327,7 @@
   leadership_->term = term;
   leadership_->began = BootNow();
   direct_.clear();
+  search_.Rest();
   leadership_->map_switch = std::make_unique<MapSwitch>(
       MapSwitch::Options{.term = term,
                          .own_rank = rank_.report()->rank,
@@ -249,13 +340,44 @@
   Beat();
 }
 
+// Agents of the group are told where their choices go. As long as one is
+// missing it is looked for among the agents that have no place in the group.
 void RankAgent::Beat() {
-  if (!leadership_) return;
-  const RankMessage beat = NewMessage(RankMessageKind::kBeat);
-  const int ranks = rank_.report() ? rank_.report()->size : 0;
-  for (const Member& peer : agents_.Peers(ranks, IsAgentMissing())) {
-    SendTo(peer.peer, beat);
+  if (!leadership_ || !rank_.report()) return;
+  RankMessage beat = NewMessage(RankMessageKind::kBeat);
+  const auto collectors = Collectors();
+  for (int rank = 0; rank < std::ssize(collectors); ++rank) {
+    const Member* agent = agents_.AgentOf(rank);
+    if (agent == nullptr || agent->id == options_.self.id) continue;
+    const Member* collector =
+        collectors[rank] ? agents_.AgentOf(*collectors[rank]) : nullptr;
+    beat.collector = collector != nullptr ? collector->peer : Endpoint();
+    SendTo(agent->peer, beat);
+  }
+  const TimePoint now = BootNow();
+  if (now - sought_at_ < kSeekInterval || !IsAgentMissing()) return;
+  sought_at_ = now;
+  beat.collector = Endpoint();
+  for (const Member& agent : agents_.Unplaced()) SendTo(agent.peer, beat);
+}
+
+std::vector<std::optional<int>> RankAgent::Collectors() const {
+  const RankReport& report = *rank_.report();
+  const auto silent = leadership_->map_switch->SilentRanks(BootNow());
+  std::vector<CollectorCandidate> ranks(
+      static_cast<std::size_t>(std::max(0, report.size)));
+  for (int rank = 0; rank < std::ssize(ranks); ++rank) {
+    const Member* agent = agents_.AgentOf(rank);
+    if (agent == nullptr) continue;
+    ranks[rank] = {.zone = agent->zone,
+                   .is_heard = std::ranges::find(silent, rank) == silent.end()};
   }
+  return AssignCollectors(ranks, report.rank);
+}
+
+void RankAgent::OnChoices(const RankMessage& message) {
+  choices_.Add(message.choices);
+  if (leadership_) PassOnChoices();
 }
 
 // Only a leader addresses other agents. Figures are read early, since a new
@@ -283,9 +405,14 @@
   }
   const TimePoint now = BootNow();
   direct_.erase(message.status.report.rank);
-  agents_.OnHeard(message.status.report.rank, message.sender);
+  agents_.OnHeard(message.status.report.rank,
+                  {.id = message.sender,
+                   .role = MemberRole::kAgent,
+                   .zone = message.zone,
+                   .peer = message.reply_to,
+                   .backend = message.backend},
+                  now);
   leadership_->map_switch->OnStatus(message.status, now);
-  leadership_->demand.Add(message.choices, experts_);
   AdvanceSwitch();
 }
 
@@ -320,34 +447,71 @@
   if (direct != direct_.end() && command.order) {
     GiveDirectly(direct->second, command);
   }
-  if (agent != nullptr) return SendTo(agent->peer, message);
-  // The agent isn't known yet: all are asked, and the right one answers.
-  for (const Member& peer : agents_.Peers(0, true)) SendTo(peer.peer, message);
+  // An agent that isn't known yet is found by beats first.
+  if (agent == nullptr) return;
+  if (command.order == OrderKind::kPrepare) {
+    SendPaced(agent->peer, message);
+  } else {
+    SendTo(agent->peer, message);
+  }
+}
+
+void RankAgent::SendPaced(const Endpoint& to, const RankMessage& message) {
+  pacer_.Queue({.to = to, .bytes = EncodeRankMessage(message)});
+  if (!std::exchange(is_pacing_, true)) SendDue();
 }
 
-// Looks for a better map and begins the switch to it.
+void RankAgent::SendDue() {
+  for (const auto& message : pacer_.TakeDue(BootNow())) {
+    socket_.Send(message.to, message.bytes);
+  }
+  is_pacing_ = !pacer_.is_empty();
+  if (is_pacing_) loop_.After(kPacing, [this] { SendDue(); });
+}
+
+// Looks for a better map, set by set, so that the loop turns in between.
 void RankAgent::Plan() {
-  if (!leadership_) return;
+  if (!leadership_ || leadership_->planner) return;
   if (placement_.places == 0) return;
   DemandEstimate& demand = leadership_->demand;
-  MapSwitch& map_switch = *leadership_->map_switch;
-  const TimePoint now = BootNow();
-  const auto present = map_switch.PresentMap(now);
+  const MapSwitch& map_switch = *leadership_->map_switch;
+  const auto present = map_switch.PresentMap(BootNow());
   demand.EndPeriod(present ? &*present : nullptr);
   if (!present || present->size() != demand.demand().size()) return;
   const auto experts = static_cast<double>(demand.demand().size()) * experts_;
   if (demand.Weight() < kLeastChoicesPerExpert * experts) return;
   placement_.paces = map_switch.Paces();
-  const GroupMap next = PlanEvenly(*present, demand.demand(), placement_);
-  const double before = SkewOf(*present, demand.demand(), placement_.paces);
-  const double after = SkewOf(next, demand.demand(), placement_.paces);
+  const double skew = SkewOf(*present, demand.demand(), placement_.paces);
+  if (skew < 1 + options_.least_gain) return;
+  leadership_->planner =
+      std::make_unique<EvenPlanner>(*present, demand.demand(), placement_);
+  PlanOn();
+}
+
+void RankAgent::PlanOn() {
+  if (!leadership_ || !leadership_->planner) return;
+  if (!leadership_->planner->PlanNextSet()) return FinishPlan();
+  loop_.Post([this] { PlanOn(); });
+}
+
+// Begins the switch to the planned map, if it is worth it and the group is as
+// it was when the plan was begun.
+void RankAgent::FinishPlan() {
+  const auto planner = std::exchange(leadership_->planner, nullptr);
+  MapSwitch& map_switch = *leadership_->map_switch;
+  const TimePoint now = BootNow();
+  if (map_switch.PresentMap(now) != planner->present()) return;
+  const ExpertDemand& demand = planner->demand();
+  const double before = SkewOf(planner->present(), demand, placement_.paces);
+  const double after = SkewOf(planner->map(), demand, placement_.paces);
   if (before - after < options_.least_gain) return;
   Log(LogLevel::kInfo, "map_planned",
       {{"skew_before_percent", static_cast<int>(before * 100)},
        {"skew_after_percent", static_cast<int>(after * 100)},
-       {"copies", CountCopies(*present, next)}});
+       {"copies", CountCopies(planner->present(), planner->map())}});
   counters_.Count(Event::kMapSwitches);
-  map_switch.Begin(next, now);
+  maps_.Put(map_switch.PresentVersion(), planner->present());
+  map_switch.Begin(planner->map(), now);
   AdvanceSwitch();
 }
 
@@ -372,12 +536,17 @@
 // may have gone silent with them.
 void RankAgent::ActForSilentAgents() {
   if (!leadership_) return;
-  const MapSwitch& map_switch = *leadership_->map_switch;
   const TimePoint now = BootNow();
-  if (!MayBeHeld() || now - leadership_->began < kTimeToAnswer ||
-      map_switch.SilentRanks(now).empty()) {
-    return;
+  const auto silent = leadership_->map_switch->SilentRanks(now);
+  if (silent.empty()) search_.Rest();
+  if (!MayBeHeld() || now - leadership_->began < kTimeToAnswer) return;
+  bool is_one_unknown = false;
+  for (const int rank : silent) {
+    const Member* agent = agents_.AgentOf(rank);
+    if (agent != nullptr) ReadRemote(agent->backend);
+    is_one_unknown = is_one_unknown || !direct_.contains(rank);
   }
+  if (!is_one_unknown || !search_.IsDue(now)) return;
   ListAll(store_, options_.schema.backend_prefix, Freshness::kMayBeStale,
           [this](const auto& engines) {
             if (engines.ok()) return ReadSilentRanks(*engines);
@@ -386,11 +555,16 @@
 }
 
 void RankAgent::ReadSilentRanks(const std::vector<StoreItem>& engines) {
+  if (!rank_.report()) return;
+  const TimePoint now = BootNow();
   for (const StoreItem& item : engines) {
     const auto record = options_.schema.decode_backend(
         InstanceId(item.key.substr(options_.schema.backend_prefix.size())),
         item.value);
     if (!record.ok() || record->service != options_.service) continue;
+    if (search_.IsForeign(record->address, rank_.report()->group, now)) {
+      continue;
+    }
     ReadRemote(record->address);
   }
 }
@@ -406,6 +580,7 @@
     if (!report.ok()) {
       return LogEngineCall("report of " + engine.value(), report.status());
     }
+    search_.OnReport(engine, report->group, BootNow());
     const RankReport* own = rank_.report();
     if (!leadership_ || !own || report->group != own->group) return;
     const auto direct = direct_.find(report->rank);
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -15,10 +15,13 @@
 #include "backend/engine_api.h"
 #include "core/counters.h"
 #include "group/agent_directory.h"
+#include "group/choice_sums.h"
+#include "group/engine_search.h"
 #include "group/expert_demand.h"
 #include "group/map_switch.h"
 #include "group/own_rank.h"
 #include "group/rank_messages.h"
+#include "group/send_pacer.h"
 #include "net/datagram_socket.h"
 #include "net/event_loop.h"
 #include "store/lease_keeper.h"
@@ -43,6 +46,8 @@
     Millis leader_silence{800};
     // The same at the agent beside a rank that holds the group.
     Millis leader_silence_when_held{300};
+    // The rate of the machine's link, which maps may fill in part.
+    double link_bytes_per_s = 1e8;
   };
 
   RankAgent(EventLoop& loop, Store& store, EngineApi& engine, Options options,
@@ -56,19 +61,26 @@
     TimePoint began;
     std::unique_ptr<MapSwitch> map_switch;
     DemandEstimate demand;
+    std::unique_ptr<EvenPlanner> planner;  // null: no plan is being made
   };
   struct Job {
     RankCommand command;
     LeaderTerm term;
   };
 
-  void SendStatus(ExpertCounts choices);
+  void OnPoll(const ExpertCounts& choices);
+  Duration TellInterval() const;
+  bool HasNews() const;
+  void SendStatus();
+  void PassOnChoices();
 
   // Commands.
   void OnDatagram(std::string_view data);
+  void OnBeat(const RankMessage& message);
   void OnCommand(const RankMessage& message);
   void RunNextJob();
-  void Execute(const Job& job);
+  void Execute(Job job);
+  bool ResolveMap(RankCommand& command);
   void FinishJob();
 
   // Leading.
@@ -80,10 +92,16 @@
   void Lead(LeaderTerm term);
   void FollowTerm(LeaderTerm term, const Endpoint& leader);
   void Beat();
+  std::vector<std::optional<int>> Collectors() const;
+  void OnChoices(const RankMessage& message);
   void OnStatus(const RankMessage& message);
   void AdvanceSwitch();
   void Give(const RankCommand& command);
+  void SendPaced(const Endpoint& to, const RankMessage& message);
+  void SendDue();
   void Plan();
+  void PlanOn();
+  void FinishPlan();
   void ActForSilentAgents();
   void GiveDirectly(const Endpoint& engine, const RankCommand& command);
   bool IsSilent(int rank) const;
@@ -104,6 +122,12 @@
   LeaseKeeper lease_;
   OwnRank rank_;
   MapVersion granted_;  // the leader may have armed its own rank with it
+  MapShelf maps_;
+  MapVersion missing_;  // a map whose difference is from an unknown one
+  ChoiceSums choices_;  // to be passed on
+  Endpoint collector_;  // where they go; empty: to the leader
+  TimePoint told_at_;   // the last status
+  RankStatus told_;
   std::deque<Job> jobs_;
   bool is_running_job_ = false;
 
@@ -113,11 +137,15 @@
   std::optional<int> leader_rank_;
   TimePoint leader_heard_;
   int beat_rounds_ = 0;
+  TimePoint sought_at_;  // agents that aren't placed had a beat then
   bool is_challenging_ = false;
   std::unique_ptr<Leadership> leadership_;
   AgentDirectory agents_;
   // Engines whose agents are silent, by rank.
   std::map<int, Endpoint> direct_;
+  EngineSearch search_;
+  SendPacer pacer_;
+  bool is_pacing_ = false;
   EvenPlacementOptions placement_;  // places: 0 until it is known
   int experts_ = 0;                 // of one set
 };
--- a/src/group/rank_messages.cc
+++ b/src/group/rank_messages.cc
@@ -58,6 +58,29 @@
   return report;
 }
 
+Json FromDelta(const MapDelta& delta) {
+  Json rows = Json::array();
+  for (const MapDelta::Row& row : delta.rows) {
+    rows.push_back({row.set, row.rank, row.added, row.dropped});
+  }
+  return {{"base", delta.base},
+          {"digest", delta.digest},
+          {"rows", std::move(rows)}};
+}
+
+std::shared_ptr<const MapDelta> ToDelta(const Json& json) {
+  auto delta = std::make_shared<MapDelta>();
+  delta->base = json.at("base").get<MapVersion>();
+  delta->digest = json.at("digest").get<std::uint64_t>();
+  for (const Json& row : json.at("rows")) {
+    delta->rows.push_back({.set = row.at(0).get<int>(),
+                           .rank = row.at(1).get<int>(),
+                           .added = row.at(2).get<std::vector<int>>(),
+                           .dropped = row.at(3).get<std::vector<int>>()});
+  }
+  return delta;
+}
+
 Json FromCommand(const RankCommand& command) {
   Json json = {{"rank", command.rank},
                {"epoch", command.epoch},
@@ -66,6 +89,7 @@
   if (command.is_grant) json["grant"] = true;
   if (command.order) json["order"] = static_cast<int>(*command.order);
   if (!command.map.empty()) json["map"] = command.map;
+  if (command.delta) json["delta"] = FromDelta(*command.delta);
   return json;
 }
 
@@ -84,9 +108,35 @@
   }
   command.is_grant = json.value("grant", false);
   if (json.contains("map")) command.map = json.at("map").get<GroupMap>();
+  if (json.contains("delta")) command.delta = ToDelta(json.at("delta"));
   return command;
 }
 
+void ReadStatus(const Json& json, RankMessage& message) {
+  message.zone = json.at("zone").get<ZoneName>();
+  message.backend = json.at("backend").get<Endpoint>();
+  message.status = {
+      .agent = message.sender,
+      .term = message.term,
+      .report = ToReport(json.at("report")),
+      .holdings = json.at("holdings").get<std::vector<std::vector<int>>>(),
+      .accepted = json.at("accepted").get<MapVersion>(),
+      .granted = json.at("granted").get<MapVersion>(),
+      .may_arm_late = json.at("late").get<bool>(),
+      .missing = json.at("missing").get<MapVersion>()};
+}
+
+void WriteStatus(const RankMessage& message, Json& json) {
+  json["zone"] = message.zone;
+  json["backend"] = message.backend;
+  json["report"] = FromReport(message.status.report);
+  json["holdings"] = message.status.holdings;
+  json["accepted"] = message.status.accepted;
+  json["late"] = message.status.may_arm_late;
+  json["granted"] = message.status.granted;
+  json["missing"] = message.status.missing;
+}
+
 RankMessage ToMessage(const Json& json) {
   RankMessage message;
   const int kind = json.at("kind").get<int>();
@@ -99,18 +149,21 @@
   message.sender = json.at("sender").get<InstanceId>();
   message.rank = json.at("rank").get<int>();
   message.reply_to = json.at("reply_to").get<Endpoint>();
-  if (message.kind == RankMessageKind::kStatus) {
-    message.status = {
-        .agent = message.sender,
-        .term = message.term,
-        .report = ToReport(json.at("report")),
-        .holdings = json.at("holdings").get<std::vector<std::vector<int>>>(),
-        .accepted = json.at("accepted").get<MapVersion>(),
-        .granted = json.at("granted").get<MapVersion>(),
-        .may_arm_late = json.at("late").get<bool>()};
-    message.choices = json.at("choices").get<ExpertCounts>();
-  } else if (message.kind == RankMessageKind::kCommand) {
-    message.command = ToCommand(json.at("command"));
+  switch (message.kind) {
+    case RankMessageKind::kBeat:
+      message.collector = json.at("collector").get<Endpoint>();
+      break;
+    case RankMessageKind::kStatus:
+      ReadStatus(json, message);
+      break;
+    case RankMessageKind::kCommand:
+      message.command = ToCommand(json.at("command"));
+      break;
+    case RankMessageKind::kChoices:
+      message.choices = json.at("choices").get<ExpertCounts>();
+      break;
+    case RankMessageKind::kCount:
+      break;
   }
   return message;
 }
@@ -124,15 +177,21 @@
                {"sender", message.sender},
                {"rank", message.rank},
                {"reply_to", message.reply_to}};
-  if (message.kind == RankMessageKind::kStatus) {
-    json["report"] = FromReport(message.status.report);
-    json["holdings"] = message.status.holdings;
-    json["accepted"] = message.status.accepted;
-    json["late"] = message.status.may_arm_late;
-    json["granted"] = message.status.granted;
-    json["choices"] = message.choices;
-  } else if (message.kind == RankMessageKind::kCommand) {
-    json["command"] = FromCommand(message.command);
+  switch (message.kind) {
+    case RankMessageKind::kBeat:
+      json["collector"] = message.collector;
+      break;
+    case RankMessageKind::kStatus:
+      WriteStatus(message, json);
+      break;
+    case RankMessageKind::kCommand:
+      json["command"] = FromCommand(message.command);
+      break;
+    case RankMessageKind::kChoices:
+      json["choices"] = message.choices;
+      break;
+    case RankMessageKind::kCount:
+      break;
   }
   std::string bytes;
   Json::to_cbor(json, bytes);
--- a/src/group/rank_messages.h
+++ b/src/group/rank_messages.h
@@ -11,7 +11,7 @@
 
 namespace mangohold {
 
-enum class RankMessageKind { kBeat, kStatus, kCommand, kCount };
+enum class RankMessageKind { kBeat, kStatus, kCommand, kChoices, kCount };
 
 struct RankMessage {
   RankMessageKind kind = RankMessageKind::kBeat;
@@ -20,9 +20,13 @@
   InstanceId sender;
   int rank = 0;  // the sender's
   Endpoint reply_to;
+  ZoneName zone;         // kStatus: the sender's
+  Endpoint backend;      // kStatus: the engine beside the sender
   RankStatus status;     // kStatus
-  ExpertCounts choices;  // kStatus: since the status before
-  RankCommand command;   // kCommand
+  ExpertCounts choices;  // kChoices: since the last ones, of one rank or more
+  // kBeat: where the receiver's choices go; empty: to the leader.
+  Endpoint collector;
+  RankCommand command;  // kCommand
 };
 
 std::string EncodeRankMessage(const RankMessage& message);
--- a/src/rank_agent_main.cc
+++ b/src/rank_agent_main.cc
@@ -10,6 +10,8 @@
 namespace mangohold {
 namespace {
 
+constexpr double kBytesPerMegabit = 1e6 / 8;
+
 int Run(const RankAgentSettings& settings, const std::string& file) {
   Counters counters;
   EventLoop loop;
@@ -23,7 +25,8 @@
                             .peer = settings.peer_address,
                             .backend = settings.backend_address},
                    .schema = platform::Schema(),
-                   .service = settings.service},
+                   .service = settings.service,
+                   .link_bytes_per_s = settings.link_mbps * kBytesPerMegabit},
                   counters);
   HttpServer metrics(
       loop.io(), {.address = settings.metrics_address, .max_connections = 16},
--- a/tests/unit/agent_directory_test.cc
+++ b/tests/unit/agent_directory_test.cc
@@ -56,6 +56,13 @@
   return "side-" + std::to_string(1'000 + number);
 }
 
+Member Agent(int number) {
+  return {.id = InstanceId(AgentName(number)),
+          .role = MemberRole::kAgent,
+          .peer = Endpoint(AgentName(number) + ":7000"),
+          .backend = Endpoint(AgentName(number) + ":9000")};
+}
+
 class AgentDirectoryTest : public testing::Test {
  protected:
   AgentDirectoryTest() {
@@ -73,23 +80,34 @@
 // The agents fill more pages than one, and entries come before them.
 TEST_F(AgentDirectoryTest, KnowsAgentsOfAllPages) {
   directory_.Refresh(now_, false);
-  EXPECT_EQ(directory_.Peers(24, false).size(), 71U);
+  EXPECT_EQ(directory_.Unplaced().size(), 71U);
   EXPECT_NE(directory_.Find(InstanceId(AgentName(71))), nullptr);
   EXPECT_EQ(directory_.Find(InstanceId("edge-1")), nullptr);
 }
 
-// With several groups in a fleet a leader speaks to its own one.
-TEST_F(AgentDirectoryTest, PeersAreTheGroupsOnceAllAreHeard) {
+// With several groups in a fleet a leader looks for its own agents among those
+// that it hasn't heard beside a rank.
+TEST_F(AgentDirectoryTest, AgentsThatWereHeardArePlaced) {
   directory_.Refresh(now_, false);
-  for (int rank = 0; rank < 23; ++rank) {
-    directory_.OnHeard(rank, InstanceId(AgentName(rank * 3)));
+  for (int rank = 0; rank < 24; ++rank) {
+    EXPECT_EQ(directory_.Unplaced().size(), 71U - std::max(0, rank - 1));
+    directory_.OnHeard(rank, Agent(rank * 3), now_);
   }
-  EXPECT_EQ(directory_.Peers(24, false).size(), 71U);
-  directory_.OnHeard(23, InstanceId(AgentName(69)));
-  EXPECT_EQ(directory_.Peers(24, false).size(), 23U);
-  EXPECT_EQ(directory_.Peers(24, true).size(), 71U);
   ASSERT_NE(directory_.AgentOf(23), nullptr);
   EXPECT_EQ(directory_.AgentOf(23)->id, InstanceId(AgentName(69)));
+  directory_.OnHeard(23, Agent(70), now_);
+  EXPECT_EQ(directory_.AgentOf(23)->id, InstanceId(AgentName(70)))
+      << "the engine has another machine";
+}
+
+// A leader that the store turns away hears of its agents all the same.
+TEST_F(AgentDirectoryTest, AgentsThatWereHeardNeedNotBeListed) {
+  store_.is_down = true;
+  directory_.Refresh(now_, false);
+  directory_.OnHeard(3, Agent(9), now_);
+  ASSERT_NE(directory_.AgentOf(3), nullptr);
+  EXPECT_EQ(directory_.AgentOf(3)->peer, Agent(9).peer);
+  EXPECT_EQ(directory_.AgentOf(3)->backend, Agent(9).backend);
 }
 
 TEST_F(AgentDirectoryTest, ReadsOnlyWhatIsNeeded) {
@@ -112,20 +130,20 @@
   store_.items.clear();
   now_ += seconds(30);
   directory_.Refresh(now_, true);
-  EXPECT_EQ(directory_.Peers(24, true).size(), 71U);
+  EXPECT_EQ(directory_.Unplaced().size(), 71U);
   now_ += seconds(40);
   directory_.Refresh(now_, true);
-  EXPECT_TRUE(directory_.Peers(24, true).empty());
+  EXPECT_TRUE(directory_.Unplaced().empty());
 }
 
 TEST_F(AgentDirectoryTest, AsksAgainUntilTheStoreAnswers) {
   store_.is_down = true;
   directory_.Refresh(now_, false);
-  EXPECT_TRUE(directory_.Peers(24, true).empty());
+  EXPECT_TRUE(directory_.Unplaced().empty());
   store_.is_down = false;
   now_ += milliseconds(500);
   directory_.Refresh(now_, false);
-  EXPECT_EQ(directory_.Peers(24, true).size(), 71U);
+  EXPECT_EQ(directory_.Unplaced().size(), 71U);
 }
 
 }  // namespace
