--- a/src/caller/dialect.h
+++ b/src/caller/dialect.h
@@ -46,6 +46,9 @@
   bool is_certainly_not_run = false;
   bool is_other_instance = false;  // another one has the address by now
   std::optional<BackendLoad> load;
+  bool is_leaving = false;  // the backend server is about to end
+  // On a refusal: for so long it wants no other request from this entry.
+  std::optional<Millis> quiet;
 };
 
 // Holds names and formats, and decides nothing.
--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -212,6 +212,8 @@
   status_ = status;
   answer_fields_ = context_.dialect.Return(fields);
   answer_ = context_.dialect.DecodeAnswer(status, fields);
+  context_.dispatcher.OnNotice(backend_.id, answer_.is_leaving, answer_.quiet,
+                               BootNow());
   is_relaying_ = job_.route->kind == RouteKind::kStream && IsSuccess(status);
 }
 
--- /dev/null
+++ b/src/routing/backend_notices.cc
@@ -0,0 +1,60 @@
+#include "routing/backend_notices.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangohold {
+namespace {
+
+// Backend servers have ended long before, and their ids don't come again.
+constexpr std::chrono::minutes kMemory(15);
+
+}  // namespace
+
+BackendNotices::Notice& BackendNotices::NoticeOf(const InstanceId& id,
+                                                 TimePoint now) {
+  std::erase_if(notices_, [now](const auto& item) {
+    return now - item.second.at > kMemory;
+  });
+  Notice& notice = notices_[id];
+  notice.at = now;
+  return notice;
+}
+
+bool BackendNotices::OnLeaving(const InstanceId& id, TimePoint now) {
+  return !std::exchange(NoticeOf(id, now).is_leaving, true);
+}
+
+void BackendNotices::OnQuiet(const InstanceId& id, TimePoint until,
+                             TimePoint now) {
+  Notice& notice = NoticeOf(id, now);
+  notice.quiet_until = std::max(notice.quiet_until, until);
+}
+
+void BackendNotices::OnListed(const InstanceId& id,
+                              std::optional<std::int64_t> started_ms) {
+  const auto it = notices_.find(id);
+  if (it == notices_.end() || !started_ms) return;
+  Notice& notice = it->second;
+  if (notice.started_ms && notice.started_ms != started_ms) {
+    notices_.erase(it);
+  } else {
+    notice.started_ms = started_ms;
+  }
+}
+
+bool BackendNotices::IsWelcome(const InstanceId& id, TimePoint now) const {
+  return !IsLeaving(id) && QuietUntil(id) <= now;
+}
+
+bool BackendNotices::IsLeaving(const InstanceId& id) const {
+  const auto it = notices_.find(id);
+  return it != notices_.end() && it->second.is_leaving;
+}
+
+TimePoint BackendNotices::QuietUntil(const InstanceId& id) const {
+  const auto it = notices_.find(id);
+  return it == notices_.end() ? TimePoint() : it->second.quiet_until;
+}
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/routing/backend_notices.h
@@ -0,0 +1,45 @@
+// What backend servers have said of themselves in answers to this entry: that
+// they are leaving, or that they want to be left alone for a time. It binds
+// this entry whatever the store lists, through outages and stale views. No
+// clock and no network.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "core/clock.h"
+#include "core/ids.h"
+
+namespace mangohold {
+
+class BackendNotices {
+ public:
+  // Its answer said that it is leaving. True if that is news.
+  bool OnLeaving(const InstanceId& id, TimePoint now);
+  // It refused a request and wants no other one before `until`.
+  void OnQuiet(const InstanceId& id, TimePoint until, TimePoint now);
+  // It is listed, as started at `started_ms` by its own clock where that is
+  // known. Another start under the same id hasn't said anything yet.
+  void OnListed(const InstanceId& id, std::optional<std::int64_t> started_ms);
+
+  // True if it may be sent to.
+  bool IsWelcome(const InstanceId& id, TimePoint now) const;
+  bool IsLeaving(const InstanceId& id) const;
+  // The end of its quiet time; the past if it didn't ask for one.
+  TimePoint QuietUntil(const InstanceId& id) const;
+
+ private:
+  struct Notice {
+    bool is_leaving = false;
+    TimePoint quiet_until;
+    std::optional<std::int64_t> started_ms;
+    TimePoint at;  // the last word
+  };
+
+  Notice& NoticeOf(const InstanceId& id, TimePoint now);
+
+  std::map<InstanceId, Notice> notices_;
+};
+
+}  // namespace mangohold
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -5,6 +5,8 @@
 #include <limits>
 #include <utility>
 
+#include "core/log.h"
+
 namespace mangohold {
 namespace {
 
@@ -48,6 +50,7 @@
     backend.record = record;
     backend.is_listed = true;
     by_service_[record.service].push_back(record.id);
+    notices_.OnListed(record.id, record.started_ms);
   }
   std::erase_if(backends_, [](const auto& item) {
     return !item.second.is_listed && item.second.own_requests == 0;
@@ -191,6 +194,7 @@
 bool Dispatcher::IsOpen(const Backend& backend, const Query& query,
                         TimePoint now) {
   if (backend.is_gone || backend.ejected_until > now) return false;
+  if (!notices_.IsWelcome(backend.record.id, now)) return false;
   if (std::ranges::find(query.tried, backend.record.id) != query.tried.end()) {
     return false;
   }
@@ -315,6 +319,7 @@
   }
   const auto group = by_service_.find(service);
   if (group == by_service_.end()) return kUnknownWait;
+  if (const auto until = QuietUntil(service, now)) return *until - now;
   double slots = 0;
   double seconds = 0;
   int known = 0;
@@ -331,6 +336,29 @@
       std::chrono::duration<double>(turn * (ahead + 1)));
 }
 
+std::optional<TimePoint> Dispatcher::QuietUntil(const ServiceName& service,
+                                                TimePoint now) const {
+  std::optional<TimePoint> first;
+  for (const InstanceId& id : by_service_.at(service)) {
+    if (notices_.IsLeaving(id)) continue;
+    const TimePoint until = notices_.QuietUntil(id);
+    if (until <= now) return std::nullopt;
+    first = std::min(first.value_or(until), until);
+  }
+  return first;
+}
+
+void Dispatcher::OnNotice(const InstanceId& id, bool is_leaving,
+                          std::optional<Millis> quiet, TimePoint now) {
+  if (is_leaving && notices_.OnLeaving(id, now)) {
+    Log(LogLevel::kInfo, "backend_leaving", {{"backend", id.value()}});
+  }
+  if (!quiet || *quiet <= Millis(0)) return;
+  notices_.OnQuiet(id, now + *quiet, now);
+  Log(LogLevel::kInfo, "backend_quiet",
+      {{"backend", id.value()}, {"ms", quiet->count()}});
+}
+
 void Dispatcher::OnAnswerBegun(AttemptNumber number) {
   const auto it = sent_.find(number);
   if (it == sent_.end()) return;
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -22,6 +22,7 @@
 #include "core/ids.h"
 #include "core/outcome.h"
 #include "core/random.h"
+#include "routing/backend_notices.h"
 #include "routing/entry_reach.h"
 #include "routing/sliding_count.h"
 #include "store/backend_record.h"
@@ -111,6 +112,10 @@
   // The first bytes of the answer came: its prompt has been read.
   void OnAnswerBegun(AttemptNumber number);
   void OnEnded(AttemptNumber number, Result result, TimePoint now);
+  // What an answer says of its backend server: that it is leaving, and for how
+  // long it wants nothing more.
+  void OnNotice(const InstanceId& id, bool is_leaving,
+                std::optional<Millis> quiet, TimePoint now);
   // A stream of the service brought an event `gap` after the one before.
   void OnEventGap(const ServiceName& service, Duration gap, TimePoint now);
 
@@ -190,6 +195,9 @@
   void SetAllParts();
   const ServiceSpec* SpecOf(const ServiceName& service) const;
   bool HasBackends(const ServiceName& service) const;
+  // The first end of a quiet time, if all that may be sent to asked for one.
+  std::optional<TimePoint> QuietUntil(const ServiceName& service,
+                                      TimePoint now) const;
   void Eject(Backend& backend, TimePoint now);
   bool HasHope(const Waiting& waiting, Duration wait, TimePoint now) const;
   Duration ExpectedWait(const ServiceName& service, int ahead,
@@ -200,6 +208,7 @@
   Options options_;
   Random random_;
   EntryReach reach_;
+  BackendNotices notices_;
   std::unordered_map<InstanceId, Backend> backends_;
   std::map<ServiceName, std::vector<InstanceId>> by_service_;
   std::map<ServiceName, ServiceSpec> services_;
--- a/src/store/backend_record.h
+++ b/src/store/backend_record.h
@@ -1,6 +1,9 @@
 // A backend server as it stands in the platform's list.
 #pragma once
 
+#include <cstdint>
+#include <optional>
+
 #include "core/clock.h"
 #include "core/ids.h"
 
@@ -17,6 +20,8 @@
   BackendState state = BackendState::kReady;
   Millis cold_remaining{0};  // at the time of writing
   Revision listed;           // when its entry was created
+  // When it started, in ms since 1970 by its own clock; absent: not told.
+  std::optional<std::int64_t> started_ms;
 };
 
 }  // namespace mangohold
--- a/tests/direct_site.cc
+++ b/tests/direct_site.cc
@@ -71,8 +71,8 @@
   {
     const std::lock_guard lock(mutex_);
     last_request_ = request;
-    const bool runs =
-        manner != Manner::kReject && manner != Manner::kMisdirected;
+    const bool runs = manner != Manner::kReject && manner != Manner::kQuiet &&
+                      manner != Manner::kMisdirected;
     if (runs) ++runs_[id];
   }
   const std::string body = id + ":" + request.body;
@@ -90,6 +90,13 @@
       co_await connection.Send(
           Whole(503, id, "", "X-Mangohold-Not-Executed: 1\r\n"));
       break;
+    case Manner::kQuiet:
+      co_await connection.Send(Whole(
+          503, id, "", "X-Mangohold-Not-Executed: 1\r\nRetry-After: 30\r\n"));
+      break;
+    case Manner::kLeave:
+      co_await connection.Send(Whole(200, id, body, "Server-Leaving: 1\r\n"));
+      break;
     case Manner::kMisdirected:
       co_await connection.Send(
           Whole(421, id, "", "X-Mangohold-Instance-Id: other\r\n"));
--- a/tests/direct_site.h
+++ b/tests/direct_site.h
@@ -23,6 +23,8 @@
   kStream,       // ten events, 20 ms apart
   kBreakStream,  // four events and half of the fifth, then a reset
   kReject,       // 503, not run
+  kQuiet,        // 503, not run, and nothing more for half a minute
+  kLeave,        // 200, and it is leaving
   kMisdirected,  // 421, another instance
   kError,        // 500 of its own
   kDropLate,     // runs the request and drops the connection
--- a/tests/system/direct_way_test.cc
+++ b/tests/system/direct_way_test.cc
@@ -248,6 +248,37 @@
   EXPECT_EQ(site.backend(0).runs_in_all(), before);
 }
 
+// The store still lists it as ready.
+TEST(DirectWay, ABackendServerWhoseAnswersSayThatItLeavesGetsNothingNew) {
+  DirectSite site({.backends = 2});
+  site.Start();
+  site.backend(0).SetManner(Manner::kLeave);
+  ASSERT_TRUE(WaitFor([&] {
+    site.Call("GET", "/again/x", "a-" + std::to_string(std::rand()));
+    return site.backend(0).runs_in_all() > 0;
+  }));
+  const int runs = site.backend(0).runs_in_all();
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(site.Call("GET", "/again/x", "b-" + std::to_string(i)).status,
+              200);
+  }
+  EXPECT_EQ(site.backend(0).runs_in_all(), runs);
+}
+
+// Only one backend server is there, and asks for quiet.
+TEST(DirectWay, ABackendServerThatAsksForQuietIsLeftAlone) {
+  DirectSite site({.backends = 1});
+  site.Start();
+  site.backend(0).SetManner(Manner::kQuiet);
+  const auto first = site.Call("GET", "/again/x", "first");
+  EXPECT_EQ(first.status, 503);
+  EXPECT_FALSE(FieldValue(first.fields, "Retry-After").empty());
+  site.backend(0).SetManner(Manner::kAnswer);
+  const auto refused = site.Call("GET", "/again/x", "second");
+  EXPECT_EQ(refused.status, 503);
+  EXPECT_EQ(site.backend(0).runs_in_all(), 0);
+}
+
 TEST(DirectWay, AGracefulEndFinishesWhatIsInProgress) {
   DirectSite site({.entries = 2});
   site.Start();
--- /dev/null
+++ b/tests/unit/backend_notices_test.cc
@@ -0,0 +1,43 @@
+#include "routing/backend_notices.h"
+
+#include <gtest/gtest.h>
+
+namespace mangohold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const InstanceId kId("i-1");
+constexpr TimePoint kNow = TimePoint() + seconds(100);
+
+TEST(BackendNotices, ALeavingOneStaysUnwelcomeWhateverIsListed) {
+  BackendNotices notices;
+  EXPECT_TRUE(notices.IsWelcome(kId, kNow));
+  EXPECT_TRUE(notices.OnLeaving(kId, kNow));
+  EXPECT_FALSE(notices.OnLeaving(kId, kNow)) << "known already";
+  notices.OnListed(kId, std::nullopt);
+  notices.OnListed(kId, 1'000);
+  notices.OnListed(kId, 1'000);
+  EXPECT_FALSE(notices.IsWelcome(kId, kNow + seconds(300)));
+}
+
+TEST(BackendNotices, AnotherStartUnderTheSameIdIsWelcome) {
+  BackendNotices notices;
+  notices.OnLeaving(kId, kNow);
+  notices.OnListed(kId, 1'000);
+  notices.OnListed(kId, 2'000);
+  EXPECT_TRUE(notices.IsWelcome(kId, kNow));
+}
+
+TEST(BackendNotices, AQuietOneIsLeftAloneForItsTime) {
+  BackendNotices notices;
+  notices.OnQuiet(kId, kNow + milliseconds(700), kNow);
+  notices.OnQuiet(kId, kNow + milliseconds(300), kNow);
+  EXPECT_FALSE(notices.IsWelcome(kId, kNow + milliseconds(699)));
+  EXPECT_TRUE(notices.IsWelcome(kId, kNow + milliseconds(700)));
+  EXPECT_TRUE(notices.IsWelcome(InstanceId("i-2"), kNow));
+}
+
+}  // namespace
+}  // namespace mangohold
--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -301,6 +301,27 @@
   EXPECT_GE(all, 38);
 }
 
+// All backend servers of a service ask for quiet: none is asked again before,
+// and callers are told when the first one takes work.
+TEST_F(DispatcherTest, EnginesThatAskForQuietAreLeftAlone) {
+  dispatcher_.OnNotice(InstanceId("d0"), false, milliseconds(4'000), now_);
+  EXPECT_EQ(SendOne(kDesk), InstanceId("d1"));
+  dispatcher_.OnNotice(InstanceId("d1"), false, milliseconds(1'500), now_);
+  const AttemptNumber refused = Submit(kDesk, 1, seconds(1));
+  const auto decisions = Decide();
+  ASSERT_FALSE(decisions.at(refused).backend);
+  EXPECT_EQ(decisions.at(refused).retry_after, milliseconds(1'500));
+  now_ += milliseconds(1'500);
+  EXPECT_EQ(SendOne(kDesk), InstanceId("d1"));
+}
+
+// An answer tells of its backend server's leaving before the store does.
+TEST_F(DispatcherTest, ALeavingBackendServerGetsNothingThoughItIsListed) {
+  dispatcher_.OnNotice(InstanceId("d0"), true, std::nullopt, now_);
+  dispatcher_.SetBackends(backends_);
+  for (int i = 0; i < 2; ++i) EXPECT_EQ(SendOne(kDesk), InstanceId("d1"));
+}
+
 // More entries than a cold backend server bears requests in a second: some of
 // them leave it alone.
 TEST_F(DispatcherTest, ColdReturnOfAZoneIsBorneWithManyEntries) {
