--- a/src/backend/engine_api.h
+++ b/src/backend/engine_api.h
@@ -13,7 +13,6 @@
 
 namespace mangohold {
 
-using GroupName = Id<struct GroupNameTag>;
 // One forming of a group; everything agreed in an earlier one is void.
 using GroupEpoch = Number<struct GroupEpochTag>;
 // The ordinal of a pass that all ranks of a group make together.
--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -237,7 +237,7 @@
   if (data.empty()) return;
   const TimePoint now = BootNow();
   if (last_event_at_) {
-    context_.dispatcher.OnEventGap(job_.service, now - *last_event_at_, now);
+    context_.dispatcher.OnEventGap(attempt_, now - *last_event_at_, now);
   }
   last_event_at_ = now;
   if (!has_begun_) {
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -51,6 +51,9 @@
 // "host:port" of a listening socket.
 using Endpoint = Id<struct EndpointTag>;
 
+// A group of ranks that make each pass together.
+using GroupName = Id<struct GroupNameTag>;
+
 // The version that the platform's key-value service gave to a document.
 using Revision = Number<struct RevisionTag>;
 // The position of a ticket in the series that one agent incarnation minted.
--- a/src/group/agent_directory.cc
+++ b/src/group/agent_directory.cc
@@ -74,12 +74,13 @@
   return agent == agents_.end() ? nullptr : Find(agent->second);
 }
 
-std::vector<Member> AgentDirectory::Unplaced() const {
+std::vector<Member> AgentDirectory::Unplaced(const GroupName& group) const {
   std::set<InstanceId> placed = {self_};
   for (const auto& [rank, agent] : agents_) placed.insert(agent);
   std::vector<Member> unplaced;
   for (const auto& [id, listed] : members_) {
-    if (!placed.contains(id)) unplaced.push_back(listed.member);
+    if (listed.member.group != group || placed.contains(id)) continue;
+    unplaced.push_back(listed.member);
   }
   return unplaced;
 }
--- a/src/group/agent_directory.h
+++ b/src/group/agent_directory.h
@@ -30,9 +30,9 @@
   // Nothing for an agent that isn't known or not listed.
   const Member* Find(const InstanceId& agent) const;
   const Member* AgentOf(int rank) const;
-  // The other agents that haven't been heard beside a rank of the own group.
-  // Among them are those of ranks that are looked for.
-  std::vector<Member> Unplaced() const;
+  // The other agents of the group that haven't been heard beside one of its
+  // ranks. Among them are those of ranks that are looked for.
+  std::vector<Member> Unplaced(const GroupName& group) const;
 
  private:
   struct Listed {
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -63,7 +63,6 @@
   if (!status.ok()) return status;
   leader_heard_ = BootNow();
   rank_.OnStart();
-  lease_.Start();
   const auto poll = [this] {
     rank_.Poll([this](const ExpertCounts& choices) { OnPoll(choices); });
   };
@@ -80,7 +79,19 @@
   return absl::OkStatus();
 }
 
+// The agent is listed once it knows its group, by which leaders and entries
+// tell the groups of a service apart.
+void RankAgent::ListItself() {
+  const GroupName& group = rank_.report()->group;
+  if (options_.self.group == group) return;
+  const bool is_first = options_.self.group.empty();
+  options_.self.group = group;
+  lease_.SetValue(EncodeMember(options_.self));
+  if (is_first) lease_.Start();
+}
+
 void RankAgent::OnPoll(const ExpertCounts& choices) {
+  if (rank_.is_in_group()) ListItself();
   choices_.Add(choices);
   const bool is_due = BootNow() - told_at_ >= TellInterval();
   if (is_due || HasNews()) SendStatus();
@@ -358,7 +369,8 @@
   if (now - sought_at_ < kSeekInterval || !IsAgentMissing()) return;
   sought_at_ = now;
   beat.collector = Endpoint();
-  for (const Member& agent : agents_.Unplaced()) SendTo(agent.peer, beat);
+  for (const Member& agent : agents_.Unplaced(rank_.report()->group))
+    SendTo(agent.peer, beat);
 }
 
 std::vector<std::optional<int>> RankAgent::Collectors() const {
@@ -410,7 +422,8 @@
                    .role = MemberRole::kAgent,
                    .zone = message.zone,
                    .peer = message.reply_to,
-                   .backend = message.backend},
+                   .backend = message.backend,
+                   .group = message.group},
                   now);
   leadership_->map_switch->OnStatus(message.status, now);
   AdvanceSwitch();
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -68,6 +68,7 @@
     LeaderTerm term;
   };
 
+  void ListItself();
   void OnPoll(const ExpertCounts& choices);
   Duration TellInterval() const;
   bool HasNews() const;
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -14,6 +14,8 @@
 constexpr double kSmoothing = 0.2;
 // Cost of a backend server that fails all its requests, in loads.
 constexpr double kFailureCost = 8.0;
+// Cost of a group whose passes take twice as long as another's, in loads.
+constexpr double kSlownessCost = 2.0;
 // A refused caller is asked to come back between these times.
 constexpr Millis kLeastRetryAfter{100};
 constexpr Millis kMostRetryAfter{2'000};
@@ -49,6 +51,7 @@
     if (backend.record.listed != record.listed) backend.is_gone = false;
     backend.record = record;
     backend.is_listed = true;
+    backend.gate = &gates_[{record.service, record.group}];
     by_service_[record.service].push_back(record.id);
     notices_.OnListed(record.id, record.started_ms);
   }
@@ -131,18 +134,38 @@
 // one, which can. The pace is judged by what came lately; without that, streams
 // are let through and show it.
 bool Dispatcher::CanFinish(const Query& query, TimePoint now) const {
-  const auto pace = event_paces_.find(query.service);
-  if (query.events <= 0 || pace == event_paces_.end() ||
-      now - pace->second.at > kPaceMemory) {
-    return true;
-  }
-  const double needed = query.events * pace->second.gap_seconds;
+  if (query.events <= 0) return true;
+  const double needed = query.events * LeastGap(query.service, now);
   return needed * kCertainShare <= ToSeconds(query.deadline - now);
 }
 
-void Dispatcher::OnEventGap(const ServiceName& service, Duration gap,
-                            TimePoint now) {
-  EventPace& pace = event_paces_[service];
+double Dispatcher::LeastGap(const ServiceName& service, TimePoint now) const {
+  double least = 0;
+  for (const auto& [key, gate] : gates_) {
+    const bool is_known = key.first == service && gate.pace.gap_seconds > 0 &&
+                          now - gate.pace.at <= kPaceMemory;
+    if (!is_known) continue;
+    least = least == 0 ? gate.pace.gap_seconds
+                       : std::min(least, gate.pace.gap_seconds);
+  }
+  return least;
+}
+
+// By how much the passes of the backend server's group take longer than those
+// of the fastest one.
+double Dispatcher::SlownessOf(const Backend& backend, double least_gap,
+                              TimePoint now) const {
+  const EventPace& pace = backend.gate->pace;
+  if (least_gap <= 0 || now - pace.at > kPaceMemory) return 0;
+  return std::max(0.0, pace.gap_seconds / least_gap - 1);
+}
+
+void Dispatcher::OnEventGap(AttemptNumber number, Duration gap, TimePoint now) {
+  const auto sent = sent_.find(number);
+  if (sent == sent_.end()) return;
+  const auto backend = backends_.find(sent->second.backend);
+  if (backend == backends_.end()) return;
+  EventPace& pace = backend->second.gate->pace;
   const bool is_fresh = now - pace.at <= kPaceMemory;
   pace.gap_seconds =
       is_fresh ? Smoothed(pace.gap_seconds, ToSeconds(gap)) : ToSeconds(gap);
@@ -156,23 +179,23 @@
                          TimePoint now) const {
   const double expected = ToSeconds(wait);
   const double left = ToSeconds(waiting.query.give_up - now);
-  const auto gate = gates_.find(waiting.query.service);
-  const bool is_closed = gate != gates_.end() && gate->second.is_closed;
-  const bool needs_margin = waiting.is_new && !is_closed;
+  const bool needs_margin =
+      waiting.is_new && !ClosedSince(waiting.query.service);
   return expected <= left * (needs_margin ? kShareOfPatience : 1.0);
 }
 
 Dispatcher::Backend* Dispatcher::Choose(const Query& query, TimePoint now) {
   const auto group = by_service_.find(query.service);
   if (group == by_service_.end()) return nullptr;
-  if (!MayPassGate(query.service, now)) return nullptr;
+  const double least_gap = LeastGap(query.service, now);
   Backend* best = nullptr;
   double best_cost = std::numeric_limits<double>::max();
   for (const InstanceId& id : group->second) {
     Backend& backend = backends_.at(id);
     if (!IsOpen(backend, query, now)) continue;
     // A random part breaks ties differently at each entry.
-    const double cost = CostOf(backend, query, now) + random_.Unit() * 0.1;
+    const double cost =
+        CostOf(backend, query, least_gap, now) + random_.Unit() * 0.1;
     if (cost >= best_cost) continue;
     best = &backend;
     best_cost = cost;
@@ -185,15 +208,27 @@
   return spec != nullptr && spec->engine && spec->engine->expert_sets > 0;
 }
 
-bool Dispatcher::MayPassGate(const ServiceName& service, TimePoint now) const {
-  const auto gate = gates_.find(service);
-  if (gate == gates_.end() || !gate->second.is_closed) return true;
-  return !gate->second.trial && now >= gate->second.next_try;
+bool Dispatcher::MayPass(const GroupGate& gate, TimePoint now) {
+  return !gate.is_closed || (!gate.trial && now >= gate.next_try);
+}
+
+std::optional<TimePoint> Dispatcher::ClosedSince(
+    const ServiceName& service) const {
+  const auto group = by_service_.find(service);
+  if (group == by_service_.end()) return std::nullopt;
+  std::optional<TimePoint> since;
+  for (const InstanceId& id : group->second) {
+    const GroupGate& gate = *backends_.at(id).gate;
+    if (!gate.is_closed) return std::nullopt;
+    since = std::max(since.value_or(gate.closed_since), gate.closed_since);
+  }
+  return since;
 }
 
 bool Dispatcher::IsOpen(const Backend& backend, const Query& query,
                         TimePoint now) {
   if (backend.is_gone || backend.ejected_until > now) return false;
+  if (!MayPass(*backend.gate, now)) return false;
   if (!notices_.IsWelcome(backend.record.id, now)) return false;
   if (std::ranges::find(query.tried, backend.record.id) != query.tried.end()) {
     return false;
@@ -232,12 +267,13 @@
 // requests that write, and prompt tokens that wait to be read. For others it is
 // the expected wait in units of one request.
 double Dispatcher::CostOf(const Backend& backend, const Query& query,
-                          TimePoint now) const {
+                          double least_gap, TimePoint now) const {
   double cost = RequestsAt(backend, now);
   const ServiceSpec* spec = SpecOf(query.service);
   if (spec != nullptr && spec->engine) {
     const double usual = std::max(1.0, spec->engine->usual_prompt_tokens);
     cost += UnreadAt(backend, now) / usual;
+    cost += kSlownessCost * SlownessOf(backend, least_gap, now);
   } else if (backend.service_seconds > 0) {
     cost = (cost + 1) * backend.service_seconds * 20;
   }
@@ -290,8 +326,7 @@
   ++backend.own_requests;
   backend.own_unread += query.prompt_tokens;
   backend.recent.Add(now);
-  GroupGate& gate = gates_[query.service];
-  if (gate.is_closed) gate.trial = query.number;
+  if (backend.gate->is_closed) backend.gate->trial = query.number;
   sent_[query.number] = {.backend = backend.record.id,
                          .service = query.service,
                          .unread_tokens = query.prompt_tokens,
@@ -313,10 +348,7 @@
 // been.
 Duration Dispatcher::ExpectedWait(const ServiceName& service, int ahead,
                                   TimePoint now) const {
-  const auto gate = gates_.find(service);
-  if (gate != gates_.end() && gate->second.is_closed) {
-    return now - gate->second.closed_since;
-  }
+  if (const auto since = ClosedSince(service)) return now - *since;
   const auto group = by_service_.find(service);
   if (group == by_service_.end()) return kUnknownWait;
   if (const auto until = QuietUntil(service, now)) return *until - now;
@@ -325,6 +357,7 @@
   int known = 0;
   for (const InstanceId& id : group->second) {
     const Backend& backend = backends_.at(id);
+    if (backend.gate->is_closed) continue;
     slots += backend.record.slots;
     seconds += backend.service_seconds;
     known += backend.service_seconds > 0 ? 1 : 0;
@@ -362,9 +395,9 @@
 void Dispatcher::OnAnswerBegun(AttemptNumber number) {
   const auto it = sent_.find(number);
   if (it == sent_.end()) return;
-  gates_[it->second.service] = GroupGate();
   const auto backend = backends_.find(it->second.backend);
   if (backend != backends_.end()) {
+    *backend->second.gate = GroupGate{.pace = backend->second.gate->pace};
     backend->second.own_unread -= it->second.unread_tokens;
   }
   it->second.unread_tokens = 0;
@@ -375,11 +408,10 @@
   if (it == sent_.end()) return;
   const Sent sent = it->second;
   sent_.erase(it);
-  GroupGate& gate = gates_[sent.service];
-  if (gate.trial == number) gate.trial.reset();
   const auto found = backends_.find(sent.backend);
   if (found == backends_.end()) return;
   Backend& backend = found->second;
+  if (backend.gate->trial == number) backend.gate->trial.reset();
   --backend.own_requests;
   backend.own_unread -= sent.unread_tokens;
   switch (result) {
@@ -414,7 +446,7 @@
 }
 
 void Dispatcher::OnGroupRefusal(Backend& backend, TimePoint now) {
-  GroupGate& gate = gates_[backend.record.service];
+  GroupGate& gate = *backend.gate;
   const bool has_second = !gate.refused_by.empty() &&
                           gate.refused_by != backend.record.id &&
                           now - gate.refused_at <= kRefusalMemory;
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -116,8 +116,8 @@
   // long it wants nothing more.
   void OnNotice(const InstanceId& id, bool is_leaving,
                 std::optional<Millis> quiet, TimePoint now);
-  // A stream of the service brought an event `gap` after the one before.
-  void OnEventGap(const ServiceName& service, Duration gap, TimePoint now);
+  // A stream brought an event `gap` after the one before.
+  void OnEventGap(AttemptNumber number, Duration gap, TimePoint now);
 
   std::vector<BackendShare> OwnShares() const;
   // Connections that this entry may open to a backend server.
@@ -135,8 +135,10 @@
     BackendShare share;
     TimePoint heard;
   };
+  struct GroupGate;
   struct Backend {
     BackendRecord record;
+    GroupGate* gate = nullptr;  // of its group; never null once listed
     // One that isn't listed any more is kept while work is in progress there.
     bool is_listed = true;
     int own_requests = 0;
@@ -162,6 +164,11 @@
     Query query;
     bool is_new = true;  // not yet judged
   };
+  // How far apart the events of streams come.
+  struct EventPace {
+    double gap_seconds = 0;  // smoothed
+    TimePoint at;
+  };
   // All ranks of a group refuse work while it isn't open, which shows when two
   // of them do without any answer in between. One request at a time tries
   // whether it is open again, the others wait.
@@ -173,23 +180,28 @@
     TimePoint closed_since;
     TimePoint next_try;
     std::optional<AttemptNumber> trial;
+    EventPace pace;
   };
+  // Engines whose group isn't known count as one group of their service.
+  using GroupKey = std::pair<ServiceName, GroupName>;
 
   bool IsGroup(const ServiceName& service) const;
   void OnGroupRefusal(Backend& backend, TimePoint now);
-  bool MayPassGate(const ServiceName& service, TimePoint now) const;
-  // How far apart the events of a service's streams come.
-  struct EventPace {
-    double gap_seconds = 0;  // smoothed
-    TimePoint at;
-  };
+  static bool MayPass(const GroupGate& gate, TimePoint now);
+  // Since when all groups of the service are closed, by the one that closed
+  // last; nothing if one is open.
+  std::optional<TimePoint> ClosedSince(const ServiceName& service) const;
+  // The event gap of the service's fastest group, in seconds; 0: not known.
+  double LeastGap(const ServiceName& service, TimePoint now) const;
+  double SlownessOf(const Backend& backend, double least_gap,
+                    TimePoint now) const;
 
   bool CanFinish(const Query& query, TimePoint now) const;
   Backend* Choose(const Query& query, TimePoint now);
   bool IsOpen(const Backend& backend, const Query& query, TimePoint now);
   int RequestsAt(const Backend& backend, TimePoint now) const;
   int UnreadAt(const Backend& backend, TimePoint now) const;
-  double CostOf(const Backend& backend, const Query& query,
+  double CostOf(const Backend& backend, const Query& query, double least_gap,
                 TimePoint now) const;
   void SetParts(Backend& backend) const;
   void SetAllParts();
@@ -212,8 +224,7 @@
   std::unordered_map<InstanceId, Backend> backends_;
   std::map<ServiceName, std::vector<InstanceId>> by_service_;
   std::map<ServiceName, ServiceSpec> services_;
-  std::map<ServiceName, GroupGate> gates_;
-  std::map<ServiceName, EventPace> event_paces_;
+  std::map<GroupKey, GroupGate> gates_;
   std::vector<Waiting> waiting_;  // in the order of their turns
   std::map<AttemptNumber, Sent> sent_;
   std::map<WorkspaceName, int> in_progress_;
--- a/src/store/fleet_builder.cc
+++ b/src/store/fleet_builder.cc
@@ -37,6 +37,7 @@
           item == nullptr ? std::nullopt : DecodeMember(item->value);
       if (member) {
         members_[key] = *member;
+        if (!member->group.empty()) groups_[member->backend] = member->group;
       } else {
         members_.erase(key);
       }
@@ -135,6 +136,8 @@
         record.listed == newest[record.address] &&
         !zones_out_.contains(record.zone)) {
       view->backends.push_back(record);
+      const auto group = groups_.find(record.address);
+      if (group != groups_.end()) view->backends.back().group = group->second;
     }
   }
   for (const auto& [key, member] : members_) {
--- a/src/store/fleet_builder.h
+++ b/src/store/fleet_builder.h
@@ -63,6 +63,8 @@
   std::set<InstanceId> unlisted_;
   std::set<ZoneName> zones_out_;
   std::map<std::string, Member> members_;
+  // As agents told of the engines beside them; kept when they are gone.
+  std::map<Endpoint, GroupName> groups_;
 };
 
 }  // namespace mangohold
--- a/src/store/lease_keeper.cc
+++ b/src/store/lease_keeper.cc
@@ -14,6 +14,11 @@
   loop_.Every(options_.renewal, [this] { Renew(); });
 }
 
+void LeaseKeeper::SetValue(std::string value) {
+  if (std::exchange(options_.value, value) == value) return;
+  if (lease_ && !is_granting_) Write(*lease_, std::nullopt);
+}
+
 void LeaseKeeper::Renew() {
   if (is_released_) return;
   if (!lease_) return Grant();
--- a/src/store/lease_keeper.h
+++ b/src/store/lease_keeper.h
@@ -24,6 +24,8 @@
   LeaseKeeper(EventLoop& loop, Store& store, Options options);
 
   void Start();
+  // Lists another value from now on.
+  void SetValue(std::string value);
   // Takes the key away at once.
   void Release();
   // The key is gone from the store although this process lives: lists it again.
--- a/src/store/member.cc
+++ b/src/store/member.cc
@@ -6,10 +6,10 @@
 
 std::string EncodeMember(const Member& member) {
   return nlohmann::json{
-      {"id", member.id},      {"role", static_cast<int>(member.role)},
-      {"zone", member.zone},  {"caller", member.caller},
-      {"peer", member.peer},  {"backend", member.backend},
-      {"admin", member.admin}}
+      {"id", member.id},       {"role", static_cast<int>(member.role)},
+      {"zone", member.zone},   {"caller", member.caller},
+      {"peer", member.peer},   {"backend", member.backend},
+      {"group", member.group}, {"admin", member.admin}}
       .dump();
 }
 
@@ -26,6 +26,7 @@
                   .caller = json.at("caller").get<Endpoint>(),
                   .peer = json.at("peer").get<Endpoint>(),
                   .backend = json.at("backend").get<Endpoint>(),
+                  .group = json.at("group").get<GroupName>(),
                   .admin = json.at("admin").get<Endpoint>()};
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
--- a/src/store/member.h
+++ b/src/store/member.h
@@ -18,6 +18,7 @@
   Endpoint caller;   // where callers connect, of entries
   Endpoint peer;     // where datagrams of peers arrive
   Endpoint backend;  // the backend server beside it, of agents
+  GroupName group;   // the group in which that is a rank, of agents
   Endpoint admin;    // metrics, and the deployment for peers
 };
 
--- a/tests/unit/agent_directory_test.cc
+++ b/tests/unit/agent_directory_test.cc
@@ -11,6 +11,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+const GroupName kGroup("g");
+
 // A store that lists its items in pages and answers at once, or not at all.
 class PagedStore : public Store {
  public:
@@ -42,7 +44,10 @@
 
   void Add(const std::string& id, MemberRole role) {
     const Member member = {
-        .id = InstanceId(id), .role = role, .peer = Endpoint(id + ":7000")};
+        .id = InstanceId(id),
+        .role = role,
+        .peer = Endpoint(id + ":7000"),
+        .group = role == MemberRole::kAgent ? kGroup : GroupName()};
     items.push_back({.key = "m/" + id, .value = EncodeMember(member)});
     std::ranges::sort(items, {}, &StoreItem::key);
   }
@@ -60,7 +65,8 @@
   return {.id = InstanceId(AgentName(number)),
           .role = MemberRole::kAgent,
           .peer = Endpoint(AgentName(number) + ":7000"),
-          .backend = Endpoint(AgentName(number) + ":9000")};
+          .backend = Endpoint(AgentName(number) + ":9000"),
+          .group = kGroup};
 }
 
 class AgentDirectoryTest : public testing::Test {
@@ -80,7 +86,7 @@
 // The agents fill more pages than one, and entries come before them.
 TEST_F(AgentDirectoryTest, KnowsAgentsOfAllPages) {
   directory_.Refresh(now_, false);
-  EXPECT_EQ(directory_.Unplaced().size(), 71U);
+  EXPECT_EQ(directory_.Unplaced(kGroup).size(), 71U);
   EXPECT_NE(directory_.Find(InstanceId(AgentName(71))), nullptr);
   EXPECT_EQ(directory_.Find(InstanceId("edge-1")), nullptr);
 }
@@ -90,7 +96,7 @@
 TEST_F(AgentDirectoryTest, AgentsThatWereHeardArePlaced) {
   directory_.Refresh(now_, false);
   for (int rank = 0; rank < 24; ++rank) {
-    EXPECT_EQ(directory_.Unplaced().size(), 71U - std::max(0, rank - 1));
+    EXPECT_EQ(directory_.Unplaced(kGroup).size(), 71U - std::max(0, rank - 1));
     directory_.OnHeard(rank, Agent(rank * 3), now_);
   }
   ASSERT_NE(directory_.AgentOf(23), nullptr);
@@ -100,6 +106,12 @@
       << "the engine has another machine";
 }
 
+// The agents of other groups are never asked.
+TEST_F(AgentDirectoryTest, AgentsOfOtherGroupsAreLeftAlone) {
+  directory_.Refresh(now_, false);
+  EXPECT_TRUE(directory_.Unplaced(GroupName("other")).empty());
+}
+
 // A leader that the store turns away hears of its agents all the same.
 TEST_F(AgentDirectoryTest, AgentsThatWereHeardNeedNotBeListed) {
   store_.is_down = true;
@@ -130,20 +142,20 @@
   store_.items.clear();
   now_ += seconds(30);
   directory_.Refresh(now_, true);
-  EXPECT_EQ(directory_.Unplaced().size(), 71U);
+  EXPECT_EQ(directory_.Unplaced(kGroup).size(), 71U);
   now_ += seconds(40);
   directory_.Refresh(now_, true);
-  EXPECT_TRUE(directory_.Unplaced().empty());
+  EXPECT_TRUE(directory_.Unplaced(kGroup).empty());
 }
 
 TEST_F(AgentDirectoryTest, AsksAgainUntilTheStoreAnswers) {
   store_.is_down = true;
   directory_.Refresh(now_, false);
-  EXPECT_TRUE(directory_.Unplaced().empty());
+  EXPECT_TRUE(directory_.Unplaced(kGroup).empty());
   store_.is_down = false;
   now_ += milliseconds(500);
   directory_.Refresh(now_, false);
-  EXPECT_EQ(directory_.Unplaced().size(), 71U);
+  EXPECT_EQ(directory_.Unplaced(kGroup).size(), 71U);
 }
 
 }  // namespace
--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -227,6 +227,71 @@
   EXPECT_EQ(Decide().size(), 4U);
 }
 
+// A service of three groups, of which one breaks: the others take its work, and
+// nothing but one trial at a time goes to it.
+TEST_F(DispatcherTest, ABrokenGroupLeavesItsWorkToTheOthers) {
+  constexpr int kGroups = 3;
+  std::vector<BackendRecord> backends;
+  for (int i = 0; i < kGroups * kRanks; ++i) {
+    backends.push_back({.id = Rank(i),
+                        .service = kModel,
+                        .zone = ZoneName("north"),
+                        .slots = kSlots,
+                        .group = GroupName(std::to_string(i / kRanks))});
+  }
+  dispatcher_.SetBackends(backends);
+  const auto is_broken = [](const InstanceId& id) {
+    return id == Rank(0) || id == Rank(1) || id == Rank(2) || id == Rank(3);
+  };
+  int rejected = 0;
+  int served = 0;
+  for (int i = 0; i < 300; ++i) {
+    now_ += milliseconds(10);
+    const AttemptNumber number = Submit(kModel);
+    const auto decisions = Decide();
+    ASSERT_TRUE(decisions.contains(number)) << "it waits for a closed group";
+    ASSERT_TRUE(decisions.at(number).backend);
+    if (is_broken(decisions.at(number).backend->id)) {
+      ++rejected;
+      dispatcher_.OnEnded(number, Dispatcher::Result::kRejected, now_);
+      continue;
+    }
+    ++served;
+    dispatcher_.OnAnswerBegun(number);
+    dispatcher_.OnEnded(number, Dispatcher::Result::kServed, now_);
+  }
+  // One trial in each 120 ms of the three seconds.
+  EXPECT_LE(rejected, 2 + 3'000 / 120);
+  EXPECT_GE(served, 270);
+}
+
+// The passes of one group take twice as long as another's, since its map isn't
+// even yet.
+TEST_F(DispatcherTest, ASlowGroupGetsLess) {
+  std::vector<BackendRecord> backends;
+  for (int i = 0; i < 2 * kRanks; ++i) {
+    backends.push_back({.id = Rank(i),
+                        .service = kModel,
+                        .zone = ZoneName("north"),
+                        .slots = 10,
+                        .group = GroupName(i < kRanks ? "slow" : "fast")});
+  }
+  dispatcher_.SetBackends(backends);
+  std::map<AttemptNumber, bool> is_slow;
+  std::map<bool, int> sent;
+  for (int i = 0; i < 40; ++i) {
+    const AttemptNumber number = Submit(kModel);
+    const auto decisions = Decide();
+    is_slow[number] = decisions.at(number).backend->group == GroupName("slow");
+    ++sent[is_slow[number]];
+    for (const auto& [running, slow] : is_slow) {
+      dispatcher_.OnEventGap(running, milliseconds(slow ? 120 : 60), now_);
+    }
+  }
+  EXPECT_GT(sent[false], sent[true]);
+  EXPECT_GT(sent[true], 0);
+}
+
 // A rank that refuses alone, though its group works, is passed over by itself.
 TEST_F(DispatcherTest, GreyRankThatRefusesDoesNotCloseItsGroup) {
   std::map<InstanceId, int> sent;
@@ -344,8 +409,10 @@
                         .events = events});
     return last_;
   };
+  const AttemptNumber running = Submit(kModel);
+  Decide();
   for (int i = 0; i < 20; ++i) {
-    dispatcher_.OnEventGap(kModel, milliseconds(500), now_);
+    dispatcher_.OnEventGap(running, milliseconds(500), now_);
   }
   const AttemptNumber longer = submit(28);
   const AttemptNumber shorter = submit(10);
