Give whole maps in the order that differences lead to

Cause: an agent that doesn't know the base is given the whole map, with its experts in the planner's order; the others had them ascending, and ranks compare to the letter. Ruled out: two leaders of one term; a wrong base, which the digest refuses. Change: a switch keeps its map canonical. Test: MapSwitch.TheWholeMapIsTheOneThatTheDifferenceLeadsTo failed before.

--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -518,7 +518,7 @@
       present
           ? std::make_shared<MapDelta>(DeltaOf(PresentVersion(), *present, map))
           : nullptr;
-  map_ = std::move(map);
+  map_ = Canonical(std::move(map));
   holder_ = options_.own_rank == 0 && size() > 1 ? 1 : 0;
   GoTo(Phase::kPreparing, now);
 }
--- a/tests/unit/map_switch_test.cc
+++ b/tests/unit/map_switch_test.cc
@@ -434,6 +434,38 @@
   EXPECT_GT(group.engines[kLate].prepared, group.engines[2].prepared);
 }
 
+// Ranks compare maps to the letter: what one is given whole, since its agent
+// doesn't know the map in use, is what the others make of the difference.
+TEST(MapSwitch, TheWholeMapIsTheOneThatTheDifferenceLeadsTo) {
+  Group group;
+  const TimePoint now = TimePoint() + seconds(50);
+  constexpr LeaderTerm kTerm(1);
+  MapSwitch leader({.term = kTerm, .own_rank = 0});
+  const GroupMap present = {{{0}, {1}, {2}, {3}}};
+  const auto tell = [&](MapVersion missing) {
+    for (int rank = 0; rank < kRanks; ++rank) {
+      leader.OnStatus({.term = kTerm,
+                       .report = group.Report(rank),
+                       .holdings = {{rank}},
+                       .missing = rank == 2 ? missing : MapVersion()},
+                      now);
+    }
+  };
+  tell(MapVersion());
+  leader.Advance(now);
+  ASSERT_TRUE(leader.CanBegin(now));
+  leader.Begin({{{3, 0}, {1}, {2}, {3, 1}}}, now);
+  const auto first = leader.Advance(now);
+  ASSERT_EQ(std::ssize(first), kRanks);
+  for (const RankCommand& command : first) ASSERT_TRUE(command.delta);
+  tell(leader.version());
+  const auto again = leader.Advance(now);
+  ASSERT_EQ(again.size(), 1U);
+  EXPECT_EQ(again.front().rank, 2);
+  EXPECT_FALSE(again.front().delta);
+  EXPECT_EQ(again.front().map, Apply(present, *first.front().delta));
+}
+
 // The failing side: without the hold a late or lost arm splits the group.
 TEST(MapSwitch, WithoutTheHoldAPassIsBegunWithTwoMaps) {
   bool is_split = false;
