Two watchers a zone follow the store for the others of a large fleet

Change: above 12 entries two of a zone, drawn among the living, follow the store; the others hold a question at one of them (ChangeLog, ages travel), and ask the store themselves when watchers fail or are behind. A start lists stale pages and confirms by a short watch. Entries' leases last 6 s, renewed each 2 s.

--- a/src/caller/entry_control.cc
+++ b/src/caller/entry_control.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Millis kTick{200};
+constexpr Millis kLeaseTtl{6'000};
+constexpr Millis kLeaseRenewal{2'000};
 constexpr Millis kPeerTimeout{800};
 constexpr char kDeploymentPath[] = "/deployment";
 constexpr char kRevisionField[] = "Mangohold-Revision";
@@ -32,9 +34,15 @@
           {.on_changed = [this](const auto& keys) { OnChanged(keys); },
            .on_confirmed = [this](TimePoint as_of) { OnConfirmed(as_of); },
            .on_contact = [](bool /*is_answering*/) {}}),
+      watchers_(http,
+                {.choice = {.self = options_.self,
+                            .most_direct = options_.most_direct_followers}},
+                [this](Revision after) { return follower_.Tell(after); }),
       lease_(loop, store,
              {.key = options_.schema.member_prefix + options_.self.id.value(),
-              .value = EncodeMember(options_.self)}),
+              .value = EncodeMember(options_.self),
+              .ttl = kLeaseTtl,
+              .renewal = kLeaseRenewal}),
       ready_(loop.io(),
              {.address = options_.ready_address,
               .max_connections = kMostAdminConnections},
@@ -50,7 +58,7 @@
               .max_connections = kMostAdminConnections},
              [this](const HttpRequest& request,
                     const std::shared_ptr<HttpExchange>& exchange) {
-               HandleAdmin(request, *exchange);
+               HandleAdmin(request, exchange);
              }),
       http_(http) {}
 
@@ -59,6 +67,7 @@
     absl::Status status = server->Listen();
     if (!status.ok()) return status;
   }
+  follower_.SetRelay(watchers_);
   follower_.Start();
   lease_.Start();
   loop_.Every(kTick, [this] { Tick(); });
@@ -74,6 +83,7 @@
   const bool is_new =
       builder_.OnChanged(keys, follower_.replica(), Contact(), BootNow());
   if (is_new) Publish();
+  watchers_.AnswerDue();
   const std::string own =
       options_.schema.member_prefix + options_.self.id.value();
   const bool is_missing = std::ranges::find(keys, own) != keys.end() &&
@@ -87,6 +97,7 @@
 }
 
 void EntryControl::Tick() {
+  watchers_.AnswerDue();
   if (builder_.OnTime(Contact(), BootNow())) Publish();
 }
 
@@ -99,18 +110,21 @@
 
 void EntryControl::SetAlive(std::vector<Member> alive) {
   alive_ = std::move(alive);
+  watchers_.SetAlive(alive_);
 }
 
 void EntryControl::HandleAdmin(const HttpRequest& request,
-                               HttpExchange& exchange) const {
-  if (request.path == kDeploymentPath) {
+                               const std::shared_ptr<HttpExchange>& exchange) {
+  if (request.path == ZoneWatchers::kPath) {
+    watchers_.OnQuestion(request, exchange);
+  } else if (request.path == kDeploymentPath) {
     const StoreItem& item = builder_.deployment_item();
-    exchange.Reply(builder_.routes() == nullptr ? 503 : 200,
-                   {{kRevisionField, std::to_string(item.revision.value())}},
-                   item.value);
+    exchange->Reply(builder_.routes() == nullptr ? 503 : 200,
+                    {{kRevisionField, std::to_string(item.revision.value())}},
+                    item.value);
   } else {
-    exchange.Reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
-                   counters_.PrometheusText());
+    exchange->Reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                    counters_.PrometheusText());
   }
 }
 
--- a/src/caller/entry_control.h
+++ b/src/caller/entry_control.h
@@ -12,6 +12,7 @@
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "peer/zone_watchers.h"
 #include "store/fleet_builder.h"
 #include "store/lease_keeper.h"
 #include "store/store_follower.h"
@@ -30,6 +31,8 @@
     Millis address_max_age{1'000};
     // The age of the last confirmation up to which this entry takes work.
     Duration confirmation_limit = std::chrono::milliseconds(4'500);
+    // Up to this many entries each follow the store themselves.
+    int most_direct_followers = 12;
   };
   struct Handlers {
     std::function<void(FleetViewPtr)> on_view;
@@ -52,7 +55,8 @@
   void OnConfirmed(TimePoint as_of);
   void Tick();
   void Publish();
-  void HandleAdmin(const HttpRequest& request, HttpExchange& exchange) const;
+  void HandleAdmin(const HttpRequest& request,
+                   const std::shared_ptr<HttpExchange>& exchange);
   bool IsReady() const;
   DirectoryAnswer Answer(const DirectoryQuestion& question) const;
   FleetBuilder::Contact Contact() const;
@@ -63,6 +67,7 @@
   Handlers handlers_;
   FleetBuilder builder_;
   StoreFollower follower_;
+  ZoneWatchers watchers_;
   LeaseKeeper lease_;
   HttpServer ready_;
   HttpServer directory_;
--- a/src/core/process_settings.cc
+++ b/src/core/process_settings.cc
@@ -126,6 +126,8 @@
                         {1, 1'000'000});
         reader.OptionalMillis("address_max_age_ms", settings.address_max_age,
                               {100, 60'000});
+        reader.Optional("most_direct_followers", settings.most_direct_followers,
+                        {0, 1'000'000});
         reader.OptionalMillis("revocation_ms", settings.revocation,
                               {1'000, 60'000});
         reader.Optional("grace_s", settings.grace_s, kSeconds);
--- a/src/core/process_settings.h
+++ b/src/core/process_settings.h
@@ -63,6 +63,8 @@
   LogLevel log_level = LogLevel::kInfo;
   int max_connections = 3'000;
   Millis address_max_age{1'000};
+  // In a larger fleet two entries of a zone follow the store for the others.
+  int most_direct_followers = 12;
   // A key that operators took away opens nothing after this.
   Millis revocation{5'000};
   double grace_s = 8;  // from SIGTERM to the end of the process
--- a/src/direct_entry_main.cc
+++ b/src/direct_entry_main.cc
@@ -89,7 +89,8 @@
        .ready_address = settings.ready_address,
        .directory_address = settings.directory_address,
        .address_max_age = settings.address_max_age,
-       .confirmation_limit = confirmation_limit},
+       .confirmation_limit = confirmation_limit,
+       .most_direct_followers = settings.most_direct_followers},
       {.on_view =
            [&](FleetViewPtr view) {
              traffic.Post(
--- /dev/null
+++ b/src/peer/zone_watchers.cc
@@ -0,0 +1,143 @@
+#include "peer/zone_watchers.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/log.h"
+#include "core/numbers.h"
+#include "peer/delegates.h"
+
+namespace mangohold {
+namespace {
+
+constexpr std::size_t kWatchersPerZone = 2;
+constexpr std::size_t kMostQuestions = 512;
+constexpr Millis kConnectTimeout{300};
+// What an answer may take beyond the time for which a question is held.
+constexpr Millis kAnswerTimeout{500};
+
+}  // namespace
+
+void WatcherChoice::SetAlive(const std::vector<Member>& alive) {
+  watchers_.clear();
+  is_serving_ = false;
+  const auto entries = static_cast<int>(alive.size()) + 1;
+  if (entries <= options_.most_direct) return;
+  std::map<InstanceId, Member> zone = {{options_.self.id, options_.self}};
+  std::vector<InstanceId> ids = {options_.self.id};
+  for (const Member& member : alive) {
+    if (member.zone != options_.self.zone) continue;
+    zone[member.id] = member;
+    ids.push_back(member.id);
+  }
+  for (const InstanceId& id : DrawDelegates(std::move(ids), kWatchersPerZone)) {
+    if (id == options_.self.id) {
+      is_serving_ = true;
+    } else {
+      watchers_.push_back(zone.at(id));
+    }
+  }
+}
+
+std::optional<Member> WatcherChoice::Choose(TimePoint now) const {
+  if (is_serving_) return std::nullopt;
+  const auto watcher =
+      std::ranges::find_if(watchers_, [&](const Member& member) {
+        const auto avoided = avoided_until_.find(member.id);
+        return avoided == avoided_until_.end() || avoided->second <= now;
+      });
+  if (watcher == watchers_.end()) return std::nullopt;
+  return *watcher;
+}
+
+void WatcherChoice::OnFailed(const InstanceId& watcher, TimePoint now) {
+  std::erase_if(avoided_until_,
+                [now](const auto& item) { return item.second <= now; });
+  avoided_until_[watcher] = now + options_.avoidance;
+}
+
+void WatcherChoice::OnAnswer(const InstanceId& watcher, Duration age,
+                             TimePoint now) {
+  if (age > options_.most_age) OnFailed(watcher, now);
+}
+
+ZoneWatchers::ZoneWatchers(HttpClient& http, Options options, Source source)
+    : http_(http),
+      options_(options),
+      source_(std::move(source)),
+      choice_(std::move(options.choice)) {}
+
+bool ZoneWatchers::Watch(Revision after, OnEvents on_events) {
+  const auto watcher = choice_.Choose(BootNow());
+  LogSource(watcher ? watcher->id : InstanceId());
+  if (!watcher) return false;
+  const std::string url = "http://" + watcher->admin.value() + kPath +
+                          "?after=" + std::to_string(after.value());
+  Fetch(http_,
+        {.url = url,
+         .connect_timeout = kConnectTimeout,
+         .timeout = options_.wait + kAnswerTimeout},
+        [this, id = watcher->id,
+         on_events = std::move(on_events)](const HttpResponse& response) {
+          const bool is_whole = response.result == HttpResult::kComplete &&
+                                response.status == 200;
+          auto relayed =
+              is_whole ? DecodeRelayed(response.body)
+                       : absl::StatusOr<RelayedEvents>(absl::UnavailableError(
+                             "no answer of " + id.value()));
+          if (relayed.ok()) {
+            choice_.OnAnswer(id, relayed->age, BootNow());
+          } else {
+            choice_.OnFailed(id, BootNow());
+            Log(LogLevel::kInfo, "watcher_failed",
+                {{"watcher", id.value()}, {"status", response.status}});
+          }
+          on_events(std::move(relayed));
+        });
+  return true;
+}
+
+void ZoneWatchers::LogSource(const InstanceId& watcher) {
+  if (std::exchange(source_watcher_, watcher) == watcher) return;
+  Log(LogLevel::kInfo, "store_followed",
+      {{"through", watcher.value()},
+       {"serving", static_cast<int>(choice_.IsServing())}});
+}
+
+void ZoneWatchers::OnQuestion(const HttpRequest& request,
+                              const std::shared_ptr<HttpExchange>& exchange) {
+  const auto after = ParseInteger(request.QueryValue("after"));
+  if (!after || *after < 0) return exchange->Reply(400, {}, "no revision\n");
+  const bool can_answer = choice_.IsServing() &&
+                          questions_.size() < kMostQuestions &&
+                          source_(Revision(*after));
+  if (!can_answer) return exchange->Reply(503, {}, "not a watcher\n");
+  questions_.push_back(
+      {.after = Revision(*after), .asked = BootNow(), .exchange = exchange});
+  AnswerDue();
+}
+
+void ZoneWatchers::AnswerDue() {
+  const TimePoint now = BootNow();
+  std::erase_if(questions_, [this, now](const Question& question) {
+    return Answer(question, now);
+  });
+}
+
+// False if nothing has happened, and the question can be held longer.
+bool ZoneWatchers::Answer(const Question& question, TimePoint now) {
+  auto relayed = source_(question.after);
+  if (!relayed) {
+    question.exchange->Reply(410, {}, "forgotten\n");
+    return true;
+  }
+  relayed->held = now - question.asked;
+  if (relayed->events.events.empty() && relayed->held < options_.wait) {
+    return false;
+  }
+  question.exchange->Reply(200, {{"Content-Type", "application/cbor"}},
+                           EncodeRelayed(*relayed));
+  return true;
+}
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/peer/zone_watchers.h
@@ -0,0 +1,99 @@
+// Who follows the store in a large fleet: two entries of each zone, drawn among
+// those that are alive. The others ask these for changes, so that the calls to
+// the store grow with the zones. An entry that can't reach its zone's watchers,
+// or finds them behind, asks the store itself.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "core/clock.h"
+#include "net/http_client.h"
+#include "net/http_message.h"
+#include "net/http_server.h"
+#include "store/change_relay.h"
+#include "store/member.h"
+
+namespace mangohold {
+
+// The choice of whom to ask. No clock and no network.
+class WatcherChoice {
+ public:
+  struct Options {
+    Member self;
+    // Up to this many entries each follow the store themselves.
+    int most_direct = 12;
+    // A watcher that failed, or was found behind, isn't asked for this long.
+    Duration avoidance = std::chrono::seconds(3);
+    // A watcher whose knowledge is older than this is behind.
+    Duration most_age = std::chrono::milliseconds(1'800);
+  };
+
+  explicit WatcherChoice(Options options) : options_(std::move(options)) {}
+
+  // The peers that are alive.
+  void SetAlive(const std::vector<Member>& alive);
+  // True if this entry follows the store for others.
+  bool IsServing() const { return is_serving_; }
+  // The watcher to ask; nothing if the store is to be asked.
+  std::optional<Member> Choose(TimePoint now) const;
+  void OnFailed(const InstanceId& watcher, TimePoint now);
+  void OnAnswer(const InstanceId& watcher, Duration age, TimePoint now);
+
+ private:
+  Options options_;
+  bool is_serving_ = false;
+  std::vector<Member> watchers_;  // of this zone, this entry not among them
+  std::map<InstanceId, TimePoint> avoided_until_;
+};
+
+// Asks watchers, and answers as one. Belongs to the control thread.
+class ZoneWatchers : public ChangeRelay {
+ public:
+  struct Options {
+    WatcherChoice::Options choice;
+    // A question is held for this long when nothing changes.
+    Millis wait{800};
+  };
+  // What a watcher answers with now: nothing if it doesn't know all changes
+  // after the revision.
+  using Source = std::function<std::optional<RelayedEvents>(Revision after)>;
+
+  ZoneWatchers(HttpClient& http, Options options, Source source);
+
+  void SetAlive(const std::vector<Member>& alive) { choice_.SetAlive(alive); }
+
+  bool Watch(Revision after, OnEvents on_events) override;
+  bool IsServing() const override { return choice_.IsServing(); }
+
+  // Takes a question of another entry.
+  void OnQuestion(const HttpRequest& request,
+                  const std::shared_ptr<HttpExchange>& exchange);
+  // Answers those that something is there for, or that were held long enough.
+  // Call it after changes and from time to time.
+  void AnswerDue();
+
+  static constexpr char kPath[] = "/changes";
+
+ private:
+  struct Question {
+    Revision after;
+    TimePoint asked;
+    std::shared_ptr<HttpExchange> exchange;
+  };
+
+  bool Answer(const Question& question, TimePoint now);
+  void LogSource(const InstanceId& watcher);
+
+  HttpClient& http_;
+  Options options_;
+  Source source_;
+  WatcherChoice choice_;
+  std::vector<Question> questions_;
+  InstanceId source_watcher_;  // asked last; empty: the store itself
+};
+
+}  // namespace mangohold
--- /dev/null
+++ b/src/store/change_log.h
@@ -0,0 +1,39 @@
+// The latest changes of the store as this process learned them, for others that
+// follow the store through it. No clock and no network.
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <vector>
+
+#include "store/store.h"
+
+namespace mangohold {
+
+class ChangeLog {
+ public:
+  // The whole store was listed; changes after `at` follow.
+  void OnListed(Revision at);
+  void OnEvents(const StoreEvents& events);
+
+  // All changes after `after` that are known. Nothing if some before them were
+  // forgotten or never known.
+  std::optional<StoreEvents> Since(Revision after) const;
+  Revision at() const { return at_; }
+
+ private:
+  static constexpr std::size_t kMostEvents = 2'000;
+  static constexpr std::size_t kMostBytes = 4U << 20U;
+
+  static std::size_t SizeOf(const StoreEvent& event) {
+    return event.item.key.size() + event.item.value.size();
+  }
+
+  std::deque<StoreEvent> events_;
+  std::size_t bytes_ = 0;
+  std::optional<Revision> complete_after_;  // absent: nothing was listed yet
+  Revision at_;
+};
+
+}  // namespace mangohold
--- a/src/store/store_follower.cc
+++ b/src/store/store_follower.cc
@@ -14,6 +14,8 @@
 // A watch without events waited at the store for at least this share of the
 // wait, whatever the clocks' drift.
 constexpr double kCertainWait = 0.9;
+// Of the first watch after a listing.
+constexpr Millis kFirstWait{100};
 
 }  // namespace
 
@@ -25,41 +27,81 @@
       handlers_(std::move(handlers)),
       retry_(options.first_retry) {}
 
-void StoreFollower::Start() { List(); }
+// A listing that may be old is enough to begin with: the watch that follows
+// brings what it lacks.
+void StoreFollower::Start() { List(Freshness::kMayBeStale); }
 
-void StoreFollower::List() {
+void StoreFollower::List(Freshness freshness) {
   replica_.BeginListing();
+  listing_ = freshness;
   listing_began_ = BootNow();
-  store_.List(kAllKeys, "", Freshness::kLinearizable,
-              [this](auto page) { OnPage(page); });
+  store_.List(kAllKeys, "", freshness, [this](auto page) { OnPage(page); });
 }
 
 void StoreFollower::OnPage(const absl::StatusOr<StorePage>& page) {
   if (!page.ok()) {
     OnFailure(page.status());
-    loop_.After(retry_, [this] { List(); });
+    loop_.After(retry_, [this] { List(listing_); });
     return;
   }
   OnAnswer();
   const bool is_last = !page->has_more || page->items.empty();
   Report(replica_.OnPage(*page));
   if (!is_last) {
-    store_.List(kAllKeys, replica_.next_page_after(), Freshness::kLinearizable,
+    store_.List(kAllKeys, replica_.next_page_after(), listing_,
                 [this](auto next) { OnPage(next); });
     return;
   }
-  handlers_.on_confirmed(listing_began_);
-  Watch();
+  log_.OnListed(replica_.at());
+  if (listing_ == Freshness::kLinearizable) Confirm(listing_began_);
+  is_first_watch_ = true;
+  WatchStore();
 }
 
 void StoreFollower::Watch() {
   const TimePoint sent = BootNow();
-  store_.Watch(kAllKeys, replica_.at(), options_.watch_wait,
-               [this, sent](auto events) { OnEvents(events, sent); });
+  const bool is_relayed =
+      relay_ != nullptr &&
+      relay_->Watch(replica_.at(), [this, sent](const auto& relayed) {
+        OnRelayed(relayed, sent);
+      });
+  if (!is_relayed) WatchStore();
+}
+
+// The first watch is short: what was listed may be old.
+void StoreFollower::WatchStore() {
+  const TimePoint sent = BootNow();
+  const bool is_serving = relay_ != nullptr && relay_->IsServing();
+  const Millis wait = std::exchange(is_first_watch_, false) ? kFirstWait
+                      : is_serving ? options_.serving_wait
+                                   : options_.watch_wait;
+  store_.Watch(kAllKeys, replica_.at(), wait, [this, sent, wait](auto events) {
+    OnEvents(events, sent, wait);
+  });
+}
+
+// The answer was given after the question had been held, and knew all changes
+// until `age` before that.
+void StoreFollower::OnRelayed(const absl::StatusOr<RelayedEvents>& relayed,
+                              TimePoint sent) {
+  if (!relayed.ok()) {
+    loop_.After(options_.first_retry, [this] { Watch(); });
+    return;
+  }
+  const TimePoint now = BootNow();
+  const auto scaled = [](Duration duration, double factor) {
+    return std::chrono::duration_cast<Duration>(duration * factor);
+  };
+  OnContact(relayed->is_answering, now - relayed->answering_for);
+  Report(replica_.OnEvents(relayed->events));
+  log_.OnEvents(relayed->events);
+  Confirm(sent + scaled(relayed->held, 1 - options_.drift) -
+          scaled(relayed->age, 1 + options_.drift));
+  Watch();
 }
 
 void StoreFollower::OnEvents(const absl::StatusOr<StoreEvents>& events,
-                             TimePoint sent) {
+                             TimePoint sent, Millis wait) {
   if (!events.ok()) {
     OnFailure(events.status());
     loop_.After(retry_, [this] { Watch(); });
@@ -69,19 +111,20 @@
   if (events->is_history_lost) {
     Log(LogLevel::kInfo, "store_history_lost",
         {{"revision", replica_.at().value()}});
-    return List();
+    return List(Freshness::kLinearizable);
   }
   // An answer without events was given when the wait was over, any other at
   // an unknown time after the call was sent.
   const Duration waited =
       events->events.empty()
-          ? std::min<Duration>(BootNow() - sent,
-                               std::chrono::duration_cast<Duration>(
-                                   options_.watch_wait * kCertainWait))
+          ? std::min<Duration>(
+                BootNow() - sent,
+                std::chrono::duration_cast<Duration>(wait * kCertainWait))
           : Duration(0);
   Report(replica_.OnEvents(*events));
-  const bool was_cut_short = BootNow() - sent < options_.watch_wait;
-  handlers_.on_confirmed(was_cut_short ? sent : sent + waited);
+  log_.OnEvents(*events);
+  const bool was_cut_short = BootNow() - sent < wait;
+  Confirm(was_cut_short ? sent : sent + waited);
   if (was_cut_short) {
     loop_.After(options_.batch, [this] { Watch(); });
     return;
@@ -89,21 +132,39 @@
   Watch();
 }
 
+void StoreFollower::Confirm(TimePoint as_of) {
+  confirmed_as_of_ = std::max(confirmed_as_of_, as_of);
+  handlers_.on_confirmed(as_of);
+}
+
+std::optional<RelayedEvents> StoreFollower::Tell(Revision after) const {
+  auto events = log_.Since(after);
+  if (!events || confirmed_as_of_ == TimePoint()) return std::nullopt;
+  const TimePoint now = BootNow();
+  return RelayedEvents{.events = *std::move(events),
+                       .age = now - confirmed_as_of_,
+                       .is_answering = is_answering_,
+                       .answering_for = now - answering_since_};
+}
+
 void StoreFollower::OnAnswer() {
   retry_ = options_.first_retry;
-  if (is_answering_) return;
-  is_answering_ = true;
-  answering_since_ = BootNow();
-  Log(LogLevel::kInfo, "store_answers");
-  handlers_.on_contact(true);
+  if (!is_answering_) OnContact(true, BootNow());
 }
 
 void StoreFollower::OnFailure(const absl::Status& status) {
   retry_ = std::min(options_.longest_retry, retry_ * 2);
   if (!is_answering_) return;
-  is_answering_ = false;
   Log(LogLevel::kWarning, "store_lost", {{"error", MessageOf(status)}});
-  handlers_.on_contact(false);
+  OnContact(false, BootNow());
+}
+
+// `since` counts while the store answers.
+void StoreFollower::OnContact(bool is_answering, TimePoint since) {
+  answering_since_ = since;
+  if (std::exchange(is_answering_, is_answering) == is_answering) return;
+  if (is_answering) Log(LogLevel::kInfo, "store_answers");
+  handlers_.on_contact(is_answering);
 }
 
 void StoreFollower::Report(const std::vector<std::string>& keys) {
--- a/src/store/store_follower.h
+++ b/src/store/store_follower.h
@@ -7,6 +7,8 @@
 
 #include "core/clock.h"
 #include "net/event_loop.h"
+#include "store/change_log.h"
+#include "store/change_relay.h"
 #include "store/store.h"
 #include "store/store_replica.h"
 
@@ -25,17 +27,27 @@
   };
   struct Options {
     Millis watch_wait{2'000};
+    // The same while others follow the store through this process.
+    Millis serving_wait{700};
     // After events the next watch waits for this long, so that changes that
     // come in quick succession cost one call.
     Millis batch{200};
     Millis first_retry{100};
     Millis longest_retry{400};
+    // Clocks of different machines run apart by at most this part of a time.
+    double drift = 0.01;
   };
 
   StoreFollower(EventLoop& loop, Store& store, Options options,
                 Handlers handlers);
 
+  // From now on changes are asked for there where possible. It outlives this
+  // object.
+  void SetRelay(ChangeRelay& relay) { relay_ = &relay; }
   void Start();
+  // The changes after `after` and how fresh they are, for others; nothing if
+  // some were forgotten.
+  std::optional<RelayedEvents> Tell(Revision after) const;
   const StoreReplica& replica() const { return replica_; }
   bool is_answering() const { return is_answering_; }
   // When the store last began to answer again after it had failed to, by
@@ -43,12 +55,17 @@
   TimePoint answering_since() const { return answering_since_; }
 
  private:
-  void List();
+  void List(Freshness freshness);
   void OnPage(const absl::StatusOr<StorePage>& page);
   void Watch();
-  void OnEvents(const absl::StatusOr<StoreEvents>& events, TimePoint sent);
+  void WatchStore();
+  void OnRelayed(const absl::StatusOr<RelayedEvents>& relayed, TimePoint sent);
+  void Confirm(TimePoint as_of);
+  void OnEvents(const absl::StatusOr<StoreEvents>& events, TimePoint sent,
+                Millis wait);
   void OnAnswer();
   void OnFailure(const absl::Status& status);
+  void OnContact(bool is_answering, TimePoint since);
   void Report(const std::vector<std::string>& keys);
 
   EventLoop& loop_;
@@ -56,7 +73,12 @@
   Options options_;
   Handlers handlers_;
   StoreReplica replica_;
+  ChangeLog log_;
+  ChangeRelay* relay_ = nullptr;
+  Freshness listing_ = Freshness::kMayBeStale;
   TimePoint listing_began_;
+  bool is_first_watch_ = true;
+  TimePoint confirmed_as_of_;
   Millis retry_;
   bool is_answering_ = false;
   TimePoint answering_since_;
--- a/tests/direct_site.cc
+++ b/tests/direct_site.cc
@@ -234,17 +234,19 @@
   const std::string ip = Ip(10 + index);
   const std::string name = "entry-" + std::to_string(index);
   const std::string file = directory_ + "/" + name + ".jsonc";
-  std::ofstream(file) << Json{{"instance", name},
-                              {"zone", "north"},
-                              {"platform_url", "http://" + Ip(1) + ":7000"},
-                              {"caller_address", ip + ":8080"},
-                              {"ready_address", ip + ":8081"},
-                              {"directory_address", ip + ":8082"},
-                              {"peer_address", ip + ":8083"},
-                              {"metrics_address", ip + ":8084"},
-                              {"revocation_ms", options_.revocation_ms},
-                              {"grace_s", options_.grace_s},
-                              {"retry_slack", 60}};
+  std::ofstream(file) << Json{
+      {"instance", name},
+      {"zone", "north"},
+      {"platform_url", "http://" + Ip(1) + ":7000"},
+      {"caller_address", ip + ":8080"},
+      {"ready_address", ip + ":8081"},
+      {"directory_address", ip + ":8082"},
+      {"peer_address", ip + ":8083"},
+      {"metrics_address", ip + ":8084"},
+      {"revocation_ms", options_.revocation_ms},
+      {"most_direct_followers", options_.most_direct_followers},
+      {"grace_s", options_.grace_s},
+      {"retry_slack", 60}};
   entries_[index] = std::make_unique<Process>(
       std::vector<std::string>{
           std::string(MANGOHOLD_BINARY_DIR) + "/mangohold-direct-entry",
--- a/tests/direct_site.h
+++ b/tests/direct_site.h
@@ -75,6 +75,7 @@
     int backends = 1;
     int revocation_ms = 5'000;
     double grace_s = 8;
+    int most_direct_followers = 12;
   };
 
   explicit DirectSite(Options options);
--- a/tests/system/direct_way_test.cc
+++ b/tests/system/direct_way_test.cc
@@ -237,6 +237,49 @@
   }));
 }
 
+// Two of four entries follow the store for the others. When both stand still
+// the others ask the store themselves.
+TEST(DirectWay, EntriesFollowTheStoreThroughTheirZonesWatchers) {
+  constexpr int kEntries = 4;
+  DirectSite site({.entries = kEntries, .most_direct_followers = 1});
+  site.Start();
+  const auto follows_through = [&](int entry) {
+    return site.Log(entry).find("\"through\":\"entry-") != std::string::npos;
+  };
+  std::vector<int> watchers;
+  std::vector<int> others;
+  ASSERT_TRUE(WaitFor([&] {
+    watchers.clear();
+    others.clear();
+    for (int i = 0; i < kEntries; ++i) {
+      (follows_through(i) ? others : watchers).push_back(i);
+    }
+    return others.size() == 2;
+  }));
+  site.PutDeployment(3, {"k3"});
+  for (int i = 0; i < kEntries; ++i) {
+    EXPECT_TRUE(WaitFor([&] {
+      return site.Call("GET", "/again/x", "id", "", "k3", i).status == 200;
+    })) << "entry "
+        << i;
+  }
+  for (const int i : watchers) site.entry(i).Signal(SIGSTOP);
+  site.PutDeployment(4, {"k4"});
+  for (const int i : others) {
+    EXPECT_TRUE(WaitFor([&] {
+      return site.Call("GET", "/again/x", "id", "", "k4", i).status == 200;
+    })) << "entry "
+        << i;
+  }
+  for (const int i : watchers) site.entry(i).Signal(SIGCONT);
+  for (const int i : watchers) {
+    EXPECT_TRUE(WaitFor([&] {
+      return site.Call("GET", "/again/x", "id", "", "k4", i).status == 200;
+    })) << "entry "
+        << i;
+  }
+}
+
 TEST(DirectWay, ADrainingBackendServerGetsNothingNew) {
   DirectSite site({.backends = 2});
   site.Start();
