Keep a group's demand in the store, for a leader after a loss of power

Change: a leader writes its demand at most each 4 s with a plan and restores it when it begins to lead; a period with under a fifth of the usual choices is no shift; without any choices nothing is forgotten. Entries neither report nor pass these keys on. Tests: DemandEstimate.AFewChoicesAreNoShift, DemandText.*, RankAgent.AfterALossOfPower- TheDemandIsKnown.

--- a/src/group/expert_demand.h
+++ b/src/group/expert_demand.h
@@ -24,13 +24,26 @@
     }
   }
 
+  // Takes what was known before this process, at the weight of `choices`, so
+  // that what comes in soon replaces it. Nothing that is known is overwritten.
+  void Restore(const ExpertDemand& demand, double choices) {
+    const double weight = Weight(demand);
+    if (!demand_.empty() || weight <= 0) return;
+    demand_ = demand;
+    for (auto& set : demand_) {
+      for (double& value : set) value *= choices / weight;
+    }
+  }
+
   // Ends a period. `present` is the map in use, where known.
   void EndPeriod(const GroupMap* present) {
     const bool has_shifted =
         present != nullptr && present->size() == window_.size() &&
-        demand_.size() == window_.size() && Weight(window_) > 0 &&
-        Weight(demand_) > 0 &&
+        demand_.size() == window_.size() && Weight(demand_) > 0 &&
+        Weight(window_) >= kLeastEvidence * Weight(demand_) &&
         SkewOf(*present, window_) > kShiftFactor * SkewOf(*present, demand_);
+    // Without any choices nothing is learned, and nothing forgotten.
+    if (Weight(window_) <= 0) return;
     if (has_shifted || demand_.size() != window_.size()) {
       demand_ = window_;
     } else {
@@ -50,6 +63,8 @@
  private:
   // The part of the demand that is left after each period.
   static constexpr double kMemory = 0.6;
+  // The choices of a few requests are alike and look like a shift.
+  static constexpr double kLeastEvidence = 0.2;
   // A period whose skew is this many times the usual one tells of a shift.
   static constexpr double kShiftFactor = 1.35;
 
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -6,6 +6,7 @@
 
 #include "core/log.h"
 #include "core/status.h"
+#include "group/demand_text.h"
 #include "store/list_all.h"
 
 namespace mangohold {
@@ -37,6 +38,9 @@
 constexpr Millis kLongestCandidacy{2'400};
 // Choices that a plan has to rest on, for each expert of all sets.
 constexpr double kLeastChoicesPerExpert = 20;
+// Demand that was read from the store has the weight of this many plans.
+constexpr double kRestoredPlans = 4;
+constexpr std::chrono::seconds kDemandInterval(4);
 
 }  // namespace
 
@@ -348,6 +352,7 @@
   Log(LogLevel::kInfo, "leading_began",
       {{"group", rank_.report()->group.value()}, {"term", term.value()}});
   RefreshDirectory();
+  ReadDemand();
   Beat();
 }
 
@@ -523,11 +528,48 @@
        {"skew_after_percent", static_cast<int>(after * 100)},
        {"copies", CountCopies(planner->present(), planner->map())}});
   counters_.Count(Event::kMapSwitches);
+  KeepDemand();
   maps_.Put(map_switch.PresentVersion(), planner->present());
   map_switch.Begin(planner->map(), now);
   AdvanceSwitch();
 }
 
+// Keeps what is known of the demand where a later leader finds it. A write that
+// fails is made good by the next plan's.
+void RankAgent::KeepDemand() {
+  const TimePoint now = BootNow();
+  if (now - kept_demand_at_ < kDemandInterval || !rank_.report()) return;
+  kept_demand_at_ = now;
+  const std::string key =
+      options_.schema.demand_prefix + rank_.report()->group.value();
+  const std::string text = EncodeDemand(leadership_->demand.demand());
+  store_.Change({.writes = {{key, text, LeaseId()}}},
+                [](const ChangeResult& result) {
+                  if (result.fate == ChangeFate::kDone) return;
+                  Log(LogLevel::kInfo, "demand_not_kept",
+                      {{"fate", static_cast<int>(result.fate)}});
+                });
+}
+
+void RankAgent::ReadDemand() {
+  const std::string key =
+      options_.schema.demand_prefix + rank_.report()->group.value();
+  store_.List(key, "", Freshness::kMayBeStale, [this, key](const auto& page) {
+    if (!page.ok()) return LogEngineCall("demand", page.status());
+    if (!leadership_) return;
+    for (const StoreItem& item : page->items) {
+      const auto demand = DecodeDemand(item.value);
+      if (item.key != key || !demand || demand->empty()) continue;
+      const auto experts =
+          static_cast<double>(demand->size() * demand->front().size());
+      leadership_->demand.Restore(
+          *demand, kRestoredPlans * kLeastChoicesPerExpert * experts);
+      Log(LogLevel::kInfo, "demand_restored",
+          {{"sets", demand->size()}, {"revision", item.revision.value()}});
+    }
+  });
+}
+
 // True if this agent leads and the group may be held.
 bool RankAgent::MayBeHeld() const {
   if (!leadership_) return false;
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -103,6 +103,8 @@
   void Plan();
   void PlanOn();
   void FinishPlan();
+  void KeepDemand();
+  void ReadDemand();
   void ActForSilentAgents();
   void GiveDirectly(const Endpoint& engine, const RankCommand& command);
   bool IsSilent(int rank) const;
@@ -138,6 +140,7 @@
   std::optional<int> leader_rank_;
   TimePoint leader_heard_;
   int beat_rounds_ = 0;
+  TimePoint kept_demand_at_;
   TimePoint sought_at_;  // agents that aren't placed had a beat then
   bool is_challenging_ = false;
   std::unique_ptr<Leadership> leadership_;
--- a/src/store/store_follower.cc
+++ b/src/store/store_follower.cc
@@ -23,7 +23,7 @@
                              Handlers handlers)
     : loop_(loop),
       store_(store),
-      options_(options),
+      options_(std::move(options)),
       handlers_(std::move(handlers)),
       retry_(options.first_retry) {}
 
@@ -121,8 +121,9 @@
                 BootNow() - sent,
                 std::chrono::duration_cast<Duration>(wait * kCertainWait))
           : Duration(0);
-  Report(replica_.OnEvents(*events));
-  log_.OnEvents(*events);
+  const StoreEvents followed = WithoutIgnored(*events);
+  Report(replica_.OnEvents(followed));
+  log_.OnEvents(followed);
   const bool was_cut_short = BootNow() - sent < wait;
   Confirm(was_cut_short ? sent : sent + waited);
   if (was_cut_short) {
@@ -132,6 +133,19 @@
   Watch();
 }
 
+StoreEvents StoreFollower::WithoutIgnored(const StoreEvents& events) const {
+  StoreEvents followed{.at = events.at};
+  std::ranges::copy_if(events.events, std::back_inserter(followed.events),
+                       [this](const StoreEvent& event) {
+                         return std::ranges::none_of(
+                             options_.ignored_prefixes,
+                             [&event](const std::string& prefix) {
+                               return event.item.key.starts_with(prefix);
+                             });
+                       });
+  return followed;
+}
+
 void StoreFollower::Confirm(TimePoint as_of) {
   confirmed_as_of_ = std::max(confirmed_as_of_, as_of);
   handlers_.on_confirmed(as_of);
--- a/src/store/store_follower.h
+++ b/src/store/store_follower.h
@@ -34,6 +34,9 @@
     Millis batch{200};
     Millis first_retry{100};
     Millis longest_retry{400};
+    // Keys that others of this system write for themselves: they are neither
+    // reported nor passed on.
+    std::vector<std::string> ignored_prefixes;
     // Clocks of different machines run apart by at most this part of a time.
     double drift = 0.01;
   };
@@ -66,6 +69,7 @@
   void OnAnswer();
   void OnFailure(const absl::Status& status);
   void OnContact(bool is_answering, TimePoint since);
+  StoreEvents WithoutIgnored(const StoreEvents& events) const;
   void Report(const std::vector<std::string>& keys);
 
   EventLoop& loop_;
--- a/src/store/store_schema.h
+++ b/src/store/store_schema.h
@@ -21,6 +21,8 @@
   std::string member_prefix;
   // The rest of such a key is the name of a group of ranks.
   std::string leader_prefix;
+  // The same; what is known of the group's demand, for leaders to come.
+  std::string demand_prefix;
   std::function<absl::StatusOr<Deployment>(const std::string& value)>
       decode_deployment;
   std::function<absl::StatusOr<BackendRecord>(const InstanceId& id,
--- a/tests/standins/rank_group.cc
+++ b/tests/standins/rank_group.cc
@@ -11,7 +11,6 @@
 constexpr int kAccepted = 202;
 constexpr int kConflict = 409;
 constexpr int kNotFound = 404;
-constexpr std::uint64_t kEpoch = 1;
 constexpr double kChoicesPerPass = 400;
 
 }  // namespace
@@ -22,14 +21,7 @@
   ranks_.resize(size);
   popularity_.assign(static_cast<std::size_t>(options_.experts),
                      1.0 / options_.experts);
-  Map dealt(size);
-  for (int expert = 0; expert < options_.experts; ++expert) {
-    dealt[static_cast<std::size_t>(expert) % size].push_back(expert);
-  }
-  for (Rank& rank : ranks_) {
-    rank.experts = dealt;
-    rank.counts.resize(static_cast<std::size_t>(options_.experts));
-  }
+  DealOut();
   for (std::size_t rank = 0; rank < size; ++rank) {
     Serve(io_, options_.addresses[rank],
           [this, rank](HttpRequest request, Connection& connection) {
@@ -41,6 +33,24 @@
   thread_ = std::thread([this] { io_.run(); });
 }
 
+void RankGroup::DealOut() {
+  Map dealt(ranks_.size());
+  for (int expert = 0; expert < options_.experts; ++expert) {
+    dealt[static_cast<std::size_t>(expert) % dealt.size()].push_back(expert);
+  }
+  for (Rank& rank : ranks_) {
+    rank = Rank();
+    rank.experts = dealt;
+    rank.counts.resize(static_cast<std::size_t>(options_.experts));
+  }
+}
+
+void RankGroup::FormAnew() {
+  const std::lock_guard lock(mutex_);
+  ++epoch_;
+  DealOut();
+}
+
 RankGroup::~RankGroup() {
   io_.stop();
   thread_.join();
@@ -133,7 +143,7 @@
   const auto operation = order.at("operation").get<std::string>();
   const auto version = order.value("version", std::uint64_t{0});
   const auto pass = order.value("step", std::uint64_t{0});
-  if (order.at("epoch").get<std::uint64_t>() != kEpoch) return kConflict;
+  if (order.at("epoch").get<std::uint64_t>() != epoch_) return kConflict;
   if (operation == "prepare") {
     if (version <= rank.highest || rank.armed > 0) return kConflict;
     rank.highest = version;
@@ -165,7 +175,7 @@
       {"step", pass_},
       {"map", rank.map},
       {"group",
-       {{"name", "g"}, {"epoch", kEpoch}, {"rank", index}, {"state", "open"}}}};
+       {{"name", "g"}, {"epoch", epoch_}, {"rank", index}, {"state", "open"}}}};
   if (rank.prepared > 0) json["prepared"] = rank.prepared;
   if (rank.held > 0) json["held"] = rank.held;
   if (rank.armed > 0) {
@@ -184,7 +194,7 @@
   std::ranges::transform(rank.counts, counts.begin(), [](double count) {
     return static_cast<std::int64_t>(count);
   });
-  return Json{{"step", pass_}, {"epoch", kEpoch}, {"counts", counts}}.dump();
+  return Json{{"step", pass_}, {"epoch", epoch_}, {"counts", counts}}.dump();
 }
 
 asio::awaitable<void> RankGroup::CarryLate(int rank, Json order) {
--- a/tests/standins/rank_group.h
+++ b/tests/standins/rank_group.h
@@ -41,6 +41,9 @@
   // The rank's engine answers nothing, as if its machine stood still.
   void SetReachable(int rank, bool is_reachable);
 
+  // All engines start again, with the map dealt out at the start.
+  void FormAnew();
+
   std::uint64_t map(int rank) const;
   std::optional<std::uint64_t> holder() const;  // the rank that holds, if any
   std::uint64_t passes() const;
@@ -68,6 +71,7 @@
                                Connection& connection);
   asio::awaitable<void> RunPasses();
   asio::awaitable<void> CarryLate(int rank, nlohmann::json order);
+  void DealOut();
   void BeginPass();
   int Carry(Rank& rank, const nlohmann::json& order);
   std::string ReportOf(int rank) const;
@@ -78,6 +82,7 @@
   Random random_;
   std::vector<Rank> ranks_;
   std::vector<double> popularity_;
+  std::uint64_t epoch_ = 1;
   std::uint64_t pass_ = 1;
   int split_passes_ = 0;
   asio::io_context io_;
--- a/tests/system/rank_agent_test.cc
+++ b/tests/system/rank_agent_test.cc
@@ -110,6 +110,7 @@
     return leader;
   }
 
+  bool HasKeptDemand() const { return store_->Has("demand/g"); }
   bool IsEven() const { return group_->skew() < kNearlyEven; }
 
  private:
@@ -152,6 +153,22 @@
   EXPECT_EQ(site.group().split_passes(), 0);
 }
 
+// All machines lose power. Before any request tells what is in demand, the new
+// leader plans with what the one before it has kept.
+TEST(RankAgent, AfterALossOfPowerTheDemandIsKnown) {
+  RankSite site(0);
+  ASSERT_TRUE(WaitFor([&] { return site.IsEven(); }));
+  ASSERT_TRUE(WaitFor([&] { return site.HasKeptDemand(); }));
+  for (int rank = 0; rank < kRanks; ++rank) site.agent(rank).Kill();
+  site.group().SetPopularity(std::vector<double>(kUneven.size(), 0.0));
+  site.group().FormAnew();
+  EXPECT_EQ(site.group().map(0), 0U);
+  for (int rank = 0; rank < kRanks; ++rank) site.StartAgent(rank);
+  ASSERT_TRUE(WaitFor([&] { return site.group().map(0) > 0; }));
+  site.group().SetPopularity(kUneven);
+  EXPECT_TRUE(site.IsEven());
+}
+
 // The machine of the leader stands still right after its hold, with the engine
 // beside it, while orders come late.
 TEST(RankAgent, AHoldIsReleasedWhenItsLeaderStandsStill) {
--- a/tests/unit/even_placement_test.cc
+++ b/tests/unit/even_placement_test.cc
@@ -8,6 +8,7 @@
 
 #include "bench/popularity.h"
 #include "core/random.h"
+#include "group/demand_text.h"
 #include "group/expert_demand.h"
 
 namespace mangohold {
@@ -135,6 +136,37 @@
   EXPECT_EQ(estimate.demand()[0], (std::vector<double>{400, 0, 0, 0}));
 }
 
+// After a loss of power a few requests come first, all about one thing.
+TEST(DemandEstimate, AFewChoicesAreNoShift) {
+  const GroupMap map = {{{0, 1}, {2, 3}}};
+  DemandEstimate estimate;
+  estimate.Restore({{1, 1, 1, 1}}, 400);
+  EXPECT_DOUBLE_EQ(estimate.Weight(), 400);
+  estimate.EndPeriod(&map);
+  EXPECT_DOUBLE_EQ(estimate.Weight(), 400) << "nothing was learned";
+  estimate.Add({20, 0, 0, 0}, 4);
+  estimate.EndPeriod(&map);
+  EXPECT_EQ(estimate.demand()[0], (std::vector<double>{80, 60, 60, 60}));
+}
+
+TEST(DemandEstimate, WhatIsKnownIsNotOverwrittenByWhatWasKept) {
+  DemandEstimate estimate;
+  estimate.Add({100, 0, 0, 0}, 4);
+  estimate.EndPeriod(nullptr);
+  estimate.Restore({{1, 1, 1, 1}}, 400);
+  EXPECT_DOUBLE_EQ(estimate.Weight(), 100);
+}
+
+TEST(DemandText, KeepsTheProportions) {
+  const ExpertDemand demand = {{1'000, 500, 0}, {3, 3, 6}};
+  EXPECT_EQ(DecodeDemand(EncodeDemand(demand)),
+            (ExpertDemand{{250, 125, 0}, {125, 125, 250}}));
+  EXPECT_FALSE(DecodeDemand("[[1,2],[3]]"));
+  EXPECT_FALSE(DecodeDemand("[[-1]]"));
+  EXPECT_FALSE(DecodeDemand("text"));
+  EXPECT_EQ(DecodeDemand("[]"), ExpertDemand());
+}
+
 TEST(DemandEstimate, SmoothsNoise) {
   const GroupMap map = {{{0, 1}, {2, 3}}};
   DemandEstimate estimate;
