--- a/src/group/own_rank.cc
+++ b/src/group/own_rank.cc
@@ -48,10 +48,10 @@
 OwnRank::OwnRank(EngineApi& engine, Endpoint address, Counters& counters)
     : engine_(engine), address_(std::move(address)), counters_(counters) {}
 
-void OwnRank::Poll(std::function<void(ExpertCounts)> on_choices) {
+void OwnRank::Poll(PollHandlers handlers) {
   if (std::exchange(is_polling_, true)) return;
-  Refresh([this, on_choices = std::move(on_choices)] {
-    if (is_in_group()) return ReadCounts(on_choices);
+  Refresh([this, handlers = std::move(handlers)] {
+    if (is_in_group()) return ReadCounts(handlers);
     is_polling_ = false;
   });
 }
@@ -82,29 +82,32 @@
   report_ = *report;
 }
 
-void OwnRank::ReadCounts(std::function<void(ExpertCounts)> on_choices) {
+void OwnRank::ReadCounts(PollHandlers handlers) {
   engine_.Counts(
-      address_, [this, on_choices = std::move(on_choices)](const auto& counts) {
+      address_, [this, handlers = std::move(handlers)](const auto& counts) {
         is_polling_ = false;
         if (!counts.ok()) return LogEngineCall("counts", counts.status());
         if (!report_) return;
         const bool is_held_unknown = holdings_version_ != report_->map ||
                                      holdings_epoch_ != report_->epoch ||
                                      holdings_.empty();
-        if (is_held_unknown) ReadHoldings(*report_);
-        on_choices(ChoicesSince(*counts));
+        if (is_held_unknown) ReadHoldings(*report_, handlers.on_holdings);
+        handlers.on_choices(ChoicesSince(*counts));
       });
 }
 
-void OwnRank::ReadHoldings(const RankReport& report) {
-  const MapVersion version = report.map;
-  const GroupEpoch epoch = report.epoch;
-  engine_.Holdings(address_, [this, version, epoch](const auto& lists) {
-    if (!lists.ok()) return LogEngineCall("holdings", lists.status());
-    holdings_ = *lists;
-    holdings_version_ = version;
-    holdings_epoch_ = epoch;
-  });
+void OwnRank::ReadHoldings(const RankReport& report,
+                           std::function<void()> on_holdings) {
+  engine_.Holdings(address_,
+                   [this, version = report.map, epoch = report.epoch,
+                    on_holdings = std::move(on_holdings)](const auto& lists) {
+                     if (!lists.ok())
+                       return LogEngineCall("holdings", lists.status());
+                     holdings_ = *lists;
+                     holdings_version_ = version;
+                     holdings_epoch_ = epoch;
+                     on_holdings();
+                   });
 }
 
 // Counts that went down begin anew: the engine has started again.
--- a/src/group/own_rank.h
+++ b/src/group/own_rank.h
@@ -32,10 +32,15 @@
 
   // A process that has just started doesn't know what the one before it sent.
   void OnStart() { unanswered_arms_.OnStart(BootNow()); }
-  // Reads report and choices, and the experts if the map has changed.
-  // `on_choices` is told what was chosen since the last time, unless the engine
-  // can't be asked or is no rank.
-  void Poll(std::function<void(ExpertCounts)> on_choices);
+  struct PollHandlers {
+    // What was chosen since the last time.
+    std::function<void(const ExpertCounts&)> on_choices;
+    // The experts of another map were read.
+    std::function<void()> on_holdings;
+  };
+  // Reads report and choices, and the experts if the map has changed. Nothing
+  // is told if the engine can't be asked or is no rank.
+  void Poll(PollHandlers handlers);
   // Reads the report anew.
   void Refresh(std::function<void()> on_done);
   // Gives the order until it is answered, and reads the report anew.
@@ -51,8 +56,9 @@
 
  private:
   void OnReport(const absl::StatusOr<RankReport>& report);
-  void ReadCounts(std::function<void(ExpertCounts)> on_choices);
-  void ReadHoldings(const RankReport& report);
+  void ReadCounts(PollHandlers handlers);
+  void ReadHoldings(const RankReport& report,
+                    std::function<void()> on_holdings);
   ExpertCounts ChoicesSince(const ExpertCounts& counts);
   void Give(const RankCommand& command, LeaderTerm term, int tries,
             std::function<void()> on_done);
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -68,7 +68,8 @@
   leader_heard_ = BootNow();
   rank_.OnStart();
   const auto poll = [this] {
-    rank_.Poll([this](const ExpertCounts& choices) { OnPoll(choices); });
+    rank_.Poll({.on_choices = [this](const auto& chosen) { OnPoll(chosen); },
+                .on_holdings = [this] { SendStatus(); }});
   };
   poll();
   loop_.Every(options_.poll, poll);
@@ -77,7 +78,10 @@
   });
   loop_.Every(kWatchInterval, [this] { WatchLeader(); });
   loop_.Every(kSwitchInterval, [this] { AdvanceSwitch(); });
-  loop_.Every(kPlanInterval, [this] { Plan(); });
+  loop_.Every(kPlanInterval, [this] {
+    EndPeriod();
+    Plan();
+  });
   loop_.Every(kDirectoryInterval, [this] { RefreshDirectory(); });
   loop_.Every(kSilentAgentsInterval, [this] { ActForSilentAgents(); });
   return absl::OkStatus();
@@ -372,10 +376,11 @@
   }
   const TimePoint now = BootNow();
   if (now - sought_at_ < kSeekInterval || !IsAgentMissing()) return;
+  const auto unplaced = agents_.Unplaced(rank_.report()->group);
+  if (unplaced.empty()) return;  // or the list hasn't been read yet
   sought_at_ = now;
   beat.collector = Endpoint();
-  for (const Member& agent : agents_.Unplaced(rank_.report()->group))
-    SendTo(agent.peer, beat);
+  for (const Member& agent : unplaced) SendTo(agent.peer, beat);
 }
 
 std::vector<std::optional<int>> RankAgent::Collectors() const {
@@ -446,6 +451,10 @@
         {{"phase", static_cast<int>(map_switch.phase())},
          {"version", map_switch.version().value()}});
   }
+  // A group that has formed anew needs a map as soon as it can be planned.
+  if (map_switch.version() == MapVersion() && map_switch.CanBegin(BootNow())) {
+    loop_.Post([this] { Plan(); });
+  }
 }
 
 void RankAgent::Give(const RankCommand& command) {
@@ -487,14 +496,19 @@
   if (is_pacing_) loop_.After(kPacing, [this] { SendDue(); });
 }
 
+void RankAgent::EndPeriod() {
+  if (!leadership_) return;
+  const auto present = leadership_->map_switch->PresentMap(BootNow());
+  leadership_->demand.EndPeriod(present ? &*present : nullptr);
+}
+
 // Looks for a better map, set by set, so that the loop turns in between.
 void RankAgent::Plan() {
   if (!leadership_ || leadership_->planner) return;
   if (placement_.places == 0) return;
-  DemandEstimate& demand = leadership_->demand;
+  const DemandEstimate& demand = leadership_->demand;
   const MapSwitch& map_switch = *leadership_->map_switch;
   const auto present = map_switch.PresentMap(BootNow());
-  demand.EndPeriod(present ? &*present : nullptr);
   if (!present || present->size() != demand.demand().size()) return;
   const auto experts = static_cast<double>(demand.demand().size()) * experts_;
   if (demand.Weight() < kLeastChoicesPerExpert * experts) return;
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -100,6 +100,7 @@
   void Give(const RankCommand& command);
   void SendPaced(const Endpoint& to, const RankMessage& message);
   void SendDue();
+  void EndPeriod();
   void Plan();
   void PlanOn();
   void FinishPlan();
