One watcher a zone, and one that stands by; fewer renewals of agents' leases

Change: the first of a zone's delegates follows the store, with watches of 1.5 s; the second follows through it and answers the others if the first doesn't; ages up to 2.6 s count, of the 4.7 s that keys allow. Agents' leases last 30 s.

--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -28,8 +28,8 @@
 constexpr Millis kPacing{10};
 constexpr Millis kDirectoryInterval{500};
 // Being listed tells a leader an address, not that the agent is well.
-constexpr Millis kLeaseTtl{12'000};
-constexpr Millis kLeaseRenewal{4'000};
+constexpr Millis kLeaseTtl{30'000};
+constexpr Millis kLeaseRenewal{10'000};
 constexpr Millis kSilentAgentsInterval{300};
 // Agents answer a new leader within this time, if they can.
 constexpr Millis kTimeToAnswer{300};
--- a/src/peer/zone_watchers.cc
+++ b/src/peer/zone_watchers.cc
@@ -10,7 +10,8 @@
 namespace mangohold {
 namespace {
 
-constexpr std::size_t kWatchersPerZone = 2;
+// The watcher and the one that stands by.
+constexpr std::size_t kServingPerZone = 2;
 constexpr std::size_t kMostQuestions = 512;
 constexpr Millis kConnectTimeout{300};
 // What an answer may take beyond the time for which a question is held.
@@ -20,7 +21,8 @@
 
 void WatcherChoice::SetAlive(const std::vector<Member>& alive) {
   watchers_.clear();
-  is_serving_ = false;
+  is_watcher_ = false;
+  is_standby_ = false;
   const auto entries = static_cast<int>(alive.size()) + 1;
   if (entries <= options_.most_direct) return;
   std::map<InstanceId, Member> zone = {{options_.self.id, options_.self}};
@@ -30,17 +32,17 @@
     zone[member.id] = member;
     ids.push_back(member.id);
   }
-  for (const InstanceId& id : DrawDelegates(std::move(ids), kWatchersPerZone)) {
-    if (id == options_.self.id) {
-      is_serving_ = true;
-    } else {
-      watchers_.push_back(zone.at(id));
-    }
+  const auto serving = DrawDelegates(std::move(ids), kServingPerZone);
+  const auto own = std::ranges::find(serving, options_.self.id);
+  is_watcher_ = own == serving.begin();
+  is_standby_ = own != serving.end() && !is_watcher_;
+  // Only from the first to the second: no two ask one another.
+  for (auto id = serving.begin(); id != own; ++id) {
+    watchers_.push_back(zone.at(*id));
   }
 }
 
 std::optional<Member> WatcherChoice::Choose(TimePoint now) const {
-  if (is_serving_) return std::nullopt;
   const auto watcher =
       std::ranges::find_if(watchers_, [&](const Member& member) {
         const auto avoided = avoided_until_.find(member.id);
@@ -101,7 +103,7 @@
   if (std::exchange(source_watcher_, watcher) == watcher) return;
   Log(LogLevel::kInfo, "store_followed",
       {{"through", watcher.value()},
-       {"serving", static_cast<int>(choice_.IsServing())}});
+       {"watcher", static_cast<int>(choice_.IsWatcher())}});
 }
 
 void ZoneWatchers::OnQuestion(const HttpRequest& request,
--- a/src/peer/zone_watchers.h
+++ b/src/peer/zone_watchers.h
@@ -1,7 +1,8 @@
-// Who follows the store in a large fleet: two entries of each zone, drawn among
-// those that are alive. The others ask these for changes, so that the calls to
-// the store grow with the zones. An entry that can't reach its zone's watchers,
-// or finds them behind, asks the store itself.
+// Who follows the store in a large fleet: one entry of each zone, drawn among
+// those that are alive. The others ask it for changes, so that the calls to the
+// store grow with the zones. A second one follows through the first and stands
+// by for the others. An entry that can't reach these two, or finds them behind,
+// asks the store itself.
 #pragma once
 
 #include <functional>
@@ -29,7 +30,7 @@
     // A watcher that failed, or was found behind, isn't asked for this long.
     Duration avoidance = std::chrono::seconds(3);
     // A watcher whose knowledge is older than this is behind.
-    Duration most_age = std::chrono::milliseconds(1'800);
+    Duration most_age = std::chrono::milliseconds(2'600);
   };
 
   explicit WatcherChoice(Options options) : options_(std::move(options)) {}
@@ -37,7 +38,9 @@
   // The peers that are alive.
   void SetAlive(const std::vector<Member>& alive);
   // True if this entry follows the store for others.
-  bool IsServing() const { return is_serving_; }
+  bool IsWatcher() const { return is_watcher_; }
+  // True if it answers others, as the watcher or standing by.
+  bool IsServing() const { return is_watcher_ || is_standby_; }
   // The watcher to ask; nothing if the store is to be asked.
   std::optional<Member> Choose(TimePoint now) const;
   void OnFailed(const InstanceId& watcher, TimePoint now);
@@ -45,8 +48,10 @@
 
  private:
   Options options_;
-  bool is_serving_ = false;
-  std::vector<Member> watchers_;  // of this zone, this entry not among them
+  bool is_watcher_ = false;
+  bool is_standby_ = false;
+  // Those to ask, in order: the zone's watcher and the one that stands by.
+  std::vector<Member> watchers_;
   std::map<InstanceId, TimePoint> avoided_until_;
 };
 
@@ -67,7 +72,7 @@
   void SetAlive(const std::vector<Member>& alive) { choice_.SetAlive(alive); }
 
   bool Watch(Revision after, OnEvents on_events) override;
-  bool IsServing() const override { return choice_.IsServing(); }
+  bool IsWatcher() const override { return choice_.IsWatcher(); }
 
   // Takes a question of another entry.
   void OnQuestion(const HttpRequest& request,
--- a/src/store/change_relay.h
+++ b/src/store/change_relay.h
@@ -37,7 +37,7 @@
   // asked, so that the store is.
   virtual bool Watch(Revision after, OnEvents on_events) = 0;
   // True while others follow the store through this entry.
-  virtual bool IsServing() const = 0;
+  virtual bool IsWatcher() const = 0;
 };
 
 }  // namespace mangohold
--- a/src/store/store_follower.cc
+++ b/src/store/store_follower.cc
@@ -71,9 +71,9 @@
 // The first watch is short: what was listed may be old.
 void StoreFollower::WatchStore() {
   const TimePoint sent = BootNow();
-  const bool is_serving = relay_ != nullptr && relay_->IsServing();
+  const bool is_watcher = relay_ != nullptr && relay_->IsWatcher();
   const Millis wait = std::exchange(is_first_watch_, false) ? kFirstWait
-                      : is_serving ? options_.serving_wait
+                      : is_watcher ? options_.watcher_wait
                                    : options_.watch_wait;
   store_.Watch(kAllKeys, replica_.at(), wait, [this, sent, wait](auto events) {
     OnEvents(events, sent, wait);
--- a/src/store/store_follower.h
+++ b/src/store/store_follower.h
@@ -28,7 +28,7 @@
   struct Options {
     Millis watch_wait{2'000};
     // The same while others follow the store through this process.
-    Millis serving_wait{700};
+    Millis watcher_wait{1'500};
     // After events the next watch waits for this long, so that changes that
     // come in quick succession cost one call.
     Millis batch{200};
