--- a/src/group/own_rank.cc
+++ b/src/group/own_rank.cc
@@ -101,8 +101,9 @@
   engine_.Holdings(address_,
                    [this, version = report.map, epoch = report.epoch,
                     on_holdings = std::move(on_holdings)](const auto& lists) {
-                     if (!lists.ok())
+                     if (!lists.ok()) {
                        return LogEngineCall("holdings", lists.status());
+                     }
                      holdings_ = *lists;
                      holdings_version_ = version;
                      holdings_epoch_ = epoch;
--- a/src/peer/entry_gossip.cc
+++ b/src/peer/entry_gossip.cc
@@ -221,8 +221,8 @@
   std::vector<InstanceId> members = {options_.self.id};
   for (const auto& [id, peer] : peers_) {
     const bool is_near = peer.member.zone == options_.self.zone;
-    if (is_near && IsHeard(peer, now) && !peer.is_leaving)
-      members.push_back(id);
+    const bool is_alive = IsHeard(peer, now) && !peer.is_leaving;
+    if (is_near && is_alive) members.push_back(id);
   }
   const auto delegates = DrawDelegates(std::move(members), kDelegates);
   return std::ranges::find(delegates, options_.self.id) != delegates.end();
--- a/src/store/lease_keeper.cc
+++ b/src/store/lease_keeper.cc
@@ -14,7 +14,7 @@
   loop_.Every(options_.renewal, [this] { Renew(); });
 }
 
-void LeaseKeeper::SetValue(std::string value) {
+void LeaseKeeper::SetValue(const std::string& value) {
   if (std::exchange(options_.value, value) == value) return;
   if (lease_ && !is_granting_) Write(*lease_, std::nullopt);
 }
--- a/src/store/lease_keeper.h
+++ b/src/store/lease_keeper.h
@@ -25,7 +25,7 @@
 
   void Start();
   // Lists another value from now on.
-  void SetValue(std::string value);
+  void SetValue(const std::string& value);
   // Takes the key away at once.
   void Release();
   // The key is gone from the store although this process lives: lists it again.
--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -232,6 +232,7 @@
 TEST_F(DispatcherTest, ABrokenGroupLeavesItsWorkToTheOthers) {
   constexpr int kGroups = 3;
   std::vector<BackendRecord> backends;
+  backends.reserve(std::size_t{kGroups} * kRanks);
   for (int i = 0; i < kGroups * kRanks; ++i) {
     backends.push_back({.id = Rank(i),
                         .service = kModel,
@@ -269,6 +270,7 @@
 // even yet.
 TEST_F(DispatcherTest, ASlowGroupGetsLess) {
   std::vector<BackendRecord> backends;
+  backends.reserve(std::size_t{2} * kRanks);
   for (int i = 0; i < 2 * kRanks; ++i) {
     backends.push_back({.id = Rank(i),
                         .service = kModel,
@@ -303,6 +305,8 @@
   constexpr milliseconds kTurn(10);
   std::vector<BackendRecord> engines;
   std::vector<InstanceId> ids;
+  engines.reserve(kEngines);
+  ids.reserve(kEntries);
   for (int i = 0; i < kEngines; ++i) {
     engines.push_back({.id = Rank(i),
                        .service = kModel,
@@ -311,6 +315,7 @@
   }
   for (int i = 0; i < kEntries; ++i) ids.emplace_back("e" + std::to_string(i));
   std::vector<Dispatcher> entries;
+  entries.reserve(kEntries);
   for (int i = 0; i < kEntries; ++i) {
     entries.emplace_back(
         Dispatcher::Options{.zone = ZoneName(i % 2 == 0 ? "north" : "south"),
--- a/tests/unit/zone_watchers_test.cc
+++ b/tests/unit/zone_watchers_test.cc
@@ -17,6 +17,7 @@
 
 std::vector<Member> Fleet(int zones, int entries) {
   std::vector<Member> fleet;
+  fleet.reserve(static_cast<std::size_t>(entries));
   for (int i = 0; i < entries; ++i) {
     fleet.push_back({.id = InstanceId("e" + std::to_string(i)),
                      .zone = ZoneName("z" + std::to_string(i % zones))});
@@ -31,6 +32,11 @@
   return choice;
 }
 
+// Whom the choice asks; empty: the store.
+InstanceId AskedBy(const WatcherChoice& choice, TimePoint now) {
+  return choice.Choose(now).value_or(Member()).id;
+}
+
 TEST(WatcherChoice, FewEntriesFollowTheStoreThemselves) {
   const auto fleet = Fleet(3, 9);
   for (const Member& self : fleet) {
@@ -56,13 +62,9 @@
     EXPECT_EQ(watchers.size(), 5U);
     EXPECT_EQ(standbys.size(), 5U);
     for (const Member& self : fleet) {
-      const auto watcher = ChoiceOf(self, fleet).Choose(kNow);
-      if (watchers[self.zone] == self.id) {
-        EXPECT_FALSE(watcher);
-      } else {
-        ASSERT_TRUE(watcher);
-        EXPECT_EQ(watcher->id, watchers[self.zone]);
-      }
+      const InstanceId watcher = AskedBy(ChoiceOf(self, fleet), kNow);
+      const bool is_own = watchers[self.zone] == self.id;
+      EXPECT_EQ(watcher, is_own ? InstanceId() : watchers[self.zone]);
     }
   }
 }
@@ -74,16 +76,16 @@
   });
   ASSERT_NE(self, fleet.end());
   WatcherChoice choice = ChoiceOf(*self, fleet);
-  const InstanceId first = choice.Choose(kNow)->id;
+  const InstanceId first = AskedBy(choice, kNow);
   choice.OnAnswer(first, milliseconds(700), kNow);
-  EXPECT_EQ(choice.Choose(kNow)->id, first);
+  EXPECT_EQ(AskedBy(choice, kNow), first);
   choice.OnAnswer(first, milliseconds(3'500), kNow);
-  const auto second = choice.Choose(kNow);
-  ASSERT_TRUE(second);
-  EXPECT_NE(second->id, first);
-  choice.OnFailed(second->id, kNow);
-  EXPECT_FALSE(choice.Choose(kNow)) << "the store is asked";
-  EXPECT_EQ(choice.Choose(kNow + seconds(3))->id, first);
+  const InstanceId second = AskedBy(choice, kNow);
+  EXPECT_FALSE(second.empty());
+  EXPECT_NE(second, first);
+  choice.OnFailed(second, kNow);
+  EXPECT_TRUE(AskedBy(choice, kNow).empty()) << "the store is asked";
+  EXPECT_EQ(AskedBy(choice, kNow + seconds(3)), first);
 }
 
 }  // namespace
