Bound a backend server's quiet time in routing, not in the adapter

Cause: platform/headers.cc dropped a Retry-After of more than an hour, which is a decision. Ruled out: leaving it unbounded, since one mistaken header would take a backend server out for good.

--- a/src/routing/backend_notices.cc
+++ b/src/routing/backend_notices.cc
@@ -7,7 +7,10 @@
 namespace {
 
 // Backend servers have ended long before, and their ids don't come again.
-constexpr std::chrono::minutes kMemory(15);
+constexpr std::chrono::hours kMemory(2);
+// A longer time is taken for a mistake: it would take the backend server out
+// for good.
+constexpr Millis kLongestQuiet = std::chrono::hours(1);
 
 }  // namespace
 
@@ -25,10 +28,11 @@
   return !std::exchange(NoticeOf(id, now).is_leaving, true);
 }
 
-void BackendNotices::OnQuiet(const InstanceId& id, TimePoint until,
+void BackendNotices::OnQuiet(const InstanceId& id, Millis quiet,
                              TimePoint now) {
   Notice& notice = NoticeOf(id, now);
-  notice.quiet_until = std::max(notice.quiet_until, until);
+  notice.quiet_until =
+      std::max(notice.quiet_until, now + std::min(quiet, kLongestQuiet));
 }
 
 void BackendNotices::OnListed(const InstanceId& id,
--- a/src/routing/backend_notices.h
+++ b/src/routing/backend_notices.h
@@ -17,8 +17,9 @@
  public:
   // Its answer said that it is leaving. True if that is news.
   bool OnLeaving(const InstanceId& id, TimePoint now);
-  // It refused a request and wants no other one before `until`.
-  void OnQuiet(const InstanceId& id, TimePoint until, TimePoint now);
+  // It refused a request and wants no other one for `quiet`, of which an hour
+  // counts at the most.
+  void OnQuiet(const InstanceId& id, Millis quiet, TimePoint now);
   // It is listed, as started at `started_ms` by its own clock where that is
   // known. Another start under the same id hasn't said anything yet.
   void OnListed(const InstanceId& id, std::optional<std::int64_t> started_ms);
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -417,7 +417,7 @@
     Log(LogLevel::kInfo, "backend_leaving", {{"backend", id.value()}});
   }
   if (!quiet || *quiet <= Millis(0)) return;
-  notices_.OnQuiet(id, now + *quiet, now);
+  notices_.OnQuiet(id, *quiet, now);
   Log(LogLevel::kInfo, "backend_quiet",
       {{"backend", id.value()}, {"ms", quiet->count()}});
 }
--- a/tests/unit/backend_notices_test.cc
+++ b/tests/unit/backend_notices_test.cc
@@ -32,12 +32,19 @@
 
 TEST(BackendNotices, AQuietOneIsLeftAloneForItsTime) {
   BackendNotices notices;
-  notices.OnQuiet(kId, kNow + milliseconds(700), kNow);
-  notices.OnQuiet(kId, kNow + milliseconds(300), kNow);
+  notices.OnQuiet(kId, milliseconds(700), kNow);
+  notices.OnQuiet(kId, milliseconds(300), kNow);
   EXPECT_FALSE(notices.IsWelcome(kId, kNow + milliseconds(699)));
   EXPECT_TRUE(notices.IsWelcome(kId, kNow + milliseconds(700)));
   EXPECT_TRUE(notices.IsWelcome(InstanceId("i-2"), kNow));
 }
 
+TEST(BackendNotices, NobodyIsQuietForMoreThanAnHour) {
+  BackendNotices notices;
+  notices.OnQuiet(kId, std::chrono::hours(1'000), kNow);
+  EXPECT_FALSE(notices.IsWelcome(kId, kNow + std::chrono::minutes(59)));
+  EXPECT_TRUE(notices.IsWelcome(kId, kNow + std::chrono::minutes(60)));
+}
+
 }  // namespace
 }  // namespace mangohold
