Split leading from following: GroupLeader, RemoteRanks, MapPlanning, DemandKeeper

Ruled out: splitting by functions only, which leaves the shared state. Change: GroupLeader is one term and ends with it; RemoteRanks finds engines without agents; MapPlanning decides when to plan and whether a plan is worth it, without clock or network; DemandKeeper reads and writes the store. RankAgent tells, obeys and succeeds. On the way: a group at rest with its first map asked for a plan at each status, now once when all holdings are known; failed reads of the term and of the figures are logged; an agent doesn't note the present map of its own plan, since it resolves or misses it as all others do.

--- a/src/group/rank_messages.cc
+++ b/src/group/rank_messages.cc
@@ -170,6 +170,16 @@
 
 }  // namespace
 
+RankMessage NewRankMessage(RankMessageKind kind, LeaderTerm term,
+                           const Member& self, const RankReport* own) {
+  return {.kind = kind,
+          .group = own != nullptr ? own->group : GroupName(),
+          .term = term,
+          .sender = self.id,
+          .rank = own != nullptr ? own->rank : 0,
+          .reply_to = self.peer};
+}
+
 std::string EncodeRankMessage(const RankMessage& message) {
   Json json = {{"kind", static_cast<int>(message.kind)},
                {"group", message.group},
--- a/src/group/rank_messages.h
+++ b/src/group/rank_messages.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "group/map_switch.h"
+#include "store/member.h"
 
 namespace mangohold {
 
@@ -29,6 +30,10 @@
   RankCommand command;  // kCommand
 };
 
+// A message of `self`, beside the rank that `own` tells of; null: not known.
+RankMessage NewRankMessage(RankMessageKind kind, LeaderTerm term,
+                           const Member& self, const RankReport* own);
+
 std::string EncodeRankMessage(const RankMessage& message);
 // Nothing for bytes that are no such message.
 std::optional<RankMessage> DecodeRankMessage(std::string_view bytes);
--- /dev/null
+++ b/src/group/remote_ranks.h
@@ -0,0 +1,67 @@
+// Engines of a group whose agents are silent: where they are, what they report,
+// and orders given to them over their agents' heads.
+//
+// The engines are asked at the addresses where they serve callers, since those
+// beside their agents may have gone silent with them.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "backend/engine_api.h"
+#include "group/agent_directory.h"
+#include "group/engine_search.h"
+#include "group/map_switch.h"
+#include "store/store.h"
+#include "store/store_schema.h"
+
+namespace mangohold {
+
+// Belongs to one event loop's thread. It outlives the calls that it makes.
+class RemoteRanks {
+ public:
+  struct Options {
+    StoreSchema schema;
+    ServiceName service;  // of the engines
+  };
+  // The report of an engine that was asked, and where it was.
+  using OnReport =
+      std::function<void(const RankReport& report, const Endpoint& engine)>;
+
+  RemoteRanks(Store& store, EngineApi& engine, Options options)
+      : store_(store), engine_(engine), options_(std::move(options)) {}
+
+  // A leader begins: nothing is found yet, and `on_report` is told from now on.
+  void OnLeader(OnReport on_report);
+  // It ended: nobody is told any more.
+  void OnLeaderGone() { on_report_ = nullptr; }
+  // Asks the engines of the silent ranks of `group`. One that can't be found
+  // beside an agent is looked for in the list of engines.
+  void Seek(const std::vector<int>& silent, const GroupName& group,
+            const AgentDirectory& agents, TimePoint now);
+  // Reads the report of one engine.
+  void Read(const Endpoint& engine);
+  // Gives the order if the engine is still that rank in that epoch, and calls
+  // `on_done` once it was answered or given up.
+  void Order(const Endpoint& engine, const RankCommand& command,
+             LeaderTerm term, std::function<void()> on_done);
+
+  // Where a rank without its agent was found; null: nowhere.
+  const Endpoint* Find(int rank) const;
+  void OnFound(int rank, const Endpoint& engine) { found_[rank] = engine; }
+  void OnAgentHeard(int rank) { found_.erase(rank); }
+
+ private:
+  void ReadListed(const std::vector<StoreItem>& engines,
+                  const GroupName& group);
+
+  Store& store_;
+  EngineApi& engine_;
+  Options options_;
+  OnReport on_report_;
+  EngineSearch search_;
+  std::map<int, Endpoint> found_;  // by rank
+};
+
+}  // namespace mangohold
--- a/tests/unit/even_placement_test.cc
+++ b/tests/unit/even_placement_test.cc
@@ -8,7 +8,7 @@
 
 #include "bench/popularity.h"
 #include "core/random.h"
-#include "group/demand_text.h"
+#include "group/demand_keeper.h"
 #include "group/expert_demand.h"
 
 namespace mangohold {
