--- a/src/direct_entry_main.cc
+++ b/src/direct_entry_main.cc
@@ -109,16 +109,14 @@
   OnLeave(control, [&] {
     entry.BeginLeaving();
     traffic.Post([&] {
+      const TimePoint now = Clock::now();
       server.BeginLeaving();
-      traffic.After(kTakeAfterTerm, [&] {
-        server.StopTaking();
-        traffic.Every(Millis(50), [&] {
-          if (server.is_idle()) control.Stop();
-        });
-      });
+      traffic.After(kTakeAfterTerm, [&] { server.StopTaking(); });
+      StopWhenIdle(
+          traffic, control, [&server] { return server.is_idle(); },
+          now + kTakeAfterTerm,
+          now + FromSeconds(settings.grace_s) - kGraceMargin);
     });
-    control.After(FromSeconds(settings.grace_s) - kGraceMargin,
-                  [&] { control.Stop(); });
   });
   Log(LogLevel::kInfo, "started",
       {{"caller_address", settings.caller_address.value()}});
--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -294,106 +294,6 @@
   EXPECT_GT(sent[true], 0);
 }
 
-// Forty entries before sixty engines that hear of one another's work each half
-// second. Returns the part of the requests that found their engine full.
-double RefusedWithOldKnowledge(int most_exact_entries) {
-  constexpr int kEntries = 40;
-  constexpr int kEngines = 60;
-  constexpr int kEngineSlots = 6;
-  constexpr milliseconds kRun(1'200);
-  constexpr milliseconds kReading(150);
-  constexpr milliseconds kTurn(10);
-  std::vector<BackendRecord> engines;
-  std::vector<InstanceId> ids;
-  engines.reserve(kEngines);
-  ids.reserve(kEntries);
-  for (int i = 0; i < kEngines; ++i) {
-    engines.push_back({.id = Rank(i),
-                       .service = kModel,
-                       .zone = ZoneName(i % 2 == 0 ? "north" : "south"),
-                       .slots = kEngineSlots});
-  }
-  for (int i = 0; i < kEntries; ++i) ids.emplace_back("e" + std::to_string(i));
-  std::vector<Dispatcher> entries;
-  entries.reserve(kEntries);
-  for (int i = 0; i < kEntries; ++i) {
-    entries.emplace_back(
-        Dispatcher::Options{.zone = ZoneName(i % 2 == 0 ? "north" : "south"),
-                            .seed = static_cast<std::uint64_t>(i + 1),
-                            .most_exact_entries = most_exact_entries});
-    entries.back().SetServices(
-        {{.name = kModel,
-          .engine = EngineFigures{.usual_prompt_tokens = 800}}});
-    entries.back().SetBackends(engines);
-    entries.back().SetEntries(ids[i], ids);
-  }
-  struct Running {
-    std::size_t entry;
-    AttemptNumber number;
-    InstanceId engine;
-    TimePoint begin;
-    TimePoint end;
-    bool is_refused;
-  };
-  std::vector<Running> running;
-  Random random(5);
-  std::uint64_t number = 0;
-  int sent = 0;
-  int refused = 0;
-  std::map<InstanceId, int> load;
-  TimePoint now = TimePoint() + seconds(100);
-  for (int turn = 0; turn < 2'000; ++turn, now += kTurn) {
-    std::erase_if(running, [&](const Running& run) {
-      if (run.begin <= now) entries[run.entry].OnAnswerBegun(run.number);
-      if (run.end > now) return false;
-      entries[run.entry].OnEnded(run.number, Dispatcher::Result::kServed, now);
-      if (!run.is_refused) --load[run.engine];
-      return true;
-    });
-    // Two thirds of what the engines can run.
-    for (int i = 0; i < 2; ++i) {
-      const std::size_t at = random.Below(kEntries);
-      entries[at].Submit({.number = AttemptNumber(++number),
-                          .service = kModel,
-                          .prompt_tokens = 800,
-                          .give_up = now + seconds(2)});
-    }
-    for (std::size_t at = 0; at < entries.size(); ++at) {
-      for (const auto& decision : entries[at].Decide(now)) {
-        if (!decision.backend) continue;
-        ++sent;
-        const InstanceId engine = decision.backend->id;
-        const bool is_full = load[engine] >= kEngineSlots;
-        if (is_full) {
-          ++refused;
-        } else {
-          ++load[engine];
-        }
-        running.push_back({at, decision.number, engine, now + kReading,
-                           now + (is_full ? kTurn : kRun), is_full});
-      }
-    }
-    if (turn % 50 != 0) continue;
-    for (std::size_t from = 0; from < entries.size(); ++from) {
-      const auto shares = entries[from].OwnShares();
-      for (std::size_t to = 0; to < entries.size(); ++to) {
-        if (to != from) entries[to].OnPeerShares(ids[from], shares, now);
-      }
-    }
-  }
-  EXPECT_GT(sent, 3'000);
-  return static_cast<double>(refused) / sent;
-}
-
-// Many entries that know the load of a while ago would all choose the engine
-// that was least loaded then.
-TEST(Dispatcher, ManyEntriesDoNotCrowdTheEngineThatWasIdleAWhileAgo) {
-  const double drawn = RefusedWithOldKnowledge(12);
-  const double crowded = RefusedWithOldKnowledge(1'000);
-  EXPECT_LT(drawn, crowded / 2);
-  EXPECT_LT(drawn, 0.1);
-}
-
 // A rank that refuses alone, though its group works, is passed over by itself.
 TEST_F(DispatcherTest, GreyRankThatRefusesDoesNotCloseItsGroup) {
   std::map<InstanceId, int> sent;
@@ -436,38 +336,6 @@
   EXPECT_EQ(Decide().at(late).reason, Reason::kDeadlineUnreachable);
 }
 
-// Sends of all entries to one cold backend server in one moment.
-int SendsToColdBackend(int entries, double cold_per_s, double overrun,
-                       double slack) {
-  std::vector<InstanceId> ids;
-  ids.reserve(static_cast<std::size_t>(entries));
-  for (int i = 0; i < entries; ++i) ids.emplace_back("e" + std::to_string(i));
-  int all = 0;
-  for (const InstanceId& id : ids) {
-    Dispatcher dispatcher({.cold_overrun = overrun, .cold_slack = slack});
-    dispatcher.SetServices({{.name = kDesk, .cold_per_s = cold_per_s}});
-    dispatcher.SetBackends(
-        {{.id = InstanceId("cold"), .service = kDesk, .slots = 1'000}});
-    dispatcher.SetEntries(id, ids);
-    for (int i = 0; i < 100; ++i) {
-      dispatcher.Submit({.number = AttemptNumber(i + 1),
-                         .service = kDesk,
-                         .give_up = TimePoint() + seconds(60)});
-    }
-    const auto decisions = dispatcher.Decide(TimePoint());
-    all += static_cast<int>(std::ranges::count_if(
-        decisions,
-        [](const auto& decision) { return decision.backend.has_value(); }));
-  }
-  return all;
-}
-
-TEST_F(DispatcherTest, ColdReturnOfAZoneIsSharedByAllEntries) {
-  const int all = SendsToColdBackend(6, 38, 1.5, 5);
-  EXPECT_LE(all, 38 * 1.5 + 5);
-  EXPECT_GE(all, 38);
-}
-
 // All backend servers of a service ask for quiet: none is asked again before,
 // and callers are told when the first one takes work.
 TEST_F(DispatcherTest, EnginesThatAskForQuietAreLeftAlone) {
@@ -489,16 +357,6 @@
   for (int i = 0; i < 2; ++i) EXPECT_EQ(SendOne(kDesk), InstanceId("d1"));
 }
 
-// More entries than a cold backend server bears requests in a second: some of
-// them leave it alone.
-TEST_F(DispatcherTest, ColdReturnOfAZoneIsBorneWithManyEntries) {
-  for (const int entries : {27, 28, 32, 39, 410}) {
-    const int all = SendsToColdBackend(entries, 15, 1.5, 5);
-    EXPECT_LE(all, 15 * 1.5 + 5) << entries << " entries";
-    EXPECT_GE(all, 15) << entries << " entries";
-  }
-}
-
 // One slow rank holds up the whole group: what can't be whole in time would
 // only keep shorter work from it.
 TEST_F(DispatcherTest, SlowGroupRefusesLongStreamsAndTakesShortOnes) {
