--- a/src/group/group_leader.cc
+++ b/src/group/group_leader.cc
@@ -214,8 +214,8 @@
   if (!is_allowed) return;
   means_.remote.Order(engine, command, options_.term,
                       [weak = weak_from_this(), engine, rank = command.rank] {
-                        if (const auto self = weak.lock())
-                          self->OnOrderGiven(engine, rank);
+                        const auto self = weak.lock();
+                        if (self != nullptr) self->OnOrderGiven(engine, rank);
                       });
 }
 
