Try: leave a backend server that stands still while others of its group go on

Change: a stream that brings nothing for 1 s, while streams of the same group do, is cancelled and resumed elsewhere within the retry budget; requests that wait at the same engine are too. Reason backend_stuck.

--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -156,7 +156,7 @@
     EndAttempt(Dispatcher::Result::kUnreachable);
     return OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendRefused);
   }
-  if (is_retry_) context_.counters.CountRetry(Reason::kBackendFailed);
+  if (retry_reason_) context_.counters.CountRetry(*retry_reason_);
   policy_.OnSent();
   sent_at_ = now;
   status_ = 0;
@@ -266,7 +266,7 @@
                         : Dispatcher::Result::kServed);
   if (is_failure && policy_.OnFailed() == DirectPolicy::Next::kSendAgain &&
       context_.BudgetOf(job_.service).TryRetry(BootNow())) {
-    is_retry_ = true;
+    retry_reason_ = Reason::kBackendFailed;
     tried_.push_back(backend_.id);
     return Submit();
   }
@@ -321,7 +321,7 @@
        {"runs", policy_.runs()},
        {"sends_again", static_cast<int>(sends_again)}});
   if (!sends_again) return GiveUp(policy_.GiveUpOutcome(), reason, Millis(250));
-  is_retry_ = true;
+  retry_reason_ = reason;
   // One that only refused may be asked again.
   if (reason != Reason::kBackendRefused) tried_.push_back(backend_.id);
   if (has_begun_) context_.counters.Count(Event::kStreamsResumed);
@@ -334,13 +334,37 @@
 }
 
 void ForwardRun::OnTick(TimePoint now) {
-  if (phase_ == Phase::kFinished || now < deadline_) return;
+  if (phase_ == Phase::kFinished) return;
+  if (now < deadline_) {
+    if (IsStuck(now)) LeaveStuckBackend();
+    return;
+  }
   const bool was_sent = phase_ == Phase::kSent;
   DropBackend();
   GiveUp(was_sent ? Outcome::kUnknown : policy_.GiveUpOutcome(),
          Reason::kDeadlineExceeded, Millis(0));
 }
 
+// An attempt that can't be replaced stays, since its answer may still come.
+bool ForwardRun::IsStuck(TimePoint now) const {
+  if (phase_ != Phase::kSent || job_.route->kind != RouteKind::kStream) {
+    return false;
+  }
+  const TimePoint heard = last_event_at_.value_or(sent_at_);
+  return policy_.MayReplaceAttempt() &&
+         context_.dispatcher.IsStuck(attempt_, last_event_at_.has_value(),
+                                     heard, now) &&
+         context_.BudgetOf(job_.service).CanRetry(now);
+}
+
+void ForwardRun::LeaveStuckBackend() {
+  const auto connection = std::exchange(connection_, nullptr);
+  if (connection != nullptr) connection->Cancel();
+  events_.DropPartial();
+  EndAttempt(Dispatcher::Result::kStuck);
+  OnAttemptFailed(policy_.OnFailed(), Reason::kBackendStuck);
+}
+
 // Ends a request that can't be answered: with its reason, or, where the answer
 // has begun, by a reset.
 void ForwardRun::GiveUp(Outcome outcome, Reason reason, Millis retry_after) {
--- a/src/caller/forward_run.h
+++ b/src/caller/forward_run.h
@@ -32,7 +32,8 @@
 
   void Start();
   void OnDecision(const Dispatcher::Decision& decision);
-  // Ends the request if its time is up.
+  // Ends the request if its time is up, and leaves a backend server that stands
+  // still.
   void OnTick(TimePoint now);
   // The attempt in progress, by which the dispatcher names this request.
   AttemptNumber attempt() const { return attempt_; }
@@ -59,6 +60,8 @@
   // The attempt came to nothing.
   void OnAttemptFailed(DirectPolicy::Next next, Reason reason);
   void EndAttempt(Dispatcher::Result result);
+  bool IsStuck(TimePoint now) const;
+  void LeaveStuckBackend();
   void GiveUp(Outcome outcome, Reason reason, Millis retry_after);
   void OnCallerGone();
   void DropBackend();
@@ -72,7 +75,7 @@
   Phase phase_ = Phase::kWaiting;
   TimePoint deadline_;
   AttemptNumber attempt_;
-  bool is_retry_ = false;
+  std::optional<Reason> retry_reason_;  // of the attempt before; absent: none
   BackendRecord backend_;  // of the attempt in progress, or the last one
   BackendConnection::Ptr connection_;
   std::vector<InstanceId> tried_;
--- a/src/core/outcome.cc
+++ b/src/core/outcome.cc
@@ -35,6 +35,7 @@
     {Reason::kBackendRefused, "backend_refused", 503},
     {Reason::kBackendUnreachable, "backend_unreachable", 503},
     {Reason::kBackendFailed, "backend_failed", 502},
+    {Reason::kBackendStuck, "backend_stuck", 502},
     {Reason::kQueueFull, "queue_full", 503},
     {Reason::kDeadlineUnreachable, "deadline_unreachable", 503},
     {Reason::kDeadlineExceeded, "deadline_exceeded", 504},
--- a/src/core/outcome.h
+++ b/src/core/outcome.h
@@ -37,6 +37,7 @@
   kBackendRefused,
   kBackendUnreachable,
   kBackendFailed,
+  kBackendStuck,
   kQueueFull,
   kDeadlineUnreachable,
   kDeadlineExceeded,
--- a/src/routing/direct_policy.h
+++ b/src/routing/direct_policy.h
@@ -36,6 +36,10 @@
   // kNotRun only if no attempt may have run, or may still.
   Outcome GiveUpOutcome() const;
   bool may_have_run() const { return runs_ > 0 || is_out_; }
+  // True if the attempt in progress may be given up for another one.
+  bool MayReplaceAttempt() const {
+    return options_.is_repeatable && runs_ + 1 < options_.max_attempts;
+  }
   // Attempts that may have run.
   int runs() const { return runs_; }
   int sends() const { return sends_; }
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -29,6 +29,10 @@
 constexpr double kCertainShare = 0.8;
 // Callers come back after this when a service is too slow for them.
 constexpr Millis kSlowRetry{1'000};
+// A stream that brings nothing for this long stands still, if others of its
+// service brought something within the second one.
+constexpr Millis kStuckAfter{1'000};
+constexpr Millis kGoesOn{250};
 // Refusals of two ranks count together within this time.
 constexpr Millis kRefusalMemory{500};
 // Service time of a backend server that has served nothing yet.
@@ -174,6 +178,17 @@
   pace.at = now;
 }
 
+bool Dispatcher::IsStuck(AttemptNumber number, bool has_begun, TimePoint heard,
+                         TimePoint now) const {
+  const auto sent = sent_.find(number);
+  if (sent == sent_.end() || now - heard < kStuckAfter) return false;
+  const auto backend = backends_.find(sent->second.backend);
+  if (backend == backends_.end()) return false;
+  const EventPace& pace = backend->second.gate->pace;
+  const bool do_others_go_on = pace.gap_seconds > 0 && now - pace.at <= kGoesOn;
+  return do_others_go_on && (has_begun || backend->second.stuck_until > now);
+}
+
 // A request joins the queue only with time to spare, so that few of those that
 // wait are refused later on. Of a closed group's return too little is known to
 // ask for more.
@@ -470,6 +485,10 @@
       backend.failure_share = Smoothed(backend.failure_share, 1);
       if (++backend.failures >= 3) Eject(backend, now);
       break;
+    case Result::kStuck:
+      backend.stuck_until = now + kStuckAfter;
+      Eject(backend, now);
+      break;
     case Result::kCancelled:
       break;
   }
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -92,6 +92,7 @@
     kGone,         // another backend server has its address
     kUnreachable,  // no connection
     kFailed,       // broken off, or a failure of the backend server's own
+    kStuck,        // it stands still while others go on
     kCancelled     // the caller left
   };
 
@@ -123,6 +124,13 @@
   // A stream brought an event `gap` after the one before.
   void OnEventGap(AttemptNumber number, Duration gap, TimePoint now);
 
+  // True if an attempt that last brought something at `heard` stands still
+  // while others of its service go on: its backend server is stuck. An answer
+  // that hasn't begun may be waiting its turn, and is only judged with one that
+  // had.
+  bool IsStuck(AttemptNumber number, bool has_begun, TimePoint heard,
+               TimePoint now) const;
+
   std::vector<BackendShare> OwnShares() const;
   // Connections that this entry may open to a backend server.
   int MostConnections(const InstanceId& id) const;
@@ -154,6 +162,7 @@
     int most_connections = 0;
     int failures = 0;  // in a row
     TimePoint ejected_until;
+    TimePoint stuck_until;
     bool is_gone = false;        // until it is listed anew
     double failure_share = 0;    // smoothed
     double service_seconds = 0;  // smoothed; 0: none served yet
--- a/src/routing/shared_budget.h
+++ b/src/routing/shared_budget.h
@@ -28,13 +28,17 @@
   // The entries that may be running.
   void SetEntries(int entries) { entries_ = entries; }
   void OnRequest(TimePoint now) { requests_.Add(now); }
-  // Takes one retry; false if the budget is used up.
-  bool TryRetry(TimePoint now) {
+  // True if one more retry is within the budget.
+  bool CanRetry(TimePoint now) const {
     const double bound =
         options_.ratio * static_cast<double>(requests_.Count(now)) +
         options_.slack / entries_;
     const auto used = static_cast<double>(retries_.Count(now));
-    if (used + 1 > bound * (1 - options_.reserve)) return false;
+    return used + 1 <= bound * (1 - options_.reserve);
+  }
+  // Takes one retry; false if the budget is used up.
+  bool TryRetry(TimePoint now) {
+    if (!CanRetry(now)) return false;
     retries_.Add(now);
     return true;
   }
--- a/tests/direct_site.cc
+++ b/tests/direct_site.cc
@@ -81,10 +81,9 @@
       co_await connection.Send(Whole(200, id, body));
       break;
     case Manner::kStream:
-      co_await Stream(std::move(request), connection, false);
-      break;
     case Manner::kBreakStream:
-      co_await Stream(std::move(request), connection, true);
+    case Manner::kStickStream:
+      co_await Stream(std::move(request), connection, manner);
       break;
     case Manner::kReject:
       co_await connection.Send(
@@ -129,7 +128,7 @@
 
 asio::awaitable<void> BackendStandin::Stream(HttpRequest request,
                                              standin::Connection& connection,
-                                             bool breaks) {
+                                             Manner manner) {
   constexpr int kEvents = 10;
   constexpr int kBroken = 5;
   const std::string id(request.Field(kId));
@@ -140,7 +139,13 @@
   for (int event = last.empty() ? 1 : std::stoi(last) + 1; event <= kEvents;
        ++event) {
     const std::string text = Event(event);
-    if (breaks && event == kBroken) {
+    if (manner == Manner::kStickStream && event == kBroken) {
+      if (co_await connection.IsClosedWithin(milliseconds(20'000))) {
+        ++cancelled_;
+      }
+      co_return;
+    }
+    if (manner == Manner::kBreakStream && event == kBroken) {
       co_await connection.Chunk(text.substr(0, text.size() / 2));
       co_await standin::Sleep(milliseconds(30));
       connection.Drop();
--- a/tests/direct_site.h
+++ b/tests/direct_site.h
@@ -22,6 +22,7 @@
   kAnswer,       // 200 with the request's id and body
   kStream,       // ten events, 20 ms apart
   kBreakStream,  // four events and half of the fifth, then a reset
+  kStickStream,  // four events, and nothing more
   kReject,       // 503, not run
   kQuiet,        // 503, not run, and nothing more for half a minute
   kLeave,        // 200, and it is leaving
@@ -55,7 +56,7 @@
   asio::awaitable<void> Handle(HttpRequest request,
                                standin::Connection& connection);
   asio::awaitable<void> Stream(HttpRequest request,
-                               standin::Connection& connection, bool breaks);
+                               standin::Connection& connection, Manner manner);
 
   std::string address_;
   std::string id_;
--- a/tests/system/direct_way_test.cc
+++ b/tests/system/direct_way_test.cc
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <atomic>
 #include <map>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -140,6 +142,48 @@
   }
 }
 
+// The machine of one backend server stands still in mid-stream, while streams
+// of the other one go on. There are more callers than it has slots.
+TEST(DirectWay, AStuckStreamGoesOnElsewhereWithinTheSameAnswer) {
+  constexpr int kCallers = 12;
+  DirectSite site({.backends = 2});
+  site.Start();
+  site.backend(0).SetManner(Manner::kStickStream);
+  site.backend(1).SetManner(Manner::kStream);
+  std::atomic<bool> is_over = false;
+  std::mutex mutex;
+  std::map<std::string, std::string> answers;  // by id
+  std::vector<std::thread> callers;
+  callers.reserve(kCallers);
+  for (int caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([&, caller] {
+      for (int i = 0; !is_over; ++i) {
+        const std::string id = std::to_string(caller) + "-" + std::to_string(i);
+        const HttpResponse response = site.Call("POST", "/stream/x", id, "b");
+        const std::lock_guard lock(mutex);
+        answers[id] = response.body;
+      }
+    });
+  }
+  const auto went_on = [&] {
+    std::vector<std::string> ids;
+    const auto elsewhere = site.backend(1).runs();
+    for (const auto& [id, runs] : site.backend(0).runs()) {
+      const std::lock_guard lock(mutex);
+      if (elsewhere.contains(id) && answers.contains(id)) ids.push_back(id);
+    }
+    return ids;
+  };
+  EXPECT_TRUE(WaitFor([&] { return went_on().size() >= 3; }));
+  is_over = true;
+  for (std::thread& caller : callers) caller.join();
+  for (const std::string& id : went_on()) {
+    EXPECT_EQ(answers[id], AllEvents()) << id;
+  }
+  EXPECT_NE(site.Metrics(0).find("reason=\"backend_stuck\""),
+            std::string::npos);
+}
+
 TEST(DirectWay, AStreamThatCannotGoOnNeverLooksComplete) {
   DirectSite site({});
   site.Start();
--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -357,6 +357,28 @@
   for (int i = 0; i < 2; ++i) EXPECT_EQ(SendOne(kDesk), InstanceId("d1"));
 }
 
+// The machine of one rank stands still: its streams go elsewhere, and nothing
+// new goes there. A group that stands still as a whole is left alone.
+TEST_F(DispatcherTest, AStuckRankIsLeftWhileOthersGoOn) {
+  const AttemptNumber begun = Submit(kModel);
+  const AttemptNumber waiting = Submit(kModel);
+  const AttemptNumber other = Submit(kModel);
+  const auto decisions = Decide();
+  const InstanceId stuck = decisions.at(begun).backend->id;
+  const TimePoint heard = now_;
+  now_ += milliseconds(1'100);
+  EXPECT_FALSE(dispatcher_.IsStuck(begun, true, heard, now_))
+      << "nothing else goes on either";
+  dispatcher_.OnEventGap(other, milliseconds(60), now_);
+  EXPECT_TRUE(dispatcher_.IsStuck(begun, true, heard, now_));
+  EXPECT_FALSE(dispatcher_.IsStuck(begun, true, now_, now_));
+  EXPECT_FALSE(dispatcher_.IsStuck(waiting, false, heard, now_))
+      << "it may be waiting its turn";
+  dispatcher_.OnEnded(begun, Dispatcher::Result::kStuck, now_);
+  const AttemptNumber next = Submit(kModel);
+  EXPECT_NE(Decide().at(next).backend->id, stuck);
+}
+
 // One slow rank holds up the whole group: what can't be whole in time would
 // only keep shorter work from it.
 TEST_F(DispatcherTest, SlowGroupRefusesLongStreamsAndTakesShortOnes) {
