--- a/src/caller/entry_control.cc
+++ b/src/caller/entry_control.cc
@@ -1,7 +1,6 @@
 #include "caller/entry_control.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include "core/log.h"
@@ -14,7 +13,6 @@
 constexpr Millis kLeaseRenewal{2'000};
 constexpr Millis kPeerTimeout{800};
 constexpr char kDeploymentPath[] = "/deployment";
-constexpr char kRevisionField[] = "Mangohold-Revision";
 constexpr int kMostAdminConnections = 256;
 // The least entries of a caller's own zone that are enough for it.
 constexpr std::ptrdiff_t kEnoughOfZone = 2;
@@ -100,7 +98,7 @@
 
 void EntryControl::Tick() {
   watchers_.AnswerDue();
-  if (builder_.OnTime(Contact(), BootNow())) Publish();
+  if (builder_.OnTime(follower_.replica(), Contact(), BootNow())) Publish();
 }
 
 void EntryControl::Publish() { handlers_.on_view(builder_.View()); }
@@ -120,10 +118,8 @@
   if (request.path == ZoneWatchers::kPath) {
     watchers_.OnQuestion(request, exchange);
   } else if (request.path == kDeploymentPath) {
-    const StoreItem& item = builder_.deployment_item();
-    exchange->Reply(builder_.routes() == nullptr ? 503 : 200,
-                    {{kRevisionField, std::to_string(item.revision.value())}},
-                    item.value);
+    exchange->Reply(builder_.routes() == nullptr ? 503 : 200, {},
+                    builder_.deployment_text());
   } else {
     exchange->Reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                     counters_.PrometheusText());
@@ -140,17 +136,11 @@
          .timeout = kPeerTimeout},
         [this](const HttpResponse& response) {
           is_fetching_ = false;
-          std::uint64_t revision = 0;
-          const std::string_view text =
-              FieldValue(response.fields, kRevisionField);
-          std::from_chars(text.data(), text.data() + text.size(), revision);
           const bool is_usable = response.result == HttpResult::kComplete &&
-                                 response.status == 200 && revision > 0;
+                                 response.status == 200;
           if (!is_usable) return;
-          const bool is_new =
-              builder_.TakeDeployment({.key = options_.schema.deployment_key,
-                                       .value = response.body,
-                                       .revision = Revision(revision)});
+          const bool is_new = builder_.TakeDeployment(
+              {.key = options_.schema.deployment_key, .value = response.body});
           if (is_new) Publish();
         });
 }
--- a/src/caller/forward_server.cc
+++ b/src/caller/forward_server.cc
@@ -231,9 +231,8 @@
   const TimePoint now = BootNow();
   const EntryGossip::State state = {
       .is_leaving = is_leaving_,
-      .deployment = context_.view == nullptr
-                        ? Revision()
-                        : context_.view->deployment_revision,
+      .deployment = context_.view == nullptr ? DeploymentVersion()
+                                             : context_.view->version(),
       .confirmed_as_of = context_.confirmed_as_of,
       .shares = context_.dispatcher.OwnShares()};
   for (const auto& outgoing : gossip_.NextRound(state, now)) {
@@ -262,7 +261,7 @@
   }
   if (context_.dispatcher.waiting() > 0) RequestDecisions();
   if (context_.view == nullptr) return;
-  const Revision own = context_.view->deployment_revision;
+  const DeploymentVersion own = context_.view->version();
   if (news.deployment > own) {
     handlers_.on_newer(message->sender);
   } else if (news.deployment == own && news.confirmed_as_of &&
--- a/src/config/fleet_view.h
+++ b/src/config/fleet_view.h
@@ -13,12 +13,15 @@
 
 struct FleetView {
   RouteTablePtr routes;  // null: no deployment is known yet
+  // Of the deployment; 0 while none is known.
+  DeploymentVersion version() const {
+    return routes == nullptr ? DeploymentVersion()
+                             : routes->deployment().version;
+  }
   // Backend servers that new work may go to.
   std::vector<BackendRecord> backends;
   // The entries that the store lists.
   std::vector<Member> entries;
-  // The store's revision of the deployment.
-  Revision deployment_revision;
 };
 
 using FleetViewPtr = std::shared_ptr<const FleetView>;
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -54,8 +54,40 @@
 // A group of ranks that make each pass together.
 using GroupName = Id<struct GroupNameTag>;
 
-// The version that the platform's key-value service gave to a document.
-using Revision = Number<struct RevisionTag>;
+// Counts how often the platform's store came back from an older copy.
+using StoreEra = Number<struct StoreEraTag>;
+
+// The version that the platform's store gave to a change. A store that comes
+// back from an older copy gives numbers out again, in its next era, so that
+// only the pair of both is ordered.
+class Revision {
+ public:
+  Revision() = default;
+  constexpr explicit Revision(std::uint64_t number, StoreEra era = StoreEra())
+      : era_(era), number_(number) {}
+
+  constexpr StoreEra era() const { return era_; }
+  // As the store counts; ordered within one era only.
+  constexpr std::uint64_t number() const { return number_; }
+  constexpr Revision Next() const { return Revision(number_ + 1, era_); }
+  auto operator<=>(const Revision&) const = default;
+
+  // Era and number as one number in the same order, and back.
+  constexpr std::uint64_t packed() const {
+    return era_.value() << kNumberBits | number_;
+  }
+  static constexpr Revision FromPacked(std::uint64_t packed) {
+    return Revision(packed & ((std::uint64_t{1} << kNumberBits) - 1),
+                    StoreEra(packed >> kNumberBits));
+  }
+
+ private:
+  // Enough for 5 years of 400 changes a second in one era.
+  static constexpr unsigned kNumberBits = 36;
+
+  StoreEra era_;
+  std::uint64_t number_ = 0;
+};
 // The position of a ticket in the series that one agent incarnation minted.
 using TicketSequence = Number<struct TicketSequenceTag>;
 
--- a/src/core/json_types.h
+++ b/src/core/json_types.h
@@ -27,6 +27,16 @@
   }
 };
 
+template <>
+struct adl_serializer<mangohold::Revision> {
+  static void to_json(json& j, const mangohold::Revision& revision) {
+    j = revision.packed();
+  }
+  static void from_json(const json& j, mangohold::Revision& revision) {
+    revision = mangohold::Revision::FromPacked(j.get<std::uint64_t>());
+  }
+};
+
 // Durations travel as whole milliseconds.
 template <>
 struct adl_serializer<mangohold::Millis> {
--- a/src/group/demand_keeper.cc
+++ b/src/group/demand_keeper.cc
@@ -70,7 +70,7 @@
       const auto demand = DecodeDemand(item.value);
       if (item.key != key || !demand || demand->empty()) continue;
       Log(LogLevel::kInfo, "demand_restored",
-          {{"sets", demand->size()}, {"revision", item.revision.value()}});
+          {{"sets", demand->size()}, {"revision", item.revision.number()}});
       on_demand(*demand);
     }
   };
--- a/src/group/group_leader.cc
+++ b/src/group/group_leader.cc
@@ -277,6 +277,7 @@
 // Looks for a better map, set by set, so that the loop turns in between.
 void GroupLeader::Plan() {
   if (!means_.engine || planning_.is_planning()) return;
+  if (!switch_.HasVersionsLeft()) return;
   const auto present = switch_.PresentMap(BootNow());
   if (!present) return;
   if (planning_.Begin(*present, switch_.Paces(), *means_.engine)) PlanOn();
--- a/src/group/group_leader.h
+++ b/src/group/group_leader.h
@@ -63,6 +63,8 @@
   // Called once, right after the construction.
   void Begin();
   LeaderTerm term() const { return options_.term; }
+  // False if no further switch may begin in this term.
+  bool HasVersionsLeft() const { return switch_.HasVersionsLeft(); }
 
   // A status of this term or an earlier one.
   void OnStatus(const RankMessage& message);
--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -9,7 +9,9 @@
 // Versions that one leader can make; terms are multiplied by it so that no two
 // leaders give a version to different maps. Odd ones are never armed: they make
 // orders to arm the one before void.
-constexpr std::uint64_t kVersionsPerTerm = 100'000;
+constexpr std::uint64_t kVersionsPerTerm = 1U << 14U;
+// Kept for the undoing of what is in progress.
+constexpr std::uint64_t kVersionsInReserve = 256;
 // Passes that a hold lies ahead at the least and at the most.
 constexpr std::uint64_t kLeastAhead = 3;
 constexpr std::uint64_t kMostAhead = 100;
@@ -284,6 +286,10 @@
   return map;
 }
 
+bool MapSwitch::HasVersionsLeft() const {
+  return versions_made_ + kVersionsInReserve < kVersionsPerTerm;
+}
+
 MapVersion MapSwitch::NextVersion(bool is_void) {
   versions_made_ += 2;
   return MapVersion(options_.term.value() * kVersionsPerTerm + versions_made_ +
--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -125,6 +125,9 @@
   // How many times as long as usual each rank takes, as last told.
   std::vector<double> Paces() const;
   void Begin(GroupMap map, TimePoint now);
+  // False if the versions of this term are nearly used up, so that no further
+  // switch may begin.
+  bool HasVersionsLeft() const;
 
   Phase phase() const { return phase_; }
   MapVersion version() const { return version_; }
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -49,6 +49,7 @@
       options_.self.peer, [this](std::string_view data) { OnDatagram(data); });
   if (!status.ok()) return status;
   leader_heard_ = BootNow();
+  store_.AddEraListener([this] { OnEra(); });
   rank_.OnStart();
   const auto poll = [this] {
     rank_.Poll({.on_choices = [this](const auto& chosen) { OnPoll(chosen); },
@@ -276,8 +277,21 @@
   leader_heard_ = BootNow();
 }
 
+// A term of an earlier era may be unknown to the store by now. Its leader stops
+// and takes the first term of the new one.
+void RankAgent::OnEra() {
+  if (!leadership_) return;
+  Log(LogLevel::kInfo, "leading_ended",
+      {{"term", leadership_->term().value()}, {"era", store_.era().value()}});
+  leadership_.reset();
+  if (!is_challenging_) Challenge();
+}
+
 void RankAgent::WatchLeader() {
-  if (leadership_ || is_challenging_ || !rank_.is_in_group()) {
+  if (is_challenging_ || !rank_.is_in_group()) return;
+  if (leadership_) {
+    // The next term brings versions that aren't used up.
+    if (!leadership_->HasVersionsLeft()) Challenge();
     return;
   }
   if (!knows_term_ || BootNow() - leader_heard_ > Patience()) Challenge();
@@ -310,12 +324,18 @@
                      {{"error", MessageOf(page.status())}});
         }
         Revision revision;
+        bool is_own = false;
         for (const StoreItem& item : page->items) {
-          if (item.key == key) revision = item.revision;
+          if (item.key != key) continue;
+          revision = item.revision;
+          is_own = item.value == options_.self.id.value();
         }
-        const LeaderTerm term(revision.value());
+        const LeaderTerm term(revision.packed());
         const bool knew_term = std::exchange(knows_term_, true);
-        if (term > term_) return FollowTerm(term, Endpoint());
+        // This agent's own term in the copy from which the store came back
+        // names no other leader.
+        const bool is_of_copy = is_own && knew_term;
+        if (term > term_ && !is_of_copy) return FollowTerm(term, Endpoint());
         if (knew_term) TakeOver(revision);
       };
   store_.List(LeaderKey(), "", Freshness::kLinearizable, on_page);
@@ -331,7 +351,7 @@
         is_challenging_ = false;
         leader_heard_ = BootNow();
         if (result.fate == ChangeFate::kDone) {
-          Lead(LeaderTerm(result.revision.value()));
+          Lead(LeaderTerm(result.revision.packed()));
         }
       });
 }
@@ -386,7 +406,7 @@
   const auto deployment = options_.schema.decode_deployment(item.value);
   if (!deployment.ok()) {
     return Log(LogLevel::kError, "deployment_rejected",
-               {{"revision", item.revision.value()},
+               {{"revision", item.revision.number()},
                 {"error", MessageOf(deployment.status())}});
   }
   const auto service = std::ranges::find(deployment->services, options_.service,
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -83,6 +83,7 @@
   void TakeOver(Revision expected);
   void Lead(LeaderTerm term);
   void FollowTerm(LeaderTerm term, const Endpoint& leader);
+  void OnEra();
   void ReadFigures();
   void OnDeployment(const StoreItem& item);
 
--- a/src/operator/operator_server.cc
+++ b/src/operator/operator_server.cc
@@ -188,7 +188,7 @@
         {{"path", path},
          {"operator", name},
          {"result", row.name},
-         {"revision", reply.revision.value()}});
+         {"revision", reply.revision.number()}});
     ReplyJson(exchange, row.http_status,
               {{"result", row.name},
                {"revision", reply.revision},
--- a/src/peer/entry_gossip.cc
+++ b/src/peer/entry_gossip.cc
@@ -73,7 +73,7 @@
         .mark_us = json.at("mark").get<std::int64_t>(),
         .returned_mark_us = json.at("returned").get<std::int64_t>(),
         .returned_held_us = json.at("held").get<std::int64_t>(),
-        .deployment = json.at("deployment").get<Revision>(),
+        .deployment = json.at("deployment").get<DeploymentVersion>(),
         .confirmed_age_us = json.at("age").get<std::int64_t>()};
     message.shares = ToShares(json.at("shares"));
     for (const Json& zone : json.at("zones")) {
--- a/src/peer/entry_gossip.h
+++ b/src/peer/entry_gossip.h
@@ -22,6 +22,7 @@
 #include <string_view>
 #include <vector>
 
+#include "config/deployment.h"
 #include "core/clock.h"
 #include "core/ids.h"
 #include "routing/dispatcher.h"
@@ -47,7 +48,7 @@
   std::int64_t returned_held_us = 0;
   // The deployment in force at the sender, and how long ago it was known to be
   // the newest.
-  Revision deployment;
+  DeploymentVersion deployment;
   std::int64_t confirmed_age_us = 0;
   std::vector<BackendShare> shares;
   std::vector<ZoneDigest> zones;
@@ -82,7 +83,7 @@
   // What this entry tells about itself.
   struct State {
     bool is_leaving = false;
-    Revision deployment;
+    DeploymentVersion deployment;
     TimePoint confirmed_as_of;
     std::vector<BackendShare> shares;
   };
@@ -94,7 +95,7 @@
   struct News {
     // The sender's deployment was the newest at this moment of our clock.
     std::optional<TimePoint> confirmed_as_of;
-    Revision deployment;
+    DeploymentVersion deployment;
     // Zones of which the message tells something newer, and when that was so.
     struct Zone {
       ZoneName name;
--- a/src/peer/zone_watchers.cc
+++ b/src/peer/zone_watchers.cc
@@ -74,7 +74,7 @@
   LogSource(watcher ? watcher->id : InstanceId());
   if (!watcher) return false;
   const std::string url = "http://" + watcher->admin.value() + kPath +
-                          "?after=" + std::to_string(after.value());
+                          "?after=" + std::to_string(after.packed());
   Fetch(http_,
         {.url = url,
          .connect_timeout = kConnectTimeout,
@@ -112,10 +112,11 @@
   if (!after || *after < 0) return exchange->Reply(400, {}, "no revision\n");
   const bool can_answer = choice_.IsServing() &&
                           questions_.size() < kMostQuestions &&
-                          source_(Revision(*after));
+                          source_(Revision::FromPacked(*after));
   if (!can_answer) return exchange->Reply(503, {}, "not a watcher\n");
-  questions_.push_back(
-      {.after = Revision(*after), .asked = BootNow(), .exchange = exchange});
+  questions_.push_back({.after = Revision::FromPacked(*after),
+                        .asked = BootNow(),
+                        .exchange = exchange});
   AnswerDue();
 }
 
--- a/src/platform/platform_client.cc
+++ b/src/platform/platform_client.cc
@@ -91,7 +91,7 @@
 void PlatformClient::Watch(
     Revision after, Duration wait,
     std::function<void(absl::StatusOr<TreeUpdate>)> on_update) {
-  HttpCall call{.url = "/v1/kv?after=" + std::to_string(after.value()) +
+  HttpCall call{.url = "/v1/kv?after=" + std::to_string(after.number()) +
                        "&wait_ms=" + std::to_string(ToMillis(wait))};
   call.connect_timeout = options_.timeout;
   call.timeout = options_.timeout + wait;
@@ -118,7 +118,7 @@
                            std::function<void(WriteReply)> on_reply) {
   HttpCall call{.method = "PUT",
                 .url = "/v1/kv" + path +
-                       "?if_revision=" + std::to_string(expected.value()),
+                       "?if_revision=" + std::to_string(expected.number()),
                 .body = text,
                 .timeout = options_.timeout,
                 .fresh_connection = true};
--- a/src/spread/spread_node.cc
+++ b/src/spread/spread_node.cc
@@ -179,8 +179,8 @@
   store_failures_ = 0;
   if (!spread_.OnStoreUpdate(*update, sent_at)) {
     Log(LogLevel::kError, "store_went_back",
-        {{"store_revision", update->complete_through.value()},
-         {"known_revision", tree().complete_through().value()}});
+        {{"store_revision", update->complete_through.number()},
+         {"known_revision", tree().complete_through().number()}});
   }
   Publish();
 }
@@ -232,7 +232,7 @@
     published_ = tree().configuration();
     counters_.Count(Event::kConfigurationApplied);
     Log(LogLevel::kInfo, "configuration_in_force",
-        {{"revision", published_->complete_through.value()}});
+        {{"revision", published_->complete_through.number()}});
     handlers_.on_configuration(published_);
     AnswerHeld();
   }
--- a/src/store/change_log.cc
+++ b/src/store/change_log.cc
@@ -27,6 +27,7 @@
 
 std::optional<StoreEvents> ChangeLog::Since(Revision after) const {
   if (!complete_after_ || after < *complete_after_) return std::nullopt;
+  if (after.era() != at_.era()) return std::nullopt;
   StoreEvents since{.at = std::max(at_, after)};
   std::ranges::copy_if(
       events_, std::back_inserter(since.events),
--- a/src/store/change_log.h
+++ b/src/store/change_log.h
@@ -18,7 +18,7 @@
   void OnEvents(const StoreEvents& events);
 
   // All changes after `after` that are known. Nothing if some before them were
-  // forgotten or never known.
+  // forgotten or never known, or if `after` is of another era.
   std::optional<StoreEvents> Since(Revision after) const;
   Revision at() const { return at_; }
 
--- a/src/store/fleet_builder.cc
+++ b/src/store/fleet_builder.cc
@@ -9,7 +9,9 @@
 namespace mangohold {
 
 FleetBuilder::FleetBuilder(StoreSchema schema, Options options)
-    : schema_(std::move(schema)), options_(options) {}
+    : schema_(std::move(schema)),
+      options_(options),
+      departures_(options.departure_memory) {}
 
 bool FleetBuilder::OnChanged(const std::vector<std::string>& keys,
                              const StoreReplica& replica,
@@ -24,35 +26,52 @@
       has_changed = TakeBackend(key, replica, contact, now) || has_changed;
     } else if (key.starts_with(schema_.zone_out_prefix)) {
       const ZoneName zone(key.substr(schema_.zone_out_prefix.size()));
-      if (item != nullptr) {
-        zones_out_.insert(zone);
-      } else {
-        zones_out_.erase(zone);
-      }
-      Log(LogLevel::kInfo, item != nullptr ? "zone_out" : "zone_in",
-          {{"zone", zone.value()}});
-      has_changed = true;
+      has_changed = TakeZone(zone, item, replica, now) || has_changed;
     } else if (key.starts_with(schema_.member_prefix)) {
-      const auto member =
-          item == nullptr ? std::nullopt : DecodeMember(item->value);
-      if (member) {
-        members_[key] = *member;
-        if (!member->group.empty()) groups_[member->backend] = member->group;
-      } else {
-        members_.erase(key);
-      }
+      TakeMember(key, item);
       has_changed = true;
     }
   }
   return has_changed;
 }
 
+bool FleetBuilder::TakeZone(const ZoneName& zone, const StoreItem* item,
+                            const StoreReplica& replica, TimePoint now) {
+  if (item != nullptr) {
+    Log(LogLevel::kInfo, "zone_out", {{"zone", zone.value()}});
+    zones_out_[zone] = {.revision = item->revision};
+    return true;
+  }
+  const auto known = zones_out_.find(zone);
+  if (known == zones_out_.end()) return false;
+  if (known->second.revision.era() < replica.at().era()) {
+    Log(LogLevel::kWarning, "zone_out_lost",
+        {{"zone", zone.value()}, {"era", replica.at().era().value()}});
+    known->second.lost_at = now;
+    return false;
+  }
+  Log(LogLevel::kInfo, "zone_in", {{"zone", zone.value()}});
+  zones_out_.erase(known);
+  return true;
+}
+
+void FleetBuilder::TakeMember(const std::string& key, const StoreItem* item) {
+  const auto member =
+      item == nullptr ? std::nullopt : DecodeMember(item->value);
+  if (!member) {
+    members_.erase(key);
+    return;
+  }
+  members_[key] = *member;
+  if (!member->group.empty()) groups_[member->backend] = member->group;
+}
+
 // A version that is in force is never followed by an older one.
 bool FleetBuilder::TakeDeployment(const StoreItem& item) {
   auto deployment = schema_.decode_deployment(item.value);
   if (!deployment.ok()) {
     Log(LogLevel::kError, "deployment_rejected",
-        {{"revision", item.revision.value()},
+        {{"revision", item.revision.number()},
          {"error", MessageOf(deployment.status())}});
     return false;
   }
@@ -68,10 +87,11 @@
     return false;
   }
   routes_ = std::make_shared<const RouteTable>(*std::move(deployment));
-  deployment_item_ = item;
+  deployment_text_ = item.value;
   Log(LogLevel::kInfo, "deployment_in_force",
       {{"version", routes_->deployment().version.value()},
-       {"revision", item.revision.value()},
+       {"revision", item.revision.number()},
+       {"era", item.revision.era().value()},
        {"routes", routes_->deployment().routes.size()}});
   return true;
 }
@@ -86,22 +106,29 @@
       unlisted_.insert(id);
       return false;
     }
-    Log(LogLevel::kInfo, "backend_gone", {{"backend", id.value()}});
-    return backends_.erase(id) > 0;
+    const bool was_known = backends_.contains(id);
+    DropBackend(id, replica.at(), now);
+    return was_known;
   }
   unlisted_.erase(id);
-  const auto record = schema_.decode_backend(id, item->value);
+  auto record = schema_.decode_backend(id, item->value);
   if (!record.ok()) {
     Log(LogLevel::kWarning, "backend_entry_ignored",
         {{"backend", id.value()}, {"error", MessageOf(record.status())}});
     return backends_.erase(id) > 0;
   }
+  if (record->state == BackendState::kDraining) {
+    departures_.OnLeft(id, record->started_ms, item->revision, now);
+  } else if (departures_.IsOutdated(id, record->started_ms, item->revision,
+                                    replica.listed_from())) {
+    record->state = BackendState::kDraining;
+  }
   Log(LogLevel::kInfo, "backend_listed",
       {{"backend", id.value()},
        {"service", record->service.value()},
        {"address", record->address.value()},
        {"draining", static_cast<int>(record->state == BackendState::kDraining)},
-       {"revision", item->revision.value()}});
+       {"revision", item->revision.number()}});
   backends_[id] = *record;
   backends_[id].listed = item->created;
   return true;
@@ -112,16 +139,42 @@
          now - contact.answering_since < options_.unlisted_memory;
 }
 
-bool FleetBuilder::OnTime(const Contact& contact, TimePoint now) {
+bool FleetBuilder::OnTime(const StoreReplica& replica, const Contact& contact,
+                          TimePoint now) {
+  departures_.Forget(now);
+  const bool has_unlisted = DropUnlisted(contact, replica.at(), now);
+  return DropLostZones(now) || has_unlisted;
+}
+
+bool FleetBuilder::DropUnlisted(const Contact& contact, Revision at,
+                                TimePoint now) {
   if (unlisted_.empty() || IsUnsettled(contact, now)) return false;
-  for (const InstanceId& id : unlisted_) {
-    Log(LogLevel::kInfo, "backend_gone", {{"backend", id.value()}});
-    backends_.erase(id);
-  }
+  for (const InstanceId& id : unlisted_) DropBackend(id, at, now);
   unlisted_.clear();
   return true;
 }
 
+void FleetBuilder::DropBackend(const InstanceId& id, Revision at,
+                               TimePoint now) {
+  Log(LogLevel::kInfo, "backend_gone", {{"backend", id.value()}});
+  const auto backend = backends_.find(id);
+  if (backend == backends_.end()) return;
+  departures_.OnLeft(id, backend->second.started_ms, at, now);
+  backends_.erase(backend);
+}
+
+bool FleetBuilder::DropLostZones(TimePoint now) {
+  const auto is_over = [&](const ZoneOut& out) {
+    return out.lost_at && now - *out.lost_at >= options_.lost_zone_memory;
+  };
+  return std::erase_if(zones_out_, [&](const auto& item) {
+           if (!is_over(item.second)) return false;
+           Log(LogLevel::kWarning, "zone_in",
+               {{"zone", item.first.value()}, {"lost", 1}});
+           return true;
+         }) > 0;
+}
+
 // A backend server that starts again takes the place of the one that had its
 // address, whose entry lapses only later.
 FleetViewPtr FleetBuilder::View() const {
@@ -143,7 +196,6 @@
   for (const auto& [key, member] : members_) {
     if (member.role == MemberRole::kEntry) view->entries.push_back(member);
   }
-  view->deployment_revision = deployment_item_.revision;
   return view;
 }
 
--- a/src/store/fleet_builder.h
+++ b/src/store/fleet_builder.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "config/fleet_view.h"
+#include "store/departures.h"
 #include "store/member.h"
 #include "store/store_replica.h"
 #include "store/store_schema.h"
@@ -21,6 +23,12 @@
     // right after, are kept for this long after its return: their entries
     // lapsed, although they may be well.
     Duration unlisted_memory = std::chrono::seconds(2);
+    // A zone that was out when the store came back from an older copy, which
+    // doesn't say so, stays out for this long: operators write again what was
+    // lost.
+    Duration lost_zone_memory = std::chrono::seconds(30);
+    // How old such a copy may be at the most.
+    Duration departure_memory = std::chrono::seconds(60);
   };
 
   FleetBuilder(StoreSchema schema, Options options);
@@ -36,13 +44,14 @@
                  const StoreReplica& replica, const Contact& contact,
                  TimePoint now);
   // Drops what is kept beyond its time. Returns true if the view is another.
-  bool OnTime(const Contact& contact, TimePoint now);
+  bool OnTime(const StoreReplica& replica, const Contact& contact,
+              TimePoint now);
 
   // Takes a deployment, from the store or from a peer. Returns true if it is
   // newer than the one in force.
   bool TakeDeployment(const StoreItem& item);
-  // The deployment in force as it stands in the store.
-  const StoreItem& deployment_item() const { return deployment_item_; }
+  // The deployment in force as operators wrote it.
+  const std::string& deployment_text() const { return deployment_text_; }
 
   FleetViewPtr View() const;
   // All members listed now.
@@ -50,6 +59,17 @@
   const RouteTablePtr& routes() const { return routes_; }
 
  private:
+  struct ZoneOut {
+    Revision revision;                 // of the word that it is out
+    std::optional<TimePoint> lost_at;  // the store lost that word then
+  };
+
+  bool TakeZone(const ZoneName& zone, const StoreItem* item,
+                const StoreReplica& replica, TimePoint now);
+  void TakeMember(const std::string& key, const StoreItem* item);
+  bool DropLostZones(TimePoint now);
+  bool DropUnlisted(const Contact& contact, Revision at, TimePoint now);
+  void DropBackend(const InstanceId& id, Revision at, TimePoint now);
   bool TakeBackend(const std::string& key, const StoreReplica& replica,
                    const Contact& contact, TimePoint now);
   bool IsUnsettled(const Contact& contact, TimePoint now) const;
@@ -57,11 +77,12 @@
   StoreSchema schema_;
   Options options_;
   RouteTablePtr routes_;
-  StoreItem deployment_item_;
+  std::string deployment_text_;
   std::map<InstanceId, BackendRecord> backends_;
   // Backend servers that vanished while the store was away.
   std::set<InstanceId> unlisted_;
-  std::set<ZoneName> zones_out_;
+  Departures departures_;
+  std::map<ZoneName, ZoneOut> zones_out_;
   std::map<std::string, Member> members_;
   // As agents told of the engines beside them; kept when they are gone.
   std::map<Endpoint, GroupName> groups_;
--- a/src/store/lease_keeper.cc
+++ b/src/store/lease_keeper.cc
@@ -10,6 +10,7 @@
     : loop_(loop), store_(store), options_(std::move(options)) {}
 
 void LeaseKeeper::Start() {
+  store_.AddEraListener([this] { OnEra(); });
   Grant();
   loop_.Every(options_.renewal, [this] { Renew(); });
 }
@@ -19,10 +20,19 @@
   if (lease_ && !is_granting_) Write(*lease_, std::nullopt);
 }
 
+// The lease and the key may be gone, or be another process's.
+void LeaseKeeper::OnEra() {
+  ++eras_;
+  lease_.reset();
+  is_granting_ = false;
+  Grant();
+}
+
 void LeaseKeeper::Renew() {
   if (is_released_) return;
   if (!lease_) return Grant();
-  store_.KeepLease(*lease_, [this](LeaseFate fate) {
+  store_.KeepLease(*lease_, [this, era = eras_](LeaseFate fate) {
+    if (era != eras_) return;
     if (fate != LeaseFate::kEnded || is_released_) return;
     lease_.reset();
     Grant();
@@ -31,11 +41,13 @@
 
 void LeaseKeeper::Grant() {
   if (is_released_ || std::exchange(is_granting_, true)) return;
-  store_.GrantLease(options_.ttl, [this](absl::StatusOr<LeaseId> lease) {
+  const auto on_lease = [this, era = eras_](absl::StatusOr<LeaseId> lease) {
+    if (era != eras_) return;
     is_granting_ = false;
     if (!lease.ok() || is_released_) return;  // tried again at the next renewal
     Write(*lease, std::nullopt);
-  });
+  };
+  store_.GrantLease(options_.ttl, on_lease);
 }
 
 // Written first as if the key were absent; a conflict tells the revision to
@@ -46,7 +58,8 @@
   store_.Change(
       {.expectations = {{options_.key, expected.value_or(Revision(0))}},
        .writes = {{options_.key, options_.value, lease}}},
-      [this, lease, is_second_try](const ChangeResult& result) {
+      [this, lease, is_second_try, era = eras_](const ChangeResult& result) {
+        if (era != eras_) return;
         is_granting_ = false;
         if (is_released_) return store_.EndLease(lease);
         if (result.fate == ChangeFate::kDone) {
--- a/src/store/lease_keeper.h
+++ b/src/store/lease_keeper.h
@@ -35,12 +35,16 @@
   void Renew();
   void Grant();
   void Write(LeaseId lease, std::optional<Revision> expected);
+  void OnEra();
 
   EventLoop& loop_;
   Store& store_;
   Options options_;
   std::optional<LeaseId> lease_;
   bool is_granting_ = false;
+  // What was asked in an earlier era counts for nothing in a later one, where
+  // another process may hold a lease of the same number.
+  int eras_ = 0;
   bool is_released_ = false;
 };
 
--- /dev/null
+++ b/src/store/store.cc
@@ -0,0 +1,22 @@
+#include "store/store.h"
+
+#include "core/log.h"
+
+namespace mangohold {
+
+bool Store::OnAnswerOf(StoreEra era) {
+  if (!era_) era_ = era;
+  if (era < *era_) {
+    Log(LogLevel::kWarning, "store_answer_of_earlier_era",
+        {{"era", era.value()}, {"present", era_->value()}});
+    return false;
+  }
+  if (era == *era_) return true;
+  Log(LogLevel::kWarning, "store_era_began",
+      {{"era", era.value()}, {"former", era_->value()}});
+  era_ = era;
+  for (const auto& listener : era_listeners_) listener();
+  return true;
+}
+
+}  // namespace mangohold
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -4,7 +4,9 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/status/statusor.h"
@@ -81,7 +83,8 @@
   kMayBeStale  // by some seconds; much cheaper
 };
 
-// Each call has a time-out. Callbacks run on the client's event loop.
+// Each call has a time-out. Callbacks run on the client's event loop. Answers
+// of an era before the present one are dropped: their calls get none.
 class Store {
  public:
   template <typename Value>
@@ -102,6 +105,23 @@
   virtual void KeepLease(LeaseId lease, Callback<LeaseFate> on_fate) = 0;
   // Ends the lease with its keys. The answer is not waited for.
   virtual void EndLease(LeaseId lease) = 0;
+
+  // The era of the last answer.
+  StoreEra era() const { return era_.value_or(StoreEra()); }
+  // `listener` is called at the first answer of each later era, before that
+  // answer is given. What this process wrote or holds may be gone, and others
+  // may hold leases under the same numbers.
+  void AddEraListener(std::function<void()> listener) {
+    era_listeners_.push_back(std::move(listener));
+  }
+
+ protected:
+  // Takes the era of an answer. False if the answer is to be dropped.
+  bool OnAnswerOf(StoreEra era);
+
+ private:
+  std::optional<StoreEra> era_;  // absent: nothing was answered yet
+  std::vector<std::function<void()>> era_listeners_;
 };
 
 }  // namespace mangohold
--- a/src/store/store_follower.cc
+++ b/src/store/store_follower.cc
@@ -45,6 +45,11 @@
     return;
   }
   OnAnswer();
+  if (!replica_.Fits(*page)) return List(Freshness::kLinearizable);
+  // A store that came back from an older copy had been away, however shortly.
+  const bool is_later_era =
+      replica_.is_loaded() && page->at.era() != replica_.at().era();
+  if (is_later_era) answering_since_ = BootNow();
   const bool is_last = !page->has_more || page->items.empty();
   Report(replica_.OnPage(*page));
   if (!is_last) {
@@ -88,6 +93,9 @@
     loop_.After(options_.first_retry, [this] { Watch(); });
     return;
   }
+  // An answer of another era was given before this process, or the other one,
+  // knew of the change.
+  if (relayed->events.at.era() != replica_.at().era()) return Watch();
   const TimePoint now = BootNow();
   const auto scaled = [](Duration duration, double factor) {
     return std::chrono::duration_cast<Duration>(duration * factor);
@@ -110,7 +118,13 @@
   OnAnswer();
   if (events->is_history_lost) {
     Log(LogLevel::kInfo, "store_history_lost",
-        {{"revision", replica_.at().value()}});
+        {{"revision", replica_.at().number()},
+         {"era", replica_.at().era().value()}});
+    return List(Freshness::kLinearizable);
+  }
+  // The store came back from an older copy: a watch from a revision that was
+  // given out again misses what came before.
+  if (events->at.era() != replica_.at().era()) {
     return List(Freshness::kLinearizable);
   }
   // An answer without events was given when the wait was over, any other at
--- a/src/store/store_replica.cc
+++ b/src/store/store_replica.cc
@@ -10,6 +10,10 @@
   has_first_page_ = false;
 }
 
+bool StoreReplica::Fits(const StorePage& page) const {
+  return !has_first_page_ || page.at.era() == listed_from_.era();
+}
+
 // Pages are not a snapshot: changes made while they are read may be in them or
 // not. Watching goes on from the revision of the first page, which brings all
 // of these changes again.
--- a/src/store/store_replica.h
+++ b/src/store/store_replica.h
@@ -14,6 +14,9 @@
  public:
   // Begins a listing. What is known stays until the listing is complete.
   void BeginListing();
+  // True if the page is of the same era of the store as those before it. A
+  // listing over two eras would be of neither: it has to begin anew.
+  bool Fits(const StorePage& page) const;
   // Takes a page of the listing in progress. After the last one, gives the keys
   // that changed against what was known, deleted ones included.
   std::vector<std::string> OnPage(const StorePage& page);
@@ -28,6 +31,8 @@
   const std::map<std::string, StoreItem>& items() const { return items_; }
   // The revision up to which nothing is missing.
   Revision at() const { return at_; }
+  // Where the last listing began. What is in it may be older than its era.
+  Revision listed_from() const { return listed_from_; }
   bool is_loaded() const { return is_loaded_; }
 
  private:
--- a/tests/standins/kv_store.cc
+++ b/tests/standins/kv_store.cc
@@ -74,6 +74,32 @@
   while (!leases_.empty()) EndLease(leases_.begin()->first);
 }
 
+void KvStore::Snapshot() {
+  const std::lock_guard lock(mutex_);
+  copy_ = {.items = items_, .revision = revision_, .last_lease = last_lease_};
+}
+
+void KvStore::Restore() {
+  const std::lock_guard lock(mutex_);
+  ++era_;
+  items_ = copy_.items;
+  revision_ = copy_.revision;
+  last_lease_ = copy_.last_lease;
+  history_.clear();
+  leases_.clear();
+  std::erase_if(items_,
+                [](const auto& item) { return item.second.lease != 0; });
+}
+
+asio::awaitable<void> KvStore::Answer(Connection& connection, Reply reply) {
+  std::string era;
+  {
+    const std::lock_guard lock(mutex_);
+    era = "Store-Era: " + std::to_string(era_) + "\r\n";
+  }
+  co_await connection.Reply(reply.status, "application/json", reply.body, era);
+}
+
 asio::awaitable<void> KvStore::Handle(HttpRequest request,
                                       Connection& connection) {
   ++calls_;
@@ -86,7 +112,7 @@
   }
   if (faults.is_silent) co_await Sleep(kForever);
   if (faults.is_busy) {
-    co_await connection.Reply(503, "application/json", "{}");
+    co_await Answer(connection, {503, "{}"});
     co_return;
   }
   co_await Sleep(faults.delay);
@@ -105,7 +131,7 @@
   } else {
     reply = Lease(request);
   }
-  co_await connection.Reply(reply.status, "application/json", reply.body);
+  co_await Answer(connection, std::move(reply));
 }
 
 asio::awaitable<KvStore::Reply> KvStore::Watch(HttpRequest request) {
@@ -115,6 +141,7 @@
   while (true) {
     {
       const std::lock_guard lock(mutex_);
+      if (after > revision_) co_return Reply{410, "{}"};
       const bool has_events =
           std::ranges::any_of(history_, [&](const Event& event) {
             return event.revision > after && event.key.starts_with(prefix);
--- a/tests/standins/kv_store.h
+++ b/tests/standins/kv_store.h
@@ -38,6 +38,10 @@
   bool Has(const std::string& key) const;
   // Ends all leases, with their keys.
   void LapseLeases();
+  // Keeps a copy of all items, and comes back from it: in the next era, with
+  // the copy's revisions and without leases and history.
+  void Snapshot();
+  void Restore();
   int calls() const { return calls_; }
 
  private:
@@ -70,8 +74,17 @@
   void ExpireLeases();
   std::string ItemText(const std::string& key, const Item& item) const;
 
+  asio::awaitable<void> Answer(Connection& connection, Reply reply);
+
   mutable std::recursive_mutex mutex_;
   Faults faults_;
+  std::uint64_t era_ = 1;
+  struct Copy {
+    std::map<std::string, Item> items;
+    std::uint64_t revision = 1;
+    std::uint64_t last_lease = 0;
+  };
+  Copy copy_;
   std::map<std::string, Item> items_;
   std::vector<Event> history_;
   std::uint64_t revision_ = 1;
--- a/tests/standins/raw_http.cc
+++ b/tests/standins/raw_http.cc
@@ -90,10 +90,10 @@
 }
 
 asio::awaitable<void> Connection::Reply(int status, std::string type,
-                                        std::string body) {
+                                        std::string body, std::string fields) {
   const std::string text =
-      "HTTP/1.1 " + std::to_string(status) +
-      " Standin\r\nContent-Type: " + type +
+      "HTTP/1.1 " + std::to_string(status) + " Standin\r\n" + fields +
+      "Content-Type: " + type +
       "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   co_await asio::async_write(socket_, asio::buffer(text), use_awaitable);
 }
--- a/tests/standins/raw_http.h
+++ b/tests/standins/raw_http.h
@@ -18,7 +18,9 @@
 
   // Reads one request; false when the peer has closed.
   asio::awaitable<bool> Read(HttpRequest& request);
-  asio::awaitable<void> Reply(int status, std::string type, std::string body);
+  // `fields` are lines, each with its end.
+  asio::awaitable<void> Reply(int status, std::string type, std::string body,
+                              std::string fields = "");
   asio::awaitable<void> StartChunks(int status, std::string type);
   asio::awaitable<void> Chunk(std::string data);
   asio::awaitable<void> EndChunks();
--- a/tests/system/direct_way_test.cc
+++ b/tests/system/direct_way_test.cc
@@ -286,6 +286,69 @@
 
 // One of four entries follows the store for the others. When it stands still
 // the others go on.
+// The store comes back from an older copy, twice, while one entry can't reach
+// it and three follow it through their zone's watcher.
+TEST(DirectWay, AStoreThatComesBackFromAnOlderCopyTakesNothingBack) {
+  DirectSite site({.entries = 4, .backends = 3, .most_direct_followers = 2});
+  site.Start();
+  const auto works = [&](const std::string& id, const std::string& key) {
+    for (int entry = 0; entry < 4; ++entry) {
+      const std::string name = id + std::to_string(entry);
+      if (site.Call("GET", "/again/x", name, "", key, entry).status != 200) {
+        return false;
+      }
+    }
+    return true;
+  };
+  ASSERT_TRUE(WaitFor([&] { return works("a", "k"); }));
+  for (int era = 0; era < 2; ++era) {
+    const std::string mark = std::to_string(era);
+    const int version = 10 * (era + 1);
+    site.PutDeployment(version, {"k", "old" + mark});
+    site.ListBackend(0, "ready");
+    ASSERT_TRUE(WaitFor([&] { return works("b" + mark, "old" + mark); }));
+    site.store().Snapshot();
+    // The key is taken away, one backend server leaves and a zone is emptied.
+    site.PutDeployment(version + 1, {"k"});
+    site.ListBackend(0, "draining");
+    ASSERT_TRUE(WaitFor([&] {
+      return site.Call("GET", "/again/x", "c" + mark, "", "old" + mark, 3)
+                 .status == 401;
+    }));
+    std::this_thread::sleep_for(milliseconds(600));
+    site.store().SetFaults({.is_silent = true});
+    std::this_thread::sleep_for(milliseconds(300));
+    site.store().Restore();
+    site.store().SetFaults({});
+    // For as long as nothing is written again, and after.
+    const int before = site.backend(0).runs_in_all();
+    for (int round = 0; round < 12; ++round) {
+      for (int entry = 0; entry < 4; ++entry) {
+        const std::string id =
+            "d" + mark + std::to_string(round) + std::to_string(entry);
+        EXPECT_EQ(
+            site.Call("GET", "/again/x", id, "", "old" + mark, entry).status,
+            401);
+        EXPECT_EQ(site.Call("GET", "/again/x", id + "k", "", "k", entry).status,
+                  200);
+      }
+      if (round == 8) {
+        site.PutDeployment(version + 1, {"k"});
+        site.ListBackend(0, "draining");
+      }
+      std::this_thread::sleep_for(milliseconds(150));
+    }
+    EXPECT_EQ(site.backend(0).runs_in_all(), before);
+    site.PutDeployment(version + 2, {"k", "new" + mark});
+    ASSERT_TRUE(WaitFor([&] { return works("e" + mark, "new" + mark); }));
+    for (int entry = 0; entry < 4; ++entry) {
+      EXPECT_TRUE(WaitFor([&] {
+        return site.store().Has("members/entry-" + std::to_string(entry));
+      }));
+    }
+  }
+}
+
 TEST(DirectWay, EntriesFollowTheStoreThroughTheirZonesWatchers) {
   constexpr int kEntries = 4;
   DirectSite site({.entries = kEntries, .most_direct_followers = 1});
--- a/tests/system/rank_agent_test.cc
+++ b/tests/system/rank_agent_test.cc
@@ -92,7 +92,15 @@
 
   // The rank whose agent began to lead last, by the term that it logged; -1:
   // none yet.
-  int Leader() const {
+  int Leader() const { return NewestLeading().first; }
+  std::uint64_t NewestTerm() const { return NewestLeading().second; }
+
+  bool HasKeptDemand() const { return store_->Has("demand/g"); }
+  bool IsEven() const { return group_->skew() < kNearlyEven; }
+  standin::KvStore& store() { return *store_; }
+
+ private:
+  std::pair<int, std::uint64_t> NewestLeading() const {
     int leader = -1;
     std::uint64_t newest = 0;
     for (int rank = 0; rank < kRanks; ++rank) {
@@ -107,13 +115,9 @@
         leader = rank;
       }
     }
-    return leader;
+    return {leader, newest};
   }
 
-  bool HasKeptDemand() const { return store_->Has("demand/g"); }
-  bool IsEven() const { return group_->skew() < kNearlyEven; }
-
- private:
   std::string Ip(int last) const { return net_ + std::to_string(last); }
   std::string EngineAddress(int rank) const { return Ip(100 + rank) + ":9000"; }
   std::string LogOf(int rank) const {
@@ -169,6 +173,29 @@
   EXPECT_TRUE(site.IsEven());
 }
 
+// The store comes back from a copy that is older than the leader's term: it
+// takes a new one, and maps go on.
+TEST(RankAgent, ALeaderTakesANewTermWhenTheStoreComesBackFromAnOlderCopy) {
+  RankSite site(0);
+  site.store().Snapshot();
+  ASSERT_TRUE(WaitFor([&] { return site.IsEven(); }));
+  const std::uint64_t first = site.group().map(0);
+  const std::uint64_t term = site.NewestTerm();
+  site.store().Restore();
+  site.group().SetPopularity(kShifted);
+  ASSERT_TRUE(WaitFor([&] { return site.IsEven(); }));
+  EXPECT_GT(site.group().map(0), first);
+  ASSERT_TRUE(WaitFor([&] { return site.NewestTerm() > term; }));
+  // One that starts now, and a successor, go on in the new era.
+  const int leader = site.Leader();
+  site.agent(leader).Kill();
+  ASSERT_TRUE(WaitFor([&] { return site.Leader() != leader; }));
+  site.StartAgent(leader);
+  site.group().SetPopularity(kUneven);
+  ASSERT_TRUE(WaitFor([&] { return site.IsEven(); }));
+  EXPECT_EQ(site.group().split_passes(), 0);
+}
+
 // The machine of the leader stands still right after its hold, with the engine
 // beside it, while orders come late.
 TEST(RankAgent, AHoldIsReleasedWhenItsLeaderStandsStill) {
--- a/tests/unit/entry_gossip_test.cc
+++ b/tests/unit/entry_gossip_test.cc
@@ -30,7 +30,7 @@
       .mark_us = 1,
       .returned_mark_us = 2,
       .returned_held_us = 3,
-      .deployment = Revision(4),
+      .deployment = DeploymentVersion(4),
       .confirmed_age_us = 5,
       .shares = {
           {.backend = InstanceId("b"), .requests = 6, .unread_tokens = 7}}};
@@ -40,7 +40,7 @@
   EXPECT_EQ(read.sender.admin, Endpoint("a:90"));
   EXPECT_TRUE(read.is_leaving);
   EXPECT_EQ(read.returned_held_us, 3);
-  EXPECT_EQ(read.deployment, Revision(4));
+  EXPECT_EQ(read.deployment, DeploymentVersion(4));
   EXPECT_EQ(read.shares[0].unread_tokens, 7);
 }
 
@@ -75,7 +75,7 @@
         teller.OnMessage(out.message, now + ahead);
       }
       now += milliseconds(random.Below(300));
-      const EntryGossip::State state = {.deployment = Revision(9),
+      const EntryGossip::State state = {.deployment = DeploymentVersion(9),
                                         .confirmed_as_of = confirmed + ahead};
       for (const auto& out : teller.NextRound(state, now + ahead)) {
         const TimePoint truth = confirmed;
--- a/tests/unit/fleet_builder_test.cc
+++ b/tests/unit/fleet_builder_test.cc
@@ -130,9 +130,9 @@
   EXPECT_EQ(Backends(), 2U);
   now_ += milliseconds(1'500);
   Write("servers/a", BackendText("a:1", "ready"));
-  EXPECT_FALSE(builder_.OnTime(contact_, now_));
+  EXPECT_FALSE(builder_.OnTime(replica_, contact_, now_));
   now_ += seconds(1);
-  EXPECT_TRUE(builder_.OnTime(contact_, now_));
+  EXPECT_TRUE(builder_.OnTime(replica_, contact_, now_));
   ASSERT_EQ(Backends(), 1U);
   EXPECT_EQ(builder_.View()->backends[0].id, InstanceId("a"));
 }
@@ -148,13 +148,11 @@
 
 TEST_F(FleetBuilderTest, ADeploymentFromAPeerIsTakenIfItIsNewer) {
   Write("op/config", DeploymentText(7));
-  EXPECT_TRUE(builder_.TakeDeployment({.key = "op/config",
-                                       .value = DeploymentText(9),
-                                       .revision = Revision(50)}));
-  EXPECT_FALSE(builder_.TakeDeployment({.key = "op/config",
-                                        .value = DeploymentText(8),
-                                        .revision = Revision(40)}));
-  EXPECT_EQ(builder_.View()->deployment_revision, Revision(50));
+  EXPECT_TRUE(builder_.TakeDeployment(
+      {.key = "op/config", .value = DeploymentText(9)}));
+  EXPECT_FALSE(builder_.TakeDeployment(
+      {.key = "op/config", .value = DeploymentText(8)}));
+  EXPECT_EQ(builder_.View()->version(), DeploymentVersion(9));
 }
 
 TEST(StoreReplica, ChangesMadeWhilePagesAreReadAreNotLost) {
--- /dev/null
+++ b/tests/unit/store_eras_test.cc
@@ -0,0 +1,424 @@
+// A store that comes back from an older copy: revisions are given out again,
+// what was acknowledged since is gone, and operators and backend servers write
+// again what they had written.
+#include <gtest/gtest.h>
+
+#include <array>
+#include <map>
+#include <set>
+
+#include "core/random.h"
+#include "platform/schema.h"
+#include "store/change_log.h"
+#include "store/change_relay.h"
+#include "store/fleet_builder.h"
+#include "store/store_replica.h"
+
+namespace mangohold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Revision InEra(std::uint64_t era, std::uint64_t number) {
+  return Revision(number, StoreEra(era));
+}
+
+std::string Deployment(int version) {
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"routes":[],"services":[],"limits":{"max_header_bytes":100,
+         "max_body_bytes":200,"header_timeout_ms":300,"idle_timeout_ms":400}})";
+}
+
+std::string Engine(int index, const char* state) {
+  return R"({"service":"s","address":"a:)" + std::to_string(index) +
+         R"(","zone":")" + (index % 2 == 0 ? "even" : "odd") +
+         R"(","version":"v1","slots":12,"state":")" + state +
+         R"(","cold_remaining_ms":0,"sequence":4,"born":)" +
+         std::to_string(1'000 + index) + "}";
+}
+
+// The store, its copy, and what its other users have written last.
+class VirtualStore {
+ public:
+  void Put(const std::string& key, const std::string& value) {
+    wanted_[key] = value;
+    Write(key, value);
+  }
+  void Remove(const std::string& key) {
+    wanted_.erase(key);
+    Erase(key);
+  }
+  void Snapshot() {
+    copy_ = items_;
+    copied_number_ = number_;
+  }
+  void Restore() {
+    items_ = copy_;
+    number_ = copied_number_;
+    era_ = era_.Next();
+    history_.clear();
+    for (auto& [key, item] : items_) {
+      item.revision = Revision(item.revision.number(), era_);
+      item.created = Revision(item.created.number(), era_);
+    }
+  }
+  // One key that isn't as its writer has written it is written again. False if
+  // there is none.
+  bool WriteAgain() {
+    for (const auto& [key, value] : wanted_) {
+      const auto item = items_.find(key);
+      if (item != items_.end() && item->second.value == value) continue;
+      Write(key, value);
+      return true;
+    }
+    for (const auto& [key, item] : items_) {
+      if (wanted_.contains(key)) continue;
+      Erase(std::string(key));
+      return true;
+    }
+    return false;
+  }
+
+  StorePage List() const {
+    StorePage page{.at = at()};
+    for (const auto& [key, item] : items_) page.items.push_back(item);
+    return page;
+  }
+  StoreEvents Watch(Revision after) const {
+    if (after.number() > number_) return {.at = at(), .is_history_lost = true};
+    StoreEvents events{.at = at()};
+    for (const StoreEvent& event : history_) {
+      if (event.item.revision.number() <= after.number()) continue;
+      events.events.push_back(event);
+    }
+    return events;
+  }
+  Revision at() const { return Revision(number_, era_); }
+  const std::map<std::string, std::string>& wanted() const { return wanted_; }
+
+ private:
+  void Write(const std::string& key, const std::string& value) {
+    ++number_;
+    StoreItem& item = items_[key];
+    if (item.key.empty()) item = {.key = key, .created = at()};
+    item.value = value;
+    item.revision = at();
+    history_.push_back({.item = item});
+  }
+  void Erase(const std::string& key) {
+    if (items_.erase(key) == 0) return;
+    ++number_;
+    history_.push_back(
+        {.item = {.key = key, .revision = at()}, .is_deleted = true});
+  }
+
+  std::map<std::string, StoreItem> items_;
+  std::vector<StoreEvent> history_;
+  std::uint64_t number_ = 1;
+  StoreEra era_{1};
+  std::map<std::string, StoreItem> copy_;
+  std::uint64_t copied_number_ = 1;
+  std::map<std::string, std::string> wanted_;
+};
+
+// What an entry knows, by the classes that the daemons use.
+class VirtualEntry {
+ public:
+  void List(const VirtualStore& store, TimePoint now) {
+    replica_.BeginListing();
+    const bool is_later_era =
+        replica_.is_loaded() && store.at().era() != replica_.at().era();
+    if (is_later_era) answering_since_ = now;
+    Take(replica_.OnPage(store.List()), now);
+    log_.OnListed(replica_.at());
+  }
+  void WatchStore(const VirtualStore& store, TimePoint now) {
+    const StoreEvents events = store.Watch(replica_.at());
+    const bool is_of_era = events.at.era() == replica_.at().era();
+    if (events.is_history_lost || !is_of_era) return List(store, now);
+    Take(replica_.OnEvents(events), now);
+    log_.OnEvents(events);
+  }
+  // False if the other one can't tell.
+  bool WatchThrough(const VirtualEntry& other, TimePoint now) {
+    const auto events = other.log_.Since(replica_.at());
+    if (!events) return false;
+    const auto relayed = DecodeRelayed(EncodeRelayed({.events = *events}));
+    EXPECT_TRUE(relayed.ok());
+    Take(replica_.OnEvents(relayed->events), now);
+    log_.OnEvents(relayed->events);
+    return true;
+  }
+  void OnTime(TimePoint now) { builder_.OnTime(replica_, Contact(), now); }
+  FleetViewPtr View() const { return builder_.View(); }
+  const StoreReplica& replica() const { return replica_; }
+  // True if what the store lacks doesn't count as kept for a moment.
+  bool IsSettled(TimePoint now) const {
+    return now - answering_since_ > seconds(2);
+  }
+
+ private:
+  FleetBuilder::Contact Contact() const {
+    return {.is_answering = true, .answering_since = answering_since_};
+  }
+  void Take(const std::vector<std::string>& keys, TimePoint now) {
+    builder_.OnChanged(keys, replica_, Contact(), now);
+  }
+
+  StoreReplica replica_;
+  ChangeLog log_;
+  FleetBuilder builder_{platform::Schema(), {}};
+  TimePoint answering_since_;
+};
+
+TEST(StoreEras, ARevisionOfALaterEraIsNewer) {
+  EXPECT_GT(InEra(2, 81), InEra(1, 133));
+  EXPECT_GT(InEra(2, 81).packed(), InEra(1, 133).packed());
+  EXPECT_EQ(Revision::FromPacked(InEra(2, 81).packed()), InEra(2, 81));
+  EXPECT_EQ(Revision::FromPacked(7), Revision(7)) << "the first era";
+}
+
+TEST(StoreEras, AWatcherOfAnotherEraTellsNothing) {
+  ChangeLog log;
+  log.OnListed(InEra(1, 100));
+  EXPECT_TRUE(log.Since(InEra(1, 120)));
+  EXPECT_FALSE(log.Since(InEra(2, 110))) << "it hasn't heard of the era";
+  log.OnListed(InEra(2, 80));
+  EXPECT_FALSE(log.Since(InEra(1, 120))) << "the asker hasn't";
+}
+
+TEST(StoreEras, AListingOverTwoErasIsOfNeither) {
+  StoreReplica replica;
+  replica.BeginListing();
+  EXPECT_TRUE(replica.Fits({.at = InEra(1, 9)}));
+  replica.OnPage({.has_more = true, .at = InEra(1, 9)});
+  EXPECT_TRUE(replica.Fits({.at = InEra(1, 11)}));
+  EXPECT_FALSE(replica.Fits({.at = InEra(2, 8)}));
+}
+
+class RestoredStore : public testing::Test {
+ protected:
+  RestoredStore() {
+    store_.Put("op/config", Deployment(3));
+    store_.Put("servers/i-0", Engine(0, "ready"));
+    store_.Put("servers/i-1", Engine(1, "ready"));
+    store_.Snapshot();
+    entry_.List(store_, now_);
+  }
+  void Pass(Duration time) {
+    now_ += time;
+    entry_.WatchStore(store_, now_);
+    entry_.OnTime(now_);
+  }
+  void Restore() {
+    Pass(milliseconds(100));
+    store_.Restore();
+    Pass(milliseconds(100));
+  }
+  std::size_t Backends() const { return entry_.View()->backends.size(); }
+
+  VirtualStore store_;
+  VirtualEntry entry_;
+  TimePoint now_ = TimePoint() + seconds(100);
+};
+
+TEST_F(RestoredStore, SettingsNeverGoBackAndNewOnesCount) {
+  store_.Put("op/config", Deployment(5));
+  Restore();
+  EXPECT_EQ(entry_.View()->version(), DeploymentVersion(5));
+  while (store_.WriteAgain()) Pass(milliseconds(100));
+  EXPECT_EQ(entry_.View()->version(), DeploymentVersion(5));
+  store_.Put("op/config", Deployment(6));
+  Pass(milliseconds(100));
+  EXPECT_EQ(entry_.View()->version(), DeploymentVersion(6));
+}
+
+TEST_F(RestoredStore, AZoneThatWasOutStaysOutUntilItIsSaidAgain) {
+  store_.Put("op/evacuate/odd", "");
+  Restore();
+  EXPECT_EQ(Backends(), 1U);
+  Pass(seconds(1));
+  EXPECT_EQ(Backends(), 1U);
+  while (store_.WriteAgain()) Pass(milliseconds(100));
+  Pass(seconds(20));
+  EXPECT_EQ(Backends(), 1U);
+  store_.Remove("op/evacuate/odd");
+  Pass(milliseconds(100));
+  EXPECT_EQ(Backends(), 2U);
+}
+
+TEST_F(RestoredStore, AZoneOfWhichNobodySpeaksComesBack) {
+  store_.Put("op/evacuate/odd", "");
+  Restore();
+  Pass(seconds(29));
+  EXPECT_EQ(Backends(), 1U);
+  Pass(seconds(2));
+  EXPECT_EQ(Backends(), 2U);
+}
+
+TEST_F(RestoredStore, ABackendServerThatLeftGetsNothing) {
+  store_.Put("servers/i-0", Engine(0, "draining"));
+  store_.Remove("servers/i-1");
+  Pass(milliseconds(100));
+  EXPECT_EQ(Backends(), 0U);
+  store_.Restore();
+  Pass(milliseconds(100));
+  EXPECT_EQ(Backends(), 0U) << "both are ready in the copy";
+  while (store_.WriteAgain()) Pass(milliseconds(100));
+  EXPECT_EQ(Backends(), 0U);
+  // Its own word in the new era counts.
+  store_.Put("servers/i-0", Engine(0, "ready"));
+  Pass(milliseconds(100));
+  EXPECT_EQ(Backends(), 1U);
+}
+
+TEST_F(RestoredStore, ABackendServerThatTheCopyLacksIsKeptForItsNextWord) {
+  store_.Put("servers/i-2", Engine(2, "ready"));
+  Restore();
+  EXPECT_EQ(Backends(), 3U);
+  while (store_.WriteAgain()) Pass(milliseconds(100));
+  Pass(seconds(5));
+  EXPECT_EQ(Backends(), 3U);
+}
+
+// Three entries, two of which follow the store through the first or by
+// themselves, through restores at any moment.
+class RandomRestores {
+ public:
+  explicit RandomRestores(std::uint64_t seed) : random_(seed) {
+    store_.Put("op/config", Deployment(version_));
+    for (int index = 0; index < kEngines; ++index) {
+      store_.Put(KeyOf(index), Engine(index, "ready"));
+    }
+    store_.Snapshot();
+    for (VirtualEntry& entry : entries_) entry.List(store_, now_);
+  }
+
+  void Run() {
+    for (int step = 0; step < 120; ++step) {
+      Act();
+      Advance();
+      Check();
+    }
+    while (store_.WriteAgain()) Advance();
+    for (int step = 0; step < 350; ++step) Advance();
+    CheckEnd();
+  }
+
+ private:
+  static constexpr int kEngines = 4;
+
+  static std::string KeyOf(int index) {
+    return "servers/i-" + std::to_string(index);
+  }
+  bool IsOut(const std::string& zone) const {
+    return store_.wanted().contains(OutKey(zone));
+  }
+  static std::string OutKey(const std::string& zone) {
+    return "op/evacuate/" + zone;
+  }
+
+  void Act() {
+    const auto kind = random_.Below(12);
+    const int index = static_cast<int>(random_.Below(kEngines));
+    const std::string zone = random_.Below(2) == 0 ? "even" : "odd";
+    if (kind == 0) {
+      store_.Put("op/config", Deployment(++version_));
+    } else if (kind == 1 && !left_.contains(index)) {
+      store_.Put(KeyOf(index), Engine(index, "draining"));
+      left_.insert(index);
+    } else if (kind == 2 && left_.contains(index)) {
+      store_.Remove(KeyOf(index));
+    } else if (kind == 3) {
+      if (!IsOut(zone)) store_.Put(OutKey(zone), std::to_string(++words_));
+    } else if (kind == 4) {
+      store_.Remove(OutKey(zone));
+      for (auto& known : known_out_) known.erase(zone);
+    } else if (kind == 5) {
+      store_.Snapshot();
+    } else if (kind == 6 && random_.Below(3) == 0) {
+      store_.Restore();
+    } else if (kind < 9) {
+      store_.WriteAgain();
+    }
+  }
+
+  void Advance() {
+    now_ += milliseconds(100);
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+      if (random_.Below(4) == 0) continue;  // its answer is late
+      const bool is_told = i > 0 && random_.Below(2) == 0 &&
+                           entries_[i].WatchThrough(entries_[0], now_);
+      if (!is_told) entries_[i].WatchStore(store_, now_);
+      entries_[i].OnTime(now_);
+    }
+  }
+
+  // What an entry has once known holds, until its writer says otherwise.
+  void Check() {
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+      const FleetViewPtr view = entries_[i].View();
+      EXPECT_GE(view->version(), versions_[i]);
+      versions_[i] = view->version();
+      for (const BackendRecord& backend : view->backends) {
+        EXPECT_FALSE(known_left_[i].contains(backend.id));
+        EXPECT_FALSE(known_out_[i].contains(backend.zone.value()));
+      }
+      for (const std::string zone : {"even", "odd"}) {
+        const StoreItem* word = entries_[i].replica().Find(OutKey(zone));
+        const bool knows = word != nullptr && IsOut(zone) &&
+                           word->value == store_.wanted().at(OutKey(zone));
+        if (knows) known_out_[i].insert(zone);
+      }
+      for (const int index : left_) {
+        const StoreItem* entry = entries_[i].replica().Find(KeyOf(index));
+        const bool knows = entry == nullptr ? entries_[i].IsSettled(now_)
+                                            : entry->value.find("draining") !=
+                                                  std::string::npos;
+        if (knows)
+          known_left_[i].insert(InstanceId("i-" + std::to_string(index)));
+      }
+    }
+  }
+
+  void CheckEnd() {
+    for (const VirtualEntry& entry : entries_) {
+      const FleetViewPtr view = entry.View();
+      EXPECT_EQ(view->version(), DeploymentVersion(version_));
+      std::set<std::string> used;
+      for (const BackendRecord& backend : view->backends) {
+        used.insert("servers/" + backend.id.value());
+      }
+      std::set<std::string> usable;
+      for (int index = 0; index < kEngines; ++index) {
+        const bool is_ready = !left_.contains(index);
+        if (is_ready && !IsOut(index % 2 == 0 ? "even" : "odd")) {
+          usable.insert(KeyOf(index));
+        }
+      }
+      EXPECT_EQ(used, usable);
+    }
+  }
+
+  Random random_;
+  VirtualStore store_;
+  std::array<VirtualEntry, 3> entries_;
+  TimePoint now_ = TimePoint() + seconds(100);
+  int version_ = 3;
+  int words_ = 0;  // that a zone is out
+  std::set<int> left_;
+  std::array<DeploymentVersion, 3> versions_;
+  std::array<std::set<std::string>, 3> known_out_;
+  std::array<std::set<InstanceId>, 3> known_left_;
+};
+
+TEST(StoreEras, AThousandSchedulesOfRestoresLoseNothingForGood) {
+  for (std::uint64_t seed = 1; seed <= 1'000; ++seed) {
+    RandomRestores(seed).Run();
+    ASSERT_FALSE(testing::Test::HasFailure()) << "seed " << seed;
+  }
+}
+
+}  // namespace
+}  // namespace mangohold
