--- a/src/group/demand_keeper.cc
+++ b/src/group/demand_keeper.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <numeric>
 #include <utility>
 #include <vector>
 
@@ -14,8 +15,13 @@
 
 // The most demanded expert of a set has this value.
 constexpr double kMostSteps = 250;
-// The demand is written at most this often.
-constexpr std::chrono::seconds kInterval(4);
+// The demand is written at most this often, and only if this part of it is new.
+constexpr std::chrono::seconds kInterval(1);
+constexpr double kLeastDifference = 0.1;
+
+double SumOf(const std::vector<double>& set) {
+  return std::accumulate(set.begin(), set.end(), 0.0);
+}
 
 }  // namespace
 
@@ -47,12 +53,31 @@
   }
 }
 
+double DifferenceOf(const ExpertDemand& one, const ExpertDemand& other) {
+  const auto is_alike = [](const auto& a, const auto& b) {
+    return a.size() == b.size();
+  };
+  if (one.empty() || !std::ranges::equal(one, other, is_alike)) return 1;
+  double sum = 0;
+  for (std::size_t set = 0; set < one.size(); ++set) {
+    const double first = std::max(1.0, SumOf(one[set]));
+    const double second = std::max(1.0, SumOf(other[set]));
+    for (std::size_t expert = 0; expert < one[set].size(); ++expert) {
+      sum += std::abs(one[set][expert] / first - other[set][expert] / second);
+    }
+  }
+  return sum / 2 / static_cast<double>(one.size());
+}
+
 void DemandKeeper::Keep(const ExpertDemand& demand, TimePoint now) {
-  if (kept_at_ && now - *kept_at_ < kInterval) return;
+  if (demand.empty() || (kept_at_ && now - *kept_at_ < kInterval)) return;
+  if (DifferenceOf(demand, *kept_) < kLeastDifference) return;
   kept_at_ = now;
+  *kept_ = demand;
   store_.Change({.writes = {{key_, EncodeDemand(demand), LeaseId()}}},
-                [](const ChangeResult& result) {
+                [kept = kept_](const ChangeResult& result) {
                   if (result.fate == ChangeFate::kDone) return;
+                  kept->clear();
                   Log(LogLevel::kInfo, "demand_not_kept",
                       {{"fate", static_cast<int>(result.fate)}});
                 });
@@ -74,7 +99,7 @@
       on_demand(*demand);
     }
   };
-  store_.List(key_, "", Freshness::kMayBeStale, on_page);
+  store_.List(key_, "", Freshness::kLinearizable, on_page);
 }
 
 }  // namespace mangohold
--- a/src/group/group_leader.cc
+++ b/src/group/group_leader.cc
@@ -271,6 +271,7 @@
 void GroupLeader::OnPlanRound() {
   const auto present = switch_.PresentMap(BootNow());
   planning_.EndPeriod(present ? &*present : nullptr);
+  if (planning_.IsKnown()) keeper_.Keep(planning_.demand(), BootNow());
   Plan();
 }
 
@@ -301,7 +302,6 @@
        {"skew_after_percent", static_cast<int>(plan->skew_after * 100)},
        {"copies", CountCopies(plan->present, plan->next)}});
   means_.counters.Count(Event::kMapSwitches);
-  keeper_.Keep(planning_.demand(), now);
   switch_.Begin(plan->next, now);
   Advance();
 }
--- a/src/group/map_planning.cc
+++ b/src/group/map_planning.cc
@@ -32,12 +32,16 @@
   estimate_.EndPeriod(present);
 }
 
+bool MapPlanning::IsKnown() const {
+  return estimate_.Weight() >= LeastChoices(estimate_.demand());
+}
+
 bool MapPlanning::Begin(const GroupMap& present,
                         const std::vector<double>& paces,
                         const EngineFigures& engine) {
   const ExpertDemand& demand = estimate_.demand();
   if (planner_ || present.size() != demand.size()) return false;
-  if (estimate_.Weight() < LeastChoices(demand)) return false;
+  if (!IsKnown()) return false;
   if (SkewOf(present, demand, paces) < 1 + options_.least_gain) return false;
   paces_ = paces;
   planner_.emplace(present, demand,
--- a/src/group/map_planning.h
+++ b/src/group/map_planning.h
@@ -51,6 +51,8 @@
   std::optional<Plan> Take();
 
   const ExpertDemand& demand() const { return estimate_.demand(); }
+  // True if the demand rests on enough choices for a plan.
+  bool IsKnown() const;
 
  private:
   Options options_;
