Leave an engine that stands still before its first answer has begun

Change: routing/standstill, a class without network that leaves the dispatcher: what hasn't begun is left once it is overdue against the usual wait, its engine gave no sign for a second, and three answers asked for later have begun elsewhere. One that was left is tried by one request at a time until it gives a sign.

--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -221,7 +221,7 @@
   if (phase_ != Phase::kSent) return;
   if (!has_bytes_) {
     has_bytes_ = true;
-    context_.dispatcher.OnAnswerBegun(attempt_);
+    context_.dispatcher.OnAnswerBegun(attempt_, BootNow());
   }
   if (is_relaying_) return Relay(events_.Feed(data));
   body_.append(data);
@@ -350,10 +350,8 @@
   if (phase_ != Phase::kSent || job_.route->kind != RouteKind::kStream) {
     return false;
   }
-  const TimePoint heard = last_event_at_.value_or(sent_at_);
   return policy_.MayReplaceAttempt() &&
-         context_.dispatcher.IsStuck(attempt_, last_event_at_.has_value(),
-                                     heard, now) &&
+         context_.dispatcher.IsStuck(attempt_, last_event_at_, now) &&
          context_.BudgetOf(job_.service).CanRetry(now);
 }
 
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -29,10 +29,6 @@
 constexpr double kCertainShare = 0.8;
 // Callers come back after this when a service is too slow for them.
 constexpr Millis kSlowRetry{1'000};
-// A stream that brings nothing for this long stands still, if others of its
-// service brought something within the second one.
-constexpr Millis kStuckAfter{1'000};
-constexpr Millis kGoesOn{250};
 // Refusals of two ranks count together within this time.
 constexpr Millis kRefusalMemory{500};
 // Service time of a backend server that has served nothing yet.
@@ -62,7 +58,10 @@
     notices_.OnListed(record.id, record.started_ms);
   }
   std::erase_if(backends_, [](const auto& item) {
-    return !item.second.is_listed && item.second.own_requests == 0;
+    const Backend& backend = item.second;
+    if (backend.is_listed || backend.own_requests > 0) return false;
+    backend.gate->standstill.Forget(item.first);
+    return true;
   });
   SetAllParts();
 }
@@ -176,17 +175,21 @@
   pace.gap_seconds =
       is_fresh ? Smoothed(pace.gap_seconds, ToSeconds(gap)) : ToSeconds(gap);
   pace.at = now;
+  backend->second.gate->standstill.OnEvent(sent->second.backend, now);
 }
 
-bool Dispatcher::IsStuck(AttemptNumber number, bool has_begun, TimePoint heard,
+bool Dispatcher::IsStuck(AttemptNumber number,
+                         std::optional<TimePoint> last_event,
                          TimePoint now) const {
   const auto sent = sent_.find(number);
-  if (sent == sent_.end() || now - heard < kStuckAfter) return false;
+  if (sent == sent_.end()) return false;
   const auto backend = backends_.find(sent->second.backend);
   if (backend == backends_.end()) return false;
-  const EventPace& pace = backend->second.gate->pace;
-  const bool do_others_go_on = pace.gap_seconds > 0 && now - pace.at <= kGoesOn;
-  return do_others_go_on && (has_begun || backend->second.stuck_until > now);
+  return backend->second.gate->standstill.IsStuck(
+      {.backend = sent->second.backend,
+       .sent = sent->second.at,
+       .last_event = last_event},
+      now);
 }
 
 // A request joins the queue only with time to spare, so that few of those that
@@ -274,6 +277,9 @@
                         TimePoint now) {
   if (backend.is_gone || backend.ejected_until > now) return false;
   if (!MayPass(*backend.gate, now)) return false;
+  const bool is_doubtful =
+      backend.gate->standstill.IsDoubtful(backend.record.id);
+  if (is_doubtful && backend.own_requests > 0) return false;
   if (!notices_.IsWelcome(backend.record.id, now)) return false;
   if (std::ranges::find(query.tried, backend.record.id) != query.tried.end()) {
     return false;
@@ -437,12 +443,14 @@
       {{"backend", id.value()}, {"ms", quiet->count()}});
 }
 
-void Dispatcher::OnAnswerBegun(AttemptNumber number) {
+void Dispatcher::OnAnswerBegun(AttemptNumber number, TimePoint now) {
   const auto it = sent_.find(number);
   if (it == sent_.end()) return;
   const auto backend = backends_.find(it->second.backend);
   if (backend != backends_.end()) {
-    *backend->second.gate = GroupGate{.pace = backend->second.gate->pace};
+    GroupGate& gate = *backend->second.gate;
+    gate.Open();
+    gate.standstill.OnBegun(it->second.backend, it->second.at, now);
     backend->second.own_unread -= it->second.unread_tokens;
   }
   it->second.unread_tokens = 0;
@@ -486,7 +494,7 @@
       if (++backend.failures >= 3) Eject(backend, now);
       break;
     case Result::kStuck:
-      backend.stuck_until = now + kStuckAfter;
+      backend.gate->standstill.OnLeft(backend.record.id, now);
       Eject(backend, now);
       break;
     case Result::kCancelled:
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -25,6 +25,7 @@
 #include "routing/backend_notices.h"
 #include "routing/entry_reach.h"
 #include "routing/sliding_count.h"
+#include "routing/standstill.h"
 #include "store/backend_record.h"
 
 namespace mangohold {
@@ -115,7 +116,7 @@
   std::vector<Decision> Decide(TimePoint now);
 
   // The first bytes of the answer came: its prompt has been read.
-  void OnAnswerBegun(AttemptNumber number);
+  void OnAnswerBegun(AttemptNumber number, TimePoint now);
   void OnEnded(AttemptNumber number, Result result, TimePoint now);
   // What an answer says of its backend server: that it is leaving, and for how
   // long it wants nothing more.
@@ -124,11 +125,9 @@
   // A stream brought an event `gap` after the one before.
   void OnEventGap(AttemptNumber number, Duration gap, TimePoint now);
 
-  // True if an attempt that last brought something at `heard` stands still
-  // while others of its service go on: its backend server is stuck. An answer
-  // that hasn't begun may be waiting its turn, and is only judged with one that
-  // had.
-  bool IsStuck(AttemptNumber number, bool has_begun, TimePoint heard,
+  // True if the attempt's backend server stands still while others of its group
+  // go on. `last_event` is of this attempt; absent: its answer hasn't begun.
+  bool IsStuck(AttemptNumber number, std::optional<TimePoint> last_event,
                TimePoint now) const;
 
   std::vector<BackendShare> OwnShares() const;
@@ -162,7 +161,6 @@
     int most_connections = 0;
     int failures = 0;  // in a row
     TimePoint ejected_until;
-    TimePoint stuck_until;
     bool is_gone = false;        // until it is listed anew
     double failure_share = 0;    // smoothed
     double service_seconds = 0;  // smoothed; 0: none served yet
@@ -194,6 +192,13 @@
     TimePoint next_try;
     std::optional<AttemptNumber> trial;
     EventPace pace;
+    Standstill standstill;
+
+    void Open() {
+      refused_by = InstanceId();
+      is_closed = false;
+      trial.reset();
+    }
   };
   // Engines whose group isn't known count as one group of their service.
   using GroupKey = std::pair<ServiceName, GroupName>;
--- a/tests/unit/dispatcher_entries_test.cc
+++ b/tests/unit/dispatcher_entries_test.cc
@@ -134,7 +134,7 @@
   void EndRequests() {
     std::erase_if(running_, [this](const Running& run) {
       Dispatcher& entry = entries_[run.entry];
-      if (run.begin <= now_) entry.OnAnswerBegun(run.number);
+      if (run.begin <= now_) entry.OnAnswerBegun(run.number, now_);
       if (run.end > now_) return false;
       entry.OnEnded(run.number, Dispatcher::Result::kServed, now_);
       if (!run.is_refused) --load_[run.engine];
--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -223,7 +223,7 @@
   ASSERT_EQ(trial.size(), 1U);
   now_ += milliseconds(130);
   EXPECT_TRUE(Decide().empty());
-  dispatcher_.OnAnswerBegun(trial.begin()->first);
+  dispatcher_.OnAnswerBegun(trial.begin()->first, now_);
   EXPECT_EQ(Decide().size(), 4U);
 }
 
@@ -258,7 +258,7 @@
       continue;
     }
     ++served;
-    dispatcher_.OnAnswerBegun(number);
+    dispatcher_.OnAnswerBegun(number, now_);
     dispatcher_.OnEnded(number, Dispatcher::Result::kServed, now_);
   }
   // One trial in each 120 ms of the three seconds.
@@ -311,7 +311,7 @@
       continue;
     }
     ++served;
-    dispatcher_.OnAnswerBegun(number);
+    dispatcher_.OnAnswerBegun(number, now_);
     dispatcher_.OnEnded(number, Dispatcher::Result::kServed, now_);
   }
   EXPECT_GT(served, 170);
@@ -367,16 +367,23 @@
   const InstanceId stuck = decisions.at(begun).backend->id;
   const TimePoint heard = now_;
   now_ += milliseconds(1'100);
-  EXPECT_FALSE(dispatcher_.IsStuck(begun, true, heard, now_))
+  EXPECT_FALSE(dispatcher_.IsStuck(begun, heard, now_))
       << "nothing else goes on either";
   dispatcher_.OnEventGap(other, milliseconds(60), now_);
-  EXPECT_TRUE(dispatcher_.IsStuck(begun, true, heard, now_));
-  EXPECT_FALSE(dispatcher_.IsStuck(begun, true, now_, now_));
-  EXPECT_FALSE(dispatcher_.IsStuck(waiting, false, heard, now_))
+  EXPECT_TRUE(dispatcher_.IsStuck(begun, heard, now_));
+  EXPECT_FALSE(dispatcher_.IsStuck(begun, now_, now_));
+  EXPECT_FALSE(dispatcher_.IsStuck(waiting, std::nullopt, now_))
       << "it may be waiting its turn";
   dispatcher_.OnEnded(begun, Dispatcher::Result::kStuck, now_);
   const AttemptNumber next = Submit(kModel);
   EXPECT_NE(Decide().at(next).backend->id, stuck);
+  // Once its time is over, one request at a time tries it.
+  now_ += seconds(10);
+  dispatcher_.OnEnded(waiting, Dispatcher::Result::kCancelled, now_);
+  dispatcher_.OnEnded(other, Dispatcher::Result::kServed, now_);
+  std::vector<InstanceId> chosen;
+  for (int i = 0; i < 8; ++i) chosen.push_back(SendOne(kModel));
+  EXPECT_EQ(std::ranges::count(chosen, stuck), 1);
 }
 
 // One slow rank holds up the whole group: what can't be whole in time would
