Try: let a group settle before its backlog goes there; the group's gate in a module of its own

Hypothesis: after a loss of power a group opens with its first map, passes take 100 to 220 ms (skew 3.5), and each pass that reads a prompt holds up every stream. Change: routing/group_gate (out of the dispatcher) lets one stream an entry keep the passes going until two events in a row come within twice the published time of a pass, 1.5 s at the most.

--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -23,14 +23,10 @@
 constexpr Millis kMostRetryAfter{2'000};
 // The part of a caller's patience that a new request's expected wait may take.
 constexpr double kShareOfPatience = 0.75;
-// The pace of events is forgotten after this.
-constexpr Millis kPaceMemory{1'000};
 // The part of an expected duration that is taken for certain.
 constexpr double kCertainShare = 0.8;
 // Callers come back after this when a service is too slow for them.
 constexpr Millis kSlowRetry{1'000};
-// Refusals of two ranks count together within this time.
-constexpr Millis kRefusalMemory{500};
 // Service time of a backend server that has served nothing yet.
 constexpr double kUnknownServiceSeconds = 1.0;
 // Time after which a service without any backend server may have one again.
@@ -53,16 +49,19 @@
     if (backend.record.listed != record.listed) backend.is_gone = false;
     backend.record = record;
     backend.is_listed = true;
-    backend.gate = &gates_[{record.service, record.group}];
+    backend.gate =
+        &gates_.try_emplace({record.service, record.group}, options_.gate)
+             .first->second;
     by_service_[record.service].push_back(record.id);
     notices_.OnListed(record.id, record.started_ms);
   }
   std::erase_if(backends_, [](const auto& item) {
     const Backend& backend = item.second;
     if (backend.is_listed || backend.own_requests > 0) return false;
-    backend.gate->standstill.Forget(item.first);
+    backend.gate->standstill().Forget(item.first);
     return true;
   });
+  SetEvenPasses();
   SetAllParts();
 }
 
@@ -71,9 +70,22 @@
   for (const ServiceSpec& service : services) {
     services_[service.name] = service;
   }
+  SetEvenPasses();
   SetAllParts();
 }
 
+// An even group's pass takes the published time of its steps; groups are those
+// of services whose experts are spread over ranks.
+void Dispatcher::SetEvenPasses() {
+  for (auto& [key, gate] : gates_) {
+    if (!IsGroup(key.first)) continue;
+    const EngineFigures& engine = *SpecOf(key.first)->engine;
+    gate.SetEvenPass(std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(engine.step_ms *
+                                                  engine.steps_per_pass)));
+  }
+}
+
 void Dispatcher::OnPeerShares(const InstanceId& peer,
                               const std::vector<BackendShare>& shares,
                               TimePoint now) {
@@ -147,11 +159,9 @@
 double Dispatcher::LeastGap(const ServiceName& service, TimePoint now) const {
   double least = 0;
   for (const auto& [key, gate] : gates_) {
-    const bool is_known = key.first == service && gate.pace.gap_seconds > 0 &&
-                          now - gate.pace.at <= kPaceMemory;
-    if (!is_known) continue;
-    least = least == 0 ? gate.pace.gap_seconds
-                       : std::min(least, gate.pace.gap_seconds);
+    const double gap = key.first == service ? gate.GapSeconds(now) : 0;
+    if (gap <= 0) continue;
+    least = least == 0 ? gap : std::min(least, gap);
   }
   return least;
 }
@@ -159,10 +169,9 @@
 // By how much the passes of the backend server's group take longer than those
 // of the fastest one.
 double Dispatcher::SlownessOf(const Backend& backend, double least_gap,
-                              TimePoint now) const {
-  const EventPace& pace = backend.gate->pace;
-  if (least_gap <= 0 || now - pace.at > kPaceMemory) return 0;
-  return std::max(0.0, pace.gap_seconds / least_gap - 1);
+                              TimePoint now) {
+  const double gap = backend.gate->GapSeconds(now);
+  return least_gap <= 0 || gap <= 0 ? 0 : std::max(0.0, gap / least_gap - 1);
 }
 
 void Dispatcher::OnEventGap(AttemptNumber number, Duration gap, TimePoint now) {
@@ -170,12 +179,7 @@
   if (sent == sent_.end()) return;
   const auto backend = backends_.find(sent->second.backend);
   if (backend == backends_.end()) return;
-  EventPace& pace = backend->second.gate->pace;
-  const bool is_fresh = now - pace.at <= kPaceMemory;
-  pace.gap_seconds =
-      is_fresh ? Smoothed(pace.gap_seconds, ToSeconds(gap)) : ToSeconds(gap);
-  pace.at = now;
-  backend->second.gate->standstill.OnEvent(sent->second.backend, now);
+  backend->second.gate->OnEventGap(sent->second.backend, gap, now);
 }
 
 bool Dispatcher::IsStuck(AttemptNumber number,
@@ -185,7 +189,7 @@
   if (sent == sent_.end()) return false;
   const auto backend = backends_.find(sent->second.backend);
   if (backend == backends_.end()) return false;
-  return backend->second.gate->standstill.IsStuck(
+  return backend->second.gate->standstill().IsStuck(
       {.backend = sent->second.backend,
        .sent = sent->second.at,
        .last_event = last_event},
@@ -200,7 +204,7 @@
   const double expected = ToSeconds(wait);
   const double left = ToSeconds(waiting.query.give_up - now);
   const bool needs_margin =
-      waiting.is_new && !ClosedSince(waiting.query.service);
+      waiting.is_new && !GroupWait(waiting.query.service, now);
   return expected <= left * (needs_margin ? kShareOfPatience : 1.0);
 }
 
@@ -256,29 +260,25 @@
   return spec != nullptr && spec->engine && spec->engine->expert_sets > 0;
 }
 
-bool Dispatcher::MayPass(const GroupGate& gate, TimePoint now) {
-  return !gate.is_closed || (!gate.trial && now >= gate.next_try);
-}
-
-std::optional<TimePoint> Dispatcher::ClosedSince(
-    const ServiceName& service) const {
+std::optional<Duration> Dispatcher::GroupWait(const ServiceName& service,
+                                              TimePoint now) const {
   const auto group = by_service_.find(service);
   if (group == by_service_.end()) return std::nullopt;
-  std::optional<TimePoint> since;
+  std::optional<Duration> least;
   for (const InstanceId& id : group->second) {
-    const GroupGate& gate = *backends_.at(id).gate;
-    if (!gate.is_closed) return std::nullopt;
-    since = std::max(since.value_or(gate.closed_since), gate.closed_since);
+    const auto wait = backends_.at(id).gate->ExpectedWait(now);
+    if (!wait) return std::nullopt;
+    least = std::min(least.value_or(*wait), *wait);
   }
-  return since;
+  return least;
 }
 
 bool Dispatcher::IsOpen(const Backend& backend, const Query& query,
                         TimePoint now) {
   if (backend.is_gone || backend.ejected_until > now) return false;
-  if (!MayPass(*backend.gate, now)) return false;
+  if (!backend.gate->MayPass(now)) return false;
   const bool is_doubtful =
-      backend.gate->standstill.IsDoubtful(backend.record.id);
+      backend.gate->standstill().IsDoubtful(backend.record.id);
   if (is_doubtful && backend.own_requests > 0) return false;
   if (!notices_.IsWelcome(backend.record.id, now)) return false;
   if (std::ranges::find(query.tried, backend.record.id) != query.tried.end()) {
@@ -377,9 +377,10 @@
   ++backend.own_requests;
   backend.own_unread += query.prompt_tokens;
   backend.recent.Add(now);
-  if (backend.gate->is_closed) backend.gate->trial = query.number;
+  backend.gate->OnSent(query.number);
   sent_[query.number] = {.backend = backend.record.id,
                          .service = query.service,
+                         .gate = backend.gate,
                          .unread_tokens = query.prompt_tokens,
                          .at = now};
   return {.number = query.number, .backend = backend.record};
@@ -395,11 +396,10 @@
 }
 
 // When all slots are taken, turns come as this entry's part of the slots gets
-// free. A closed group is expected to stay closed for as long again as it has
-// been.
+// free.
 Duration Dispatcher::ExpectedWait(const ServiceName& service, int ahead,
                                   TimePoint now) const {
-  if (const auto since = ClosedSince(service)) return now - *since;
+  if (const auto wait = GroupWait(service, now)) return *wait;
   const auto group = by_service_.find(service);
   if (group == by_service_.end()) return kUnknownWait;
   if (const auto until = QuietUntil(service, now)) return *until - now;
@@ -408,7 +408,7 @@
   int known = 0;
   for (const InstanceId& id : group->second) {
     const Backend& backend = backends_.at(id);
-    if (backend.gate->is_closed) continue;
+    if (backend.gate->is_closed()) continue;
     slots += backend.record.slots;
     seconds += backend.service_seconds;
     known += backend.service_seconds > 0 ? 1 : 0;
@@ -448,9 +448,7 @@
   if (it == sent_.end()) return;
   const auto backend = backends_.find(it->second.backend);
   if (backend != backends_.end()) {
-    GroupGate& gate = *backend->second.gate;
-    gate.Open();
-    gate.standstill.OnBegun(it->second.backend, it->second.at, now);
+    it->second.gate->OnBegun(it->second.backend, it->second.at, now);
     backend->second.own_unread -= it->second.unread_tokens;
   }
   it->second.unread_tokens = 0;
@@ -461,10 +459,10 @@
   if (it == sent_.end()) return;
   const Sent sent = it->second;
   sent_.erase(it);
+  sent.gate->OnEnded(number);
   const auto found = backends_.find(sent.backend);
   if (found == backends_.end()) return;
   Backend& backend = found->second;
-  if (backend.gate->trial == number) backend.gate->trial.reset();
   --backend.own_requests;
   backend.own_unread -= sent.unread_tokens;
   switch (result) {
@@ -477,10 +475,10 @@
               : Smoothed(backend.service_seconds, ToSeconds(now - sent.at));
       break;
     case Result::kRejected:
-      if (IsGroup(sent.service)) {
-        OnGroupRefusal(backend, now);
-      } else {
+      if (!IsGroup(sent.service)) {
         backend.ejected_until = now + options_.ejection / 2;
+      } else if (!sent.gate->OnRefused(backend.record.id, now)) {
+        Eject(backend, now);
       }
       break;
     case Result::kGone:
@@ -494,7 +492,7 @@
       if (++backend.failures >= 3) Eject(backend, now);
       break;
     case Result::kStuck:
-      backend.gate->standstill.OnLeft(backend.record.id, now);
+      backend.gate->standstill().OnLeft(backend.record.id, now);
       Eject(backend, now);
       break;
     case Result::kCancelled:
@@ -502,20 +500,6 @@
   }
 }
 
-void Dispatcher::OnGroupRefusal(Backend& backend, TimePoint now) {
-  GroupGate& gate = *backend.gate;
-  const bool has_second = !gate.refused_by.empty() &&
-                          gate.refused_by != backend.record.id &&
-                          now - gate.refused_at <= kRefusalMemory;
-  const bool is_closing = has_second || gate.is_closed;
-  gate.refused_by = backend.record.id;
-  gate.refused_at = now;
-  if (!is_closing) return Eject(backend, now);
-  if (!gate.is_closed) gate.closed_since = now;
-  gate.is_closed = true;
-  gate.next_try = now + options_.group_retry;
-}
-
 // Passes a backend server over for a time that doubles with each failure, as
 // long as enough others are left to bear the load.
 void Dispatcher::Eject(Backend& backend, TimePoint now) {
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -24,15 +24,12 @@
 #include "core/random.h"
 #include "routing/backend_notices.h"
 #include "routing/entry_reach.h"
+#include "routing/group_gate.h"
 #include "routing/sliding_count.h"
-#include "routing/standstill.h"
 #include "store/backend_record.h"
 
 namespace mangohold {
 
-// One attempt of a request, numbered by the entry.
-using AttemptNumber = Number<struct AttemptNumberTag>;
-
 // What one entry has in progress at one backend server.
 struct BackendShare {
   InstanceId backend;
@@ -54,8 +51,7 @@
     // First and longest time for which a failing backend server is passed over.
     Duration ejection = std::chrono::milliseconds(400);
     Duration longest_ejection = std::chrono::seconds(5);
-    // A closed group of ranks is tried again after this.
-    Duration group_retry = std::chrono::milliseconds(120);
+    GroupGate::Options gate;
     // Part of a service's backend servers that may be passed over at a time.
     double most_ejected = 0.5;
     // Load that a backend server in another zone must save to be preferred.
@@ -146,7 +142,6 @@
     BackendShare share;
     TimePoint heard;
   };
-  struct GroupGate;
   struct Backend {
     BackendRecord record;
     GroupGate* gate = nullptr;  // of its group; never null once listed
@@ -168,6 +163,7 @@
   struct Sent {
     InstanceId backend;
     ServiceName service;
+    GroupGate* gate = nullptr;  // by which it was sent; never null
     int unread_tokens = 0;
     TimePoint at;
   };
@@ -175,44 +171,19 @@
     Query query;
     bool is_new = true;  // not yet judged
   };
-  // How far apart the events of streams come.
-  struct EventPace {
-    double gap_seconds = 0;  // smoothed
-    TimePoint at;
-  };
-  // All ranks of a group refuse work while it isn't open, which shows when two
-  // of them do without any answer in between. One request at a time tries
-  // whether it is open again, the others wait.
-  struct GroupGate {
-    // The rank that refused last, and when.
-    InstanceId refused_by;
-    TimePoint refused_at;
-    bool is_closed = false;
-    TimePoint closed_since;
-    TimePoint next_try;
-    std::optional<AttemptNumber> trial;
-    EventPace pace;
-    Standstill standstill;
-
-    void Open() {
-      refused_by = InstanceId();
-      is_closed = false;
-      trial.reset();
-    }
-  };
   // Engines whose group isn't known count as one group of their service.
   using GroupKey = std::pair<ServiceName, GroupName>;
 
   bool IsGroup(const ServiceName& service) const;
-  void OnGroupRefusal(Backend& backend, TimePoint now);
-  static bool MayPass(const GroupGate& gate, TimePoint now);
-  // Since when all groups of the service are closed, by the one that closed
-  // last; nothing if one is open.
-  std::optional<TimePoint> ClosedSince(const ServiceName& service) const;
+  // The least time that work has to wait for a group of the service to take it;
+  // nothing if one does.
+  std::optional<Duration> GroupWait(const ServiceName& service,
+                                    TimePoint now) const;
+  void SetEvenPasses();
   // The event gap of the service's fastest group, in seconds; 0: not known.
   double LeastGap(const ServiceName& service, TimePoint now) const;
-  double SlownessOf(const Backend& backend, double least_gap,
-                    TimePoint now) const;
+  static double SlownessOf(const Backend& backend, double least_gap,
+                           TimePoint now);
 
   bool CanFinish(const Query& query, TimePoint now) const;
   Backend* Choose(const Query& query, TimePoint now);
