Try: agents look at their engine more often while a switch waits for it

Change: a poll of 30 ms while the group isn't open, a map is being copied, armed, or its experts are unread.

--- a/src/group/own_rank.cc
+++ b/src/group/own_rank.cc
@@ -88,10 +88,7 @@
         is_polling_ = false;
         if (!counts.ok()) return LogEngineCall("counts", counts.status());
         if (!report_) return;
-        const bool is_held_unknown = holdings_version_ != report_->map ||
-                                     holdings_epoch_ != report_->epoch ||
-                                     holdings_.empty();
-        if (is_held_unknown) ReadHoldings(*report_, handlers.on_holdings);
+        if (!AreHoldingsKnown()) ReadHoldings(*report_, handlers.on_holdings);
         handlers.on_choices(ChoicesSince(*counts));
       });
 }
@@ -124,11 +121,24 @@
   return choices;
 }
 
+bool OwnRank::AreHoldingsKnown() const {
+  return report_ && !holdings_.empty() && holdings_version_ == report_->map &&
+         holdings_epoch_ == report_->epoch;
+}
+
+bool OwnRank::IsAwaiting() const {
+  if (!report_) return false;
+  const bool is_copying = accepted_epoch_ == report_->epoch &&
+                          accepted_ > report_->map &&
+                          report_->prepared != accepted_;
+  return !report_->is_open || is_copying || report_->armed ||
+         !AreHoldingsKnown();
+}
+
 RankStatus OwnRank::Status() const {
   if (!report_) return {};
   const bool has_accepted = accepted_epoch_ == report_->epoch;
-  const bool is_held_known =
-      holdings_version_ == report_->map && holdings_epoch_ == report_->epoch;
+  const bool is_held_known = AreHoldingsKnown();
   return {
       .report = *report_,
       .holdings = is_held_known ? holdings_ : std::vector<std::vector<int>>(),
--- a/src/group/own_rank.h
+++ b/src/group/own_rank.h
@@ -51,6 +51,11 @@
   const RankReport* report() const { return report_ ? &*report_ : nullptr; }
   // True if the engine tells that it is a rank of a group.
   bool is_in_group() const { return report_ && !report_->group.empty(); }
+  // True while something that a switch waits for is about to happen: the group
+  // opens, a map becomes prepared or comes into use, or its experts are unread.
+  bool IsAwaiting() const;
+  // True if the experts of the map in use were read.
+  bool AreHoldingsKnown() const;
   // The rank's state; term, agent and grant are left open.
   RankStatus Status() const;
 
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -51,12 +51,9 @@
   leader_heard_ = BootNow();
   store_.AddEraListener([this] { OnEra(); });
   rank_.OnStart();
-  const auto poll = [this] {
-    rank_.Poll({.on_choices = [this](const auto& chosen) { OnPoll(chosen); },
-                .on_holdings = [this] { SendStatus(); }});
-  };
-  poll();
-  loop_.Every(options_.poll, poll);
+  Poll();
+  loop_.Every(options_.poll, [this] { Poll(); });
+  loop_.Every(options_.awaiting_poll, [this] { PollIfAwaiting(); });
   loop_.Every(kWatchInterval, [this] { WatchLeader(); });
   // Figures are read early, since a new leader may need them at once.
   loop_.Every(kDirectoryInterval, [this] {
@@ -89,6 +86,20 @@
   if (is_first) lease_.Start();
 }
 
+void RankAgent::Poll() {
+  rank_.Poll({.on_choices = [this](const auto& chosen) { OnPoll(chosen); },
+              .on_holdings = [this] { SendStatus(); }});
+}
+
+// What a switch waits for is told as soon as it has happened.
+void RankAgent::PollIfAwaiting() {
+  if (!rank_.IsAwaiting()) return;
+  rank_.Refresh([this] {
+    if (HasNews()) SendStatus();
+    if (rank_.is_in_group() && !rank_.AreHoldingsKnown()) Poll();
+  });
+}
+
 void RankAgent::OnPoll(const ExpertCounts& choices) {
   if (rank_.is_in_group()) ListItself();
   choices_.Add(choices);
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -36,6 +36,8 @@
     ServiceName service;  // of the engine, whose figures operators publish
     MapPlanning::Options planning;
     Millis poll{150};
+    // The same while a switch waits for what the next one tells.
+    Millis awaiting_poll{30};
     // A leader that says nothing for this long is replaced.
     Millis leader_silence{800};
     // The same at the agent beside a rank that holds the group.
@@ -57,6 +59,8 @@
 
   // Telling.
   void ListItself();
+  void Poll();
+  void PollIfAwaiting();
   void OnPoll(const ExpertCounts& choices);
   Duration TellInterval() const;
   bool HasNews() const;
