Try: ask all agents before the hold, and place it by what they have just told

Change: once all have prepared, every agent answers a question of this very switch; without all answers in 0.4 s it is dropped with nothing held. The answers tell the pass as it is, so that the hold lies as far ahead as arming takes and not three passes at the least.

Test: MapSwitch.AMachineThatStandsStillIsNotWaitedForUnderAHold.

--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -12,8 +12,10 @@
 constexpr std::uint64_t kVersionsPerTerm = 1U << 14U;
 // Kept for the undoing of what is in progress.
 constexpr std::uint64_t kVersionsInReserve = 256;
-// Passes that a hold lies ahead at the least and at the most.
-constexpr std::uint64_t kLeastAhead = 3;
+// Passes that a hold lies ahead at the least, and at the most; and while the
+// pace isn't known.
+constexpr std::uint64_t kLeastAhead = 2;
+constexpr std::uint64_t kUnknownAhead = 3;
 constexpr std::uint64_t kMostAhead = 100;
 // The next arming is given this much more time than the last one took.
 constexpr double kArmingReserve = 1.3;
@@ -54,7 +56,8 @@
   const bool has_obeyed = before.prepared != report.prepared ||
                           before.armed != report.armed ||
                           before.held != report.held;
-  const bool lacks_map = status.missing != rank.status.missing;
+  const bool lacks_map = status.missing != rank.status.missing ||
+                         status.ready_for != rank.status.ready_for;
   if (has_obeyed || lacks_map) {
     rank.commanded.reset();
     rank.commands = 0;
@@ -115,11 +118,20 @@
       if (all([this](const Rank& rank) {
             return rank.status.report.prepared == version_;
           })) {
+        GoTo(Phase::kAsking, now);
+      } else if (now - phase_began_ > options_.prepare_limit) {
+        GoTo(Phase::kReading, now);
+      }
+      break;
+    case Phase::kAsking:
+      if (all([this](const Rank& rank) {
+            return rank.status.ready_for == version_;
+          })) {
         pass_ = ChoosePass();
         pass_chosen_at_ = now;
         GoTo(Phase::kHolding, now);
-      } else if (now - phase_began_ > options_.prepare_limit) {
-        GoTo(Phase::kReading, now);
+      } else if (now - phase_began_ > options_.answer_limit) {
+        GoTo(Phase::kIdle, now);
       }
       break;
     case Phase::kHolding:
@@ -371,8 +383,10 @@
   pass_chosen_at_ = TimePoint();
 }
 
-// A pass that the group reaches only after the ranks have been armed.
+// A pass that the group reaches only after the ranks have been armed. All
+// agents have just told the last one, which may be about to end.
 PassNumber MapSwitch::ChoosePass() const {
+  if (passes_per_s_ <= 0) return PassNumber(LastPass().value() + kUnknownAhead);
   const Duration arming = std::max(options_.arming_time, expected_arming_);
   const auto ahead =
       static_cast<std::uint64_t>(std::ceil(passes_per_s_ * ToSeconds(arming)));
@@ -381,8 +395,9 @@
 }
 
 bool MapSwitch::IsCommandDue(const Rank& rank, TimePoint now) const {
-  const Duration retry =
-      phase_ == Phase::kPreparing ? PrepareRetry(rank) : options_.command_retry;
+  const Duration retry = phase_ == Phase::kPreparing ? PrepareRetry(rank)
+                         : phase_ == Phase::kAsking  ? options_.question_retry
+                                                     : options_.command_retry;
   return !rank.commanded || now - *rank.commanded >= retry;
 }
 
@@ -417,6 +432,12 @@
       if (report.held) return Release(report);
       if (report.prepared != version_) return PrepareCommand(rank);
       break;
+    case Phase::kAsking:
+      if (report.held) return Release(report);
+      if (rank.status.ready_for != version_) {
+        return RankCommand{.version = version_, .is_question = true};
+      }
+      break;
     case Phase::kHolding:
       if (report.held && (index != holder_ || report.held != pass_)) {
         return Release(report);
--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -3,12 +3,14 @@
 // time go in, commands to ranks come out.
 //
 // 1. Every rank prepares the new map.
-// 2. One rank holds a pass S that lies ahead, and the hold is confirmed. It is
+// 2. Every agent is asked whether it is ready. One whose machine stands still
+//    doesn't answer, and the switch is dropped with nothing held or armed.
+// 3. One rank holds a pass S that lies ahead, and the hold is confirmed. It is
 //    never the leader's own, so that a leader whose machine stops can be
 //    succeeded.
-// 3. Every rank arms the new map for S, the leader's own one last, and that one
+// 4. Every rank arms the new map for S, the leader's own one last, and that one
 //    only once the agent of the holding rank has granted it.
-// 4. When all are confirmed armed, the hold is released. As long as this comes
+// 5. When all are confirmed armed, the hold is released. As long as this comes
 //    before the group reaches S, no rank ever waits.
 //
 // Until a rank is confirmed, its command is given again. Once a rank may be
@@ -50,6 +52,8 @@
   MapVersion accepted;
   // The newest map for which the agent let the leader arm its own rank.
   MapVersion granted;
+  // The newest map for whose switch the agent said that it is ready.
+  MapVersion ready_for;
   // An order to arm that got no answer may still be carried out.
   bool may_arm_late = false;
   // A map that the agent can't make out of a difference, since it doesn't know
@@ -72,6 +76,8 @@
   bool is_direct = false;
   // Without an order: lets the leader arm its own rank with `version`.
   bool is_grant = false;
+  // Without an order: asks whether it is ready for the switch to `version`.
+  bool is_question = false;
 };
 
 class MapSwitch {
@@ -94,13 +100,18 @@
     Duration accepted_retry = std::chrono::seconds(4);
     // A preparation that doesn't come to an end is given up after this.
     Duration prepare_limit = std::chrono::seconds(12);
+    // All agents have to say within this that they are ready, and are asked
+    // again after the other.
+    Duration answer_limit = std::chrono::milliseconds(400);
+    Duration question_retry = std::chrono::milliseconds(100);
     // Time in which a hold and the arming of all ranks are expected to be done.
-    Duration arming_time = std::chrono::milliseconds(120);
+    Duration arming_time = std::chrono::milliseconds(80);
   };
   enum class Phase {
     kReading,
     kIdle,
     kPreparing,
+    kAsking,
     kHolding,
     kArming,
     kUndoing,
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -134,6 +134,7 @@
   message.status.agent = options_.self.id;
   message.status.term = term_;
   message.status.granted = granted_;
+  message.status.ready_for = ready_for_;
   message.status.missing = missing_;
   told_at_ = BootNow();
   told_ = message.status.report;
@@ -229,7 +230,9 @@
 void RankAgent::Execute(Job job) {
   RankCommand& command = job.command;
   const RankReport* report = rank_.report();
-  if (command.is_grant && job.term == term_) granted_ = command.version;
+  const bool is_of_term = job.term == term_;
+  if (command.is_grant && is_of_term) granted_ = command.version;
+  if (command.is_question && is_of_term) ready_for_ = command.version;
   const bool is_void = !report || !command.order || job.term < term_ ||
                        report->epoch != command.epoch ||
                        report->rank != command.rank;
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -100,7 +100,8 @@
   OwnRank rank_;
   std::optional<EngineFigures> engine_;  // of the service; absent: not known
 
-  MapVersion granted_;  // the leader may have armed its own rank with it
+  MapVersion granted_;    // the leader may have armed its own rank with it
+  MapVersion ready_for_;  // the last switch that it was asked about
   MapShelf maps_;
   MapVersion missing_;  // a map whose difference is from an unknown one
   std::deque<Job> jobs_;
--- a/src/group/rank_messages.cc
+++ b/src/group/rank_messages.cc
@@ -87,6 +87,7 @@
                {"version", command.version},
                {"pass", command.pass}};
   if (command.is_grant) json["grant"] = true;
+  if (command.is_question) json["question"] = true;
   if (command.order) json["order"] = static_cast<int>(*command.order);
   if (!command.map.empty()) json["map"] = command.map;
   if (command.delta) json["delta"] = FromDelta(*command.delta);
@@ -107,6 +108,7 @@
     command.order = static_cast<OrderKind>(order);
   }
   command.is_grant = json.value("grant", false);
+  command.is_question = json.value("question", false);
   if (json.contains("map")) command.map = json.at("map").get<GroupMap>();
   if (json.contains("delta")) command.delta = ToDelta(json.at("delta"));
   return command;
@@ -122,6 +124,7 @@
       .holdings = json.at("holdings").get<std::vector<std::vector<int>>>(),
       .accepted = json.at("accepted").get<MapVersion>(),
       .granted = json.at("granted").get<MapVersion>(),
+      .ready_for = json.at("ready").get<MapVersion>(),
       .may_arm_late = json.at("late").get<bool>(),
       .missing = json.at("missing").get<MapVersion>()};
 }
@@ -134,6 +137,7 @@
   json["accepted"] = message.status.accepted;
   json["late"] = message.status.may_arm_late;
   json["granted"] = message.status.granted;
+  json["ready"] = message.status.ready_for;
   json["missing"] = message.status.missing;
 }
 
--- a/tests/unit/map_switch_test.cc
+++ b/tests/unit/map_switch_test.cc
@@ -225,6 +225,7 @@
             .report = group_.Report(rank),
             .holdings = {{rank}},
             .granted = granted_[rank],
+            .ready_for = ready_for_[rank],
             .may_arm_late =
                 unanswered_[rank].MayArm(group_.epoch, group_.pass, now_)};
   }
@@ -257,6 +258,7 @@
       terms_[rank] = leader.term;
     }
     if (command.is_grant) granted_[rank] = command.version;
+    if (command.is_question) ready_for_[rank] = command.version;
     if (command.order) {
       const auto luck = static_cast<int>(random_.Below(100));
       if (luck < rules_.lost_percent) return;
@@ -291,6 +293,7 @@
   std::vector<UnansweredArms> unanswered_ = std::vector<UnansweredArms>(kRanks);
   std::vector<TimePoint> stopped_until_ = std::vector<TimePoint>(kRanks);
   std::vector<MapVersion> granted_ = std::vector<MapVersion>(kRanks);
+  std::vector<MapVersion> ready_for_ = std::vector<MapVersion>(kRanks);
   std::vector<Leader> leaders_;
   std::vector<Late> late_;
   int switches_ = 0;
@@ -373,11 +376,13 @@
   constexpr LeaderTerm kFirst(1);
   constexpr LeaderTerm kSecond(2);
   MapSwitch leader({.term = kFirst, .own_rank = 0});
+  MapVersion ready_for;
   const auto tell = [&](MapSwitch& to, LeaderTerm term, int from) {
     for (int rank = from; rank < kRanks; ++rank) {
       to.OnStatus({.term = term,
                    .report = group.Report(rank),
                    .holdings = {{rank}},
+                   .ready_for = ready_for,
                    .may_arm_late = rank == late_rank},
                   now);
     }
@@ -389,6 +394,7 @@
   };
   const auto lead = [&](MapSwitch& by, LeaderTerm term, int from) {
     for (const RankCommand& command : by.Advance(now)) {
+      if (command.is_question) ready_for = command.version;
       if (command.order && command.rank >= from && is_carried(term, command)) {
         group.Carry(command.rank, command, now);
       }
@@ -434,6 +440,62 @@
   EXPECT_GT(group.engines[kLate].prepared, group.engines[2].prepared);
 }
 
+// A rank's machine stands still once all have prepared, with nothing held yet.
+// The switch is dropped, and the next one goes through when it is back.
+TEST(MapSwitch, AMachineThatStandsStillIsNotWaitedForUnderAHold) {
+  Group group;
+  TimePoint now = TimePoint() + seconds(50);
+  constexpr LeaderTerm kTerm(1);
+  constexpr int kStopped = 2;
+  MapSwitch leader({.term = kTerm, .own_rank = 0});
+  std::vector<MapVersion> ready_for(kRanks);
+  bool is_stopped = false;
+  bool have_all_told = false;  // that they have prepared
+  const auto step = [&] {
+    now += milliseconds(50);
+    for (const RankCommand& command : leader.Advance(now)) {
+      if (is_stopped && command.rank == kStopped) continue;
+      if (command.is_question) ready_for[command.rank] = command.version;
+      if (command.order) group.Carry(command.rank, command, now);
+    }
+    have_all_told = std::ranges::all_of(group.engines, [](const auto& engine) {
+      return engine.prepared.has_value();
+    });
+    for (int rank = 0; rank < kRanks; ++rank) {
+      if (is_stopped && rank == kStopped) continue;
+      leader.OnStatus(
+          {.term = kTerm,
+           .report = group.Report(rank),
+           .holdings = {{rank}},
+           .granted = group.engines[rank].prepared.value_or(MapVersion()),
+           .ready_for = ready_for[rank]},
+          now);
+    }
+    EXPECT_TRUE(group.BeginPass(now));
+  };
+  const auto begin = [&] {
+    while (!leader.CanBegin(now)) step();
+    leader.Begin({SetMap(kRanks)}, now);
+  };
+  begin();
+  while (!have_all_told) step();
+  is_stopped = true;
+  for (int i = 0; i < 40; ++i) {
+    step();
+    EXPECT_TRUE(std::ranges::none_of(group.engines, [](const auto& engine) {
+      return engine.held || engine.armed;
+    }));
+  }
+  EXPECT_EQ(group.held_passes, 0);
+  EXPECT_EQ(leader.phase(), MapSwitch::Phase::kIdle);
+  EXPECT_FALSE(leader.CanBegin(now)) << "one is silent";
+  is_stopped = false;
+  begin();
+  for (int i = 0; i < 40; ++i) step();
+  EXPECT_EQ(group.engines[kStopped].map, leader.version());
+  EXPECT_EQ(group.held_passes, 0);
+}
+
 // Ranks compare maps to the letter: what one is given whole, since its agent
 // doesn't know the map in use, is what the others make of the difference.
 TEST(MapSwitch, TheWholeMapIsTheOneThatTheDifferenceLeadsTo) {
