--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -105,7 +105,7 @@
     Duration answer_limit = std::chrono::milliseconds(400);
     Duration question_retry = std::chrono::milliseconds(100);
     // Time in which a hold and the arming of all ranks are expected to be done.
-    Duration arming_time = std::chrono::milliseconds(80);
+    Duration arming_time = std::chrono::milliseconds(120);
   };
   enum class Phase {
     kReading,
