--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -12,10 +12,8 @@
 constexpr std::uint64_t kVersionsPerTerm = 1U << 14U;
 // Kept for the undoing of what is in progress.
 constexpr std::uint64_t kVersionsInReserve = 256;
-// Passes that a hold lies ahead at the least, and at the most; and while the
-// pace isn't known.
-constexpr std::uint64_t kLeastAhead = 2;
-constexpr std::uint64_t kUnknownAhead = 3;
+// Passes that a hold lies ahead at the least and at the most.
+constexpr std::uint64_t kLeastAhead = 3;
 constexpr std::uint64_t kMostAhead = 100;
 // The next arming is given this much more time than the last one took.
 constexpr double kArmingReserve = 1.3;
@@ -386,7 +384,6 @@
 // A pass that the group reaches only after the ranks have been armed. All
 // agents have just told the last one, which may be about to end.
 PassNumber MapSwitch::ChoosePass() const {
-  if (passes_per_s_ <= 0) return PassNumber(LastPass().value() + kUnknownAhead);
   const Duration arming = std::max(options_.arming_time, expected_arming_);
   const auto ahead =
       static_cast<std::uint64_t>(std::ceil(passes_per_s_ * ToSeconds(arming)));
