--- a/src/store/fleet_builder.cc
+++ b/src/store/fleet_builder.cc
@@ -63,7 +63,8 @@
     return;
   }
   members_[key] = *member;
-  if (!member->group.empty()) groups_[member->backend] = member->group;
+  if (member->group.empty()) return;
+  ranks_[member->backend] = {.group = member->group, .agent = member->peer};
 }
 
 // A version that is in force is never followed by an older one.
@@ -189,8 +190,10 @@
         record.listed == newest[record.address] &&
         !zones_out_.contains(record.zone)) {
       view->backends.push_back(record);
-      const auto group = groups_.find(record.address);
-      if (group != groups_.end()) view->backends.back().group = group->second;
+      const auto rank = ranks_.find(record.address);
+      if (rank == ranks_.end()) continue;
+      view->backends.back().group = rank->second.group;
+      view->backends.back().agent = rank->second.agent;
     }
   }
   for (const auto& [key, member] : members_) {
--- a/src/store/fleet_builder.h
+++ b/src/store/fleet_builder.h
@@ -85,7 +85,11 @@
   std::map<ZoneName, ZoneOut> zones_out_;
   std::map<std::string, Member> members_;
   // As agents told of the engines beside them; kept when they are gone.
-  std::map<Endpoint, GroupName> groups_;
+  struct Rank {
+    GroupName group;
+    Endpoint agent;
+  };
+  std::map<Endpoint, Rank> ranks_;
 };
 
 }  // namespace mangohold
