--- a/src/caller/forward_server.cc
+++ b/src/caller/forward_server.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "core/log.h"
-#include "group/group_word.h"
 #include "net/endpoint.h"
 
 namespace mangohold {
@@ -206,7 +205,6 @@
   for (const RunPtr& run : runs) run->OnTick(now);
   std::erase_if(runs_, [](const RunPtr& run) { return run->is_finished(); });
   if (context_.dispatcher.waiting() > 0) CarryOutDecisions();
-  AskSettlingGroups(now);
   if (++ticks_ % kTicksOfSweep != 0) return;
   for (const auto& connection : connections_) connection->CloseIfOverdue(now);
   std::erase_if(connections_, [](const CallerConnection::Ptr& connection) {
@@ -217,12 +215,6 @@
   });
 }
 
-void ForwardServer::AskSettlingGroups(TimePoint now) {
-  for (const Endpoint& agent : context_.dispatcher.AgentsToAsk(now)) {
-    socket_.Send(agent, EncodeGroupQuestion({.reply_to = options_.self.peer}));
-  }
-}
-
 void ForwardServer::SetView(FleetViewPtr view) {
   context_.view = std::move(view);
   if (context_.view->routes != nullptr) {
@@ -258,14 +250,9 @@
 }
 
 void ForwardServer::OnDatagram(std::string_view data) {
-  const TimePoint now = BootNow();
-  if (const auto word = DecodeGroupWord(data)) {
-    if (!word->has_planned_map) return;
-    context_.dispatcher.OnGroupSettled(word->group, now);
-    return RequestDecisions();
-  }
   const auto message = DecodeGossip(data);
   if (!message) return context_.counters.Count(Event::kDatagramsDropped);
+  const TimePoint now = BootNow();
   const auto news = gossip_.OnMessage(*message, now);
   context_.dispatcher.OnPeerShares(message->sender.id, message->shares, now);
   for (const auto& zone : news.zones) {
--- a/src/caller/forward_server.h
+++ b/src/caller/forward_server.h
@@ -64,7 +64,6 @@
   ServiceName ChooseService(const Route& route);
   std::vector<ZoneName> ZonesOf(const Route& route) const;
   void OnDatagram(std::string_view data);
-  void AskSettlingGroups(TimePoint now);
   void Gossip();
   void RequestDecisions();
   void CarryOutDecisions();
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -161,9 +161,6 @@
 // --- Commands ---------------------------------------------------------------
 
 void RankAgent::OnDatagram(std::string_view data) {
-  if (const auto question = DecodeGroupQuestion(data)) {
-    return TellEntry(*question);
-  }
   const auto message = DecodeRankMessage(data);
   if (!message) return;
   if (!rank_.report() || message->group != rank_.report()->group) return;
@@ -188,16 +185,6 @@
   }
 }
 
-void RankAgent::TellEntry(const GroupQuestion& question) {
-  if (!rank_.is_in_group()) return;
-  const RankReport& report = *rank_.report();
-  socket_.Send(
-      question.reply_to,
-      EncodeGroupWord(
-          {.group = report.group,
-           .has_planned_map = report.is_open && report.map != MapVersion()}));
-}
-
 // A leader that is new learns at once what the rank is at.
 void RankAgent::OnBeat(const RankMessage& message) {
   if (message.term != term_ || leadership_) return;
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -14,7 +14,6 @@
 #include "group/agent_directory.h"
 #include "group/choice_sums.h"
 #include "group/group_leader.h"
-#include "group/group_word.h"
 #include "group/map_delta.h"
 #include "group/own_rank.h"
 #include "group/rank_messages.h"
@@ -71,7 +70,6 @@
 
   // Commands.
   void OnDatagram(std::string_view data);
-  void TellEntry(const GroupQuestion& question);
   void OnBeat(const RankMessage& message);
   void OnStatus(const RankMessage& message);
   void OnCommand(const RankMessage& message);
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <ranges>
 #include <utility>
 
 #include "core/log.h"
@@ -53,7 +52,6 @@
     backend.gate =
         &gates_.try_emplace({record.service, record.group}, options_.gate)
              .first->second;
-    backend.gate->SetHasAgents(!record.agent.empty());
     by_service_[record.service].push_back(record.id);
     notices_.OnListed(record.id, record.started_ms);
   }
@@ -63,6 +61,7 @@
     backend.gate->standstill().Forget(item.first);
     return true;
   });
+  SetEvenPasses();
   SetAllParts();
 }
 
@@ -71,9 +70,22 @@
   for (const ServiceSpec& service : services) {
     services_[service.name] = service;
   }
+  SetEvenPasses();
   SetAllParts();
 }
 
+// An even group's pass takes the published time of its steps; groups are those
+// of services whose experts are spread over ranks.
+void Dispatcher::SetEvenPasses() {
+  for (auto& [key, gate] : gates_) {
+    if (!IsGroup(key.first)) continue;
+    const EngineFigures& engine = *SpecOf(key.first)->engine;
+    gate.SetEvenPass(std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(engine.step_ms *
+                                                  engine.steps_per_pass)));
+  }
+}
+
 void Dispatcher::OnPeerShares(const InstanceId& peer,
                               const std::vector<BackendShare>& shares,
                               TimePoint now) {
@@ -261,27 +273,6 @@
   return least;
 }
 
-std::vector<Endpoint> Dispatcher::AgentsToAsk(TimePoint now) {
-  std::map<GroupKey, std::vector<Endpoint>> agents;
-  for (const auto& [id, backend] : backends_) {
-    const BackendRecord& record = backend.record;
-    if (record.agent.empty() || !backend.gate->IsSettling(now)) continue;
-    agents[{record.service, record.group}].push_back(record.agent);
-  }
-  std::vector<Endpoint> asked;
-  std::ranges::transform(agents | std::views::values, std::back_inserter(asked),
-                         [this](const std::vector<Endpoint>& of_group) {
-                           return of_group[random_.Below(of_group.size())];
-                         });
-  return asked;
-}
-
-void Dispatcher::OnGroupSettled(const GroupName& group, TimePoint now) {
-  for (auto& [key, gate] : gates_) {
-    if (key.second == group) gate.OnSettled(now);
-  }
-}
-
 bool Dispatcher::IsOpen(const Backend& backend, const Query& query,
                         TimePoint now) {
   if (backend.is_gone || backend.ejected_until > now) return false;
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -111,11 +111,6 @@
   // The attempts to send or to refuse now.
   std::vector<Decision> Decide(TimePoint now);
 
-  // An agent of each group that settles, to be asked for its map.
-  std::vector<Endpoint> AgentsToAsk(TimePoint now);
-  // An agent of the group tells of a planned map.
-  void OnGroupSettled(const GroupName& group, TimePoint now);
-
   // The first bytes of the answer came: its prompt has been read.
   void OnAnswerBegun(AttemptNumber number, TimePoint now);
   void OnEnded(AttemptNumber number, Result result, TimePoint now);
@@ -184,6 +179,7 @@
   // nothing if one does.
   std::optional<Duration> GroupWait(const ServiceName& service,
                                     TimePoint now) const;
+  void SetEvenPasses();
   // The event gap of the service's fastest group, in seconds; 0: not known.
   double LeastGap(const ServiceName& service, TimePoint now) const;
   static double SlownessOf(const Backend& backend, double least_gap,
--- a/src/routing/group_gate.cc
+++ b/src/routing/group_gate.cc
@@ -13,6 +13,10 @@
 constexpr Millis kPaceMemory{1'000};
 // Weight of the newest gap in the smoothed one.
 constexpr double kSmoothing = 0.2;
+// Passes of a settled group take at most so many times an even one's time.
+constexpr int kEvenFactor = 2;
+// So many gaps in a row show it.
+constexpr int kEvenGaps = 2;
 // The time that a group usually settles for.
 constexpr Millis kUsualSettling{800};
 constexpr Millis kLeastWait{50};
@@ -51,7 +55,10 @@
 }
 
 void GroupGate::OnBegun(const InstanceId& rank, TimePoint sent, TimePoint now) {
-  if (is_closed() && has_agents_) settling_since_ = now;
+  if (is_closed() && even_pass_ > Duration(0)) {
+    settling_since_ = now;
+    even_gaps_ = 0;
+  }
   refused_by_ = InstanceId();
   closed_since_.reset();
   trial_.reset();
@@ -66,10 +73,12 @@
       is_fresh ? gap_seconds_ + kSmoothing * (seconds - gap_seconds_) : seconds;
   gap_at_ = now;
   standstill_.OnEvent(rank, now);
+  if (settling_since_) NoteSettling(gap, now);
 }
 
-void GroupGate::OnSettled(TimePoint now) {
-  if (!settling_since_) return;
+void GroupGate::NoteSettling(Duration gap, TimePoint now) {
+  even_gaps_ = gap <= even_pass_ * kEvenFactor ? even_gaps_ + 1 : 0;
+  if (even_gaps_ < kEvenGaps) return;
   Log(LogLevel::kInfo, "group_settled",
       {{"ms", ToMillis(now - *settling_since_)}});
   settling_since_.reset();
--- a/src/routing/group_gate.h
+++ b/src/routing/group_gate.h
@@ -6,9 +6,10 @@
 // - A group that opens anew spreads its experts unevenly until its first map
 //   switch, and its passes take several times as long. All callers that waited
 //   would then be read in these passes, and each pass that reads holds up every
-//   stream of the group. So the group settles first: one stream of each entry
-//   keeps its passes going, and the others follow once its agents tell of a
-//   planned map. That takes a bounded time, since a map may never come.
+//   stream of the group. So the group settles first: a few streams, which keep
+//   its passes going, show when they take about as long as published, and only
+//   then the others follow. That takes a bounded time, since a map may never
+//   come.
 //
 // No clock and no network.
 #pragma once
@@ -38,9 +39,8 @@
   GroupGate() = default;
   explicit GroupGate(Options options) : options_(options) {}
 
-  // Whether there are agents that tell of the group's map; without them it
-  // isn't waited for.
-  void SetHasAgents(bool has_agents) { has_agents_ = has_agents; }
+  // Of an even group at its usual work, where published: the time of a pass.
+  void SetEvenPass(Duration even_pass) { even_pass_ = even_pass; }
 
   // True if one more request may go to the group.
   bool MayPass(TimePoint now) const;
@@ -51,8 +51,6 @@
   bool OnRefused(const InstanceId& rank, TimePoint now);
   // The answer to a request of `sent` has begun: the group is open.
   void OnBegun(const InstanceId& rank, TimePoint sent, TimePoint now);
-  // An agent tells of a planned map.
-  void OnSettled(TimePoint now);
   // A stream brought an event `gap` after the one before.
   void OnEventGap(const InstanceId& rank, Duration gap, TimePoint now);
 
@@ -71,8 +69,10 @@
   const Standstill& standstill() const { return standstill_; }
 
  private:
+  void NoteSettling(Duration gap, TimePoint now);
+
   Options options_;
-  bool has_agents_ = false;
+  Duration even_pass_{0};
   int in_progress_ = 0;
   // The rank that refused last, and when.
   InstanceId refused_by_;
@@ -81,6 +81,7 @@
   TimePoint next_try_;
   std::optional<AttemptNumber> trial_;
   std::optional<TimePoint> settling_since_;
+  int even_gaps_ = 0;       // in a row, while settling
   double gap_seconds_ = 0;  // smoothed
   TimePoint gap_at_;
   Standstill standstill_;
--- a/src/store/fleet_builder.cc
+++ b/src/store/fleet_builder.cc
@@ -63,8 +63,7 @@
     return;
   }
   members_[key] = *member;
-  if (member->group.empty()) return;
-  ranks_[member->backend] = {.group = member->group, .agent = member->peer};
+  if (!member->group.empty()) groups_[member->backend] = member->group;
 }
 
 // A version that is in force is never followed by an older one.
@@ -190,10 +189,8 @@
         record.listed == newest[record.address] &&
         !zones_out_.contains(record.zone)) {
       view->backends.push_back(record);
-      const auto rank = ranks_.find(record.address);
-      if (rank == ranks_.end()) continue;
-      view->backends.back().group = rank->second.group;
-      view->backends.back().agent = rank->second.agent;
+      const auto group = groups_.find(record.address);
+      if (group != groups_.end()) view->backends.back().group = group->second;
     }
   }
   for (const auto& [key, member] : members_) {
--- a/src/store/fleet_builder.h
+++ b/src/store/fleet_builder.h
@@ -85,11 +85,7 @@
   std::map<ZoneName, ZoneOut> zones_out_;
   std::map<std::string, Member> members_;
   // As agents told of the engines beside them; kept when they are gone.
-  struct Rank {
-    GroupName group;
-    Endpoint agent;
-  };
-  std::map<Endpoint, Rank> ranks_;
+  std::map<Endpoint, GroupName> groups_;
 };
 
 }  // namespace mangohold
--- a/tests/unit/group_gate_test.cc
+++ b/tests/unit/group_gate_test.cc
@@ -13,7 +13,7 @@
 
 class GroupGateTest : public testing::Test {
  protected:
-  GroupGateTest() { gate_.SetHasAgents(true); }
+  GroupGateTest() { gate_.SetEvenPass(milliseconds(30)); }
 
   // Both ranks refuse, and the group is open again after a second.
   void CloseAndOpen() {
@@ -44,9 +44,9 @@
   EXPECT_FALSE(gate_.is_closed());
   EXPECT_FALSE(gate_.MayPass(now_)) << "one stream keeps the passes going";
   Events(5, milliseconds(100));
-  EXPECT_FALSE(gate_.MayPass(now_));
+  EXPECT_FALSE(gate_.MayPass(now_)) << "passes take three times as long";
   EXPECT_TRUE(gate_.ExpectedWait(now_));
-  gate_.OnSettled(now_);
+  Events(2, milliseconds(40));
   EXPECT_TRUE(gate_.MayPass(now_));
   EXPECT_FALSE(gate_.ExpectedWait(now_));
 }
@@ -68,6 +68,14 @@
   EXPECT_TRUE(gate_.MayPass(now_));
 }
 
+TEST_F(GroupGateTest, OneEvenGapIsNoEvenness) {
+  CloseAndOpen();
+  Events(1, milliseconds(30));
+  Events(1, milliseconds(100));
+  Events(1, milliseconds(30));
+  EXPECT_FALSE(gate_.MayPass(now_));
+}
+
 TEST_F(GroupGateTest, AGroupThatWasNeverClosedDoesNotSettle) {
   gate_.OnSent(AttemptNumber(1));
   gate_.OnBegun(kFirst, now_, now_);
@@ -75,8 +83,8 @@
   EXPECT_TRUE(gate_.MayPass(now_));
 }
 
-TEST_F(GroupGateTest, WithoutAgentsNothingSettles) {
-  gate_.SetHasAgents(false);
+TEST_F(GroupGateTest, WithoutPublishedFiguresNothingSettles) {
+  gate_.SetEvenPass(Duration(0));
   CloseAndOpen();
   EXPECT_TRUE(gate_.MayPass(now_));
 }
