Try: a slow start of groups that have opened, and who can still be on time goes first

Hypothesis: after a loss of power all that waited fills the ranks' places at once, while popularity goes on shifting; passes of full ranks take 100 to 220 ms while the map is uneven, and every stream is late by its pauses. A quarter of the places first, more while events come within 0.6 of the longest pause, leaves the group to those who can still be on time; they go before those who are late already.

--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -61,7 +61,6 @@
     backend.gate->standstill().Forget(item.first);
     return true;
   });
-  SetEvenPasses();
   SetAllParts();
 }
 
@@ -70,22 +69,9 @@
   for (const ServiceSpec& service : services) {
     services_[service.name] = service;
   }
-  SetEvenPasses();
   SetAllParts();
 }
 
-// An even group's pass takes the published time of its steps; groups are those
-// of services whose experts are spread over ranks.
-void Dispatcher::SetEvenPasses() {
-  for (auto& [key, gate] : gates_) {
-    if (!IsGroup(key.first)) continue;
-    const EngineFigures& engine = *SpecOf(key.first)->engine;
-    gate.SetEvenPass(std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>(engine.step_ms *
-                                                  engine.steps_per_pass)));
-  }
-}
-
 void Dispatcher::OnPeerShares(const InstanceId& peer,
                               const std::vector<BackendShare>& shares,
                               TimePoint now) {
@@ -111,7 +97,17 @@
   });
 }
 
+// Within one urgency those go first that can still be on time: who is late
+// already loses less by waiting on than the others would.
+void Dispatcher::SortWaiting(TimePoint now) {
+  std::ranges::stable_sort(waiting_, {}, [now](const Waiting& waiting) {
+    const Query& query = waiting.query;
+    return std::pair(query.priority, now > query.on_time_until);
+  });
+}
+
 std::vector<Dispatcher::Decision> Dispatcher::Decide(TimePoint now) {
+  SortWaiting(now);
   std::vector<Decision> decisions;
   std::map<ServiceName, int> ahead;
   std::vector<Waiting> still;
@@ -355,7 +351,14 @@
 }
 
 void Dispatcher::SetAllParts() {
-  for (auto& [id, backend] : backends_) SetParts(backend);
+  std::map<GroupGate*, double> places;
+  for (auto& [id, backend] : backends_) {
+    SetParts(backend);
+    if (backend.is_listed) places[backend.gate] += backend.record.slots;
+  }
+  for (const auto& [gate, all] : places) {
+    gate->SetPlaces(all / reach_.entries());
+  }
 }
 
 void Dispatcher::SetEntries(const InstanceId& self,
@@ -377,7 +380,7 @@
   ++backend.own_requests;
   backend.own_unread += query.prompt_tokens;
   backend.recent.Add(now);
-  backend.gate->OnSent(query.number);
+  backend.gate->OnSent(query.number, query.target_gap);
   sent_[query.number] = {.backend = backend.record.id,
                          .service = query.service,
                          .gate = backend.gate,
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -72,6 +72,10 @@
     // When the whole answer has to be there, and the events that it is expected
     // to have; 0: not a stream.
     TimePoint deadline = TimePoint::max();
+    // An answer that begins later is late.
+    TimePoint on_time_until = TimePoint::max();
+    // The longest pause between events of a stream on time; 0: none.
+    Duration target_gap{0};
     double events = 0;
     std::vector<InstanceId> tried;
     // Zones of the regions where it may run; empty: all.
@@ -179,12 +183,12 @@
   // nothing if one does.
   std::optional<Duration> GroupWait(const ServiceName& service,
                                     TimePoint now) const;
-  void SetEvenPasses();
   // The event gap of the service's fastest group, in seconds; 0: not known.
   double LeastGap(const ServiceName& service, TimePoint now) const;
   static double SlownessOf(const Backend& backend, double least_gap,
                            TimePoint now);
 
+  void SortWaiting(TimePoint now);
   bool CanFinish(const Query& query, TimePoint now) const;
   Backend* Choose(const Query& query, TimePoint now);
   Backend* LeastLoaded(const std::vector<Backend*>& open, const Query& query,
--- a/src/routing/group_gate.cc
+++ b/src/routing/group_gate.cc
@@ -13,28 +13,30 @@
 constexpr Millis kPaceMemory{1'000};
 // Weight of the newest gap in the smoothed one.
 constexpr double kSmoothing = 0.2;
-// Passes of a settled group take at most so many times an even one's time.
-constexpr int kEvenFactor = 2;
-// So many gaps in a row show it.
-constexpr int kEvenGaps = 2;
-// The time that a group usually settles for.
-constexpr Millis kUsualSettling{800};
-constexpr Millis kLeastWait{50};
+// Events come in good time within this part of the longest pause, and are about
+// to be late beyond the second one.
+constexpr double kGoodPart = 0.6;
+constexpr double kCriticalPart = 0.85;
+// A slow start is adjusted this often, by these factors.
+constexpr Millis kAdjustInterval{50};
+constexpr double kGrowth = 1.15;
+constexpr double kDecline = 0.8;
 
 }  // namespace
 
-bool GroupGate::IsSettling(TimePoint now) const {
-  return settling_since_ && now - *settling_since_ < options_.longest_settling;
+bool GroupGate::IsStarting(TimePoint now) const {
+  return started_at_ && now - *started_at_ < options_.longest_start;
 }
 
 bool GroupGate::MayPass(TimePoint now) const {
   if (is_closed()) return !trial_ && now >= next_try_;
-  return !IsSettling(now) || in_progress_ < options_.most_while_settling;
+  return !IsStarting(now) || in_progress_ < most_in_progress_;
 }
 
-void GroupGate::OnSent(AttemptNumber number) {
+void GroupGate::OnSent(AttemptNumber number, Duration target_gap) {
   ++in_progress_;
   if (is_closed()) trial_ = number;
+  if (target_gap > Duration(0)) target_gap_ = target_gap;
 }
 
 void GroupGate::OnEnded(AttemptNumber number) {
@@ -55,9 +57,10 @@
 }
 
 void GroupGate::OnBegun(const InstanceId& rank, TimePoint sent, TimePoint now) {
-  if (is_closed() && even_pass_ > Duration(0)) {
-    settling_since_ = now;
-    even_gaps_ = 0;
+  if (is_closed()) {
+    started_at_ = now;
+    adjusted_at_ = now;
+    most_in_progress_ = std::max(1.0, options_.first_part * places_);
   }
   refused_by_ = InstanceId();
   closed_since_.reset();
@@ -73,22 +76,26 @@
       is_fresh ? gap_seconds_ + kSmoothing * (seconds - gap_seconds_) : seconds;
   gap_at_ = now;
   standstill_.OnEvent(rank, now);
-  if (settling_since_) NoteSettling(gap, now);
+  if (started_at_) AdjustStart(gap, now);
 }
 
-void GroupGate::NoteSettling(Duration gap, TimePoint now) {
-  even_gaps_ = gap <= even_pass_ * kEvenFactor ? even_gaps_ + 1 : 0;
-  if (even_gaps_ < kEvenGaps) return;
-  Log(LogLevel::kInfo, "group_settled",
-      {{"ms", ToMillis(now - *settling_since_)}});
-  settling_since_.reset();
+// All streams of the group go by its passes, so that one gap tells of all.
+void GroupGate::AdjustStart(Duration gap, TimePoint now) {
+  if (now - adjusted_at_ < kAdjustInterval) return;
+  adjusted_at_ = now;
+  if (gap <= target_gap_ * kGoodPart) {
+    most_in_progress_ *= kGrowth;
+  } else if (gap > target_gap_ * kCriticalPart) {
+    most_in_progress_ = std::max(1.0, most_in_progress_ * kDecline);
+  }
+  if (IsStarting(now) && most_in_progress_ < places_) return;
+  Log(LogLevel::kInfo, "group_started", {{"ms", ToMillis(now - *started_at_)}});
+  started_at_.reset();
 }
 
 std::optional<Duration> GroupGate::ExpectedWait(TimePoint now) const {
-  if (closed_since_) return now - *closed_since_;
-  if (!IsSettling(now)) return std::nullopt;
-  return std::max<Duration>(kLeastWait,
-                            kUsualSettling - (now - *settling_since_));
+  if (!closed_since_) return std::nullopt;
+  return now - *closed_since_;
 }
 
 double GroupGate::GapSeconds(TimePoint now) const {
--- a/src/routing/group_gate.h
+++ b/src/routing/group_gate.h
@@ -1,15 +1,14 @@
-// Whether work may go to a group of ranks, as one entry sees it, and how fast
-// the group goes. Answers two patterns:
+// Whether work may go to a group of ranks, as one entry sees it, and how much.
+// Answers two patterns:
 //
 // - All ranks of a group refuse work while it isn't open. One request at a time
 //   tries whether it is open again; the others wait.
 // - A group that opens anew spreads its experts unevenly until its first map
-//   switch, and its passes take several times as long. All callers that waited
-//   would then be read in these passes, and each pass that reads holds up every
-//   stream of the group. So the group settles first: a few streams, which keep
-//   its passes going, show when they take about as long as published, and only
-//   then the others follow. That takes a bounded time, since a map may never
-//   come.
+//   switch, so that its passes take longer with each stream and each prompt
+//   that is read. All callers that waited would fill it at once, and every
+//   stream of the group would pause for too long. So it starts slowly: a part
+//   of its places is used, more of them for as long as events come in good
+//   time, and fewer when they don't.
 //
 // No clock and no network.
 #pragma once
@@ -30,21 +29,22 @@
   struct Options {
     // A closed group is tried again after this.
     Duration retry = std::chrono::milliseconds(120);
-    // A group that has opened is taken for settled after this at the latest.
-    Duration longest_settling = std::chrono::milliseconds(1'500);
-    // Requests of this entry in a group that settles.
-    int most_while_settling = 1;
+    // The part of this entry's places in a group that has just opened.
+    double first_part = 0.25;
+    // The slow start is over after this at the latest.
+    Duration longest_start = std::chrono::seconds(5);
   };
 
   GroupGate() = default;
   explicit GroupGate(Options options) : options_(options) {}
 
-  // Of an even group at its usual work, where published: the time of a pass.
-  void SetEvenPass(Duration even_pass) { even_pass_ = even_pass; }
+  // The places of the group's ranks that fall to this entry.
+  void SetPlaces(double places) { places_ = places; }
 
   // True if one more request may go to the group.
   bool MayPass(TimePoint now) const;
-  void OnSent(AttemptNumber number);
+  // `target_gap` is the longest pause between events on time; 0: none.
+  void OnSent(AttemptNumber number, Duration target_gap);
   void OnEnded(AttemptNumber number);
   // A rank refused work. True if it stands for the whole group, which is closed
   // now.
@@ -55,11 +55,8 @@
   void OnEventGap(const InstanceId& rank, Duration gap, TimePoint now);
 
   bool is_closed() const { return closed_since_.has_value(); }
-  std::optional<TimePoint> closed_since() const { return closed_since_; }
-  bool IsSettling(TimePoint now) const;
-  // The time for which work is still expected to wait for the group; nothing if
-  // it takes work. A closed group is expected to stay so for as long again as
-  // it has been.
+  // The time for which work is expected to wait for a closed group: it stays
+  // closed for as long again as it has been. Nothing if it is open.
   std::optional<Duration> ExpectedWait(TimePoint now) const;
   // How far apart the events of its streams come lately, in seconds; 0: not
   // known.
@@ -69,19 +66,24 @@
   const Standstill& standstill() const { return standstill_; }
 
  private:
-  void NoteSettling(Duration gap, TimePoint now);
+  bool IsStarting(TimePoint now) const;
+  void AdjustStart(Duration gap, TimePoint now);
 
   Options options_;
-  Duration even_pass_{0};
+  double places_ = 0;
   int in_progress_ = 0;
+  Duration target_gap_{0};
   // The rank that refused last, and when.
   InstanceId refused_by_;
   TimePoint refused_at_;
   std::optional<TimePoint> closed_since_;
   TimePoint next_try_;
   std::optional<AttemptNumber> trial_;
-  std::optional<TimePoint> settling_since_;
-  int even_gaps_ = 0;       // in a row, while settling
+  // The slow start: since when, the requests that may be in progress, and when
+  // that was adjusted last.
+  std::optional<TimePoint> started_at_;
+  double most_in_progress_ = 0;
+  TimePoint adjusted_at_;
   double gap_seconds_ = 0;  // smoothed
   TimePoint gap_at_;
   Standstill standstill_;
