Try: agents list their engine's pace, and entries keep work from slow ranks

Hypothesis: all ranks wait for the slowest one's own part of a pass. Cost of a rank: pace x (step + requests) - step, in requests.

--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -76,12 +76,15 @@
 // --- Telling ----------------------------------------------------------------
 
 // The agent is listed once it knows its group, by which leaders and entries
-// tell the groups of a service apart.
+// tell the groups of a service apart, and with its engine's pace, by which
+// entries choose a rank.
 void RankAgent::ListItself() {
-  const GroupName& group = rank_.report()->group;
-  if (options_.self.group == group) return;
+  const RankReport& report = *rank_.report();
+  const bool is_paced = pace_listing_.OnPace(report.pace, BootNow());
+  if (options_.self.group == report.group && !is_paced) return;
   const bool is_first = options_.self.group.empty();
-  options_.self.group = group;
+  options_.self.group = report.group;
+  options_.self.pace = pace_listing_.listed();
   lease_.SetValue(EncodeMember(options_.self));
   if (is_first) lease_.Start();
 }
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -16,6 +16,7 @@
 #include "group/group_leader.h"
 #include "group/map_delta.h"
 #include "group/own_rank.h"
+#include "group/pace_listing.h"
 #include "group/rank_messages.h"
 #include "group/remote_ranks.h"
 #include "net/datagram_socket.h"
@@ -111,6 +112,7 @@
   Endpoint collector_;  // where they go; empty: to the leader
   TimePoint told_at_;   // the last status
   RankReport told_;
+  PaceListing pace_listing_;
 
   bool knows_term_ = false;  // has read the newest term since its start
   LeaderTerm term_;
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -16,6 +16,8 @@
 constexpr double kFailureCost = 8.0;
 // Cost of a group whose passes take twice as long as another's, in loads.
 constexpr double kSlownessCost = 2.0;
+// A token step in requests that write, where their figures aren't published.
+constexpr double kUnknownStep = 10;
 // Room of a backend server that is open but costly, in requests.
 constexpr double kLeastRoom = 0.05;
 // A refused caller is asked to come back between these times.
@@ -310,6 +312,18 @@
   return tokens;
 }
 
+// All ranks of a group wait for the slowest one's part of a pass: the steps,
+// and in each of them the requests that write. A rank that takes longer for
+// both costs as much as so many more requests would at the usual pace.
+double Dispatcher::PacedCost(double requests, double pace,
+                             const EngineFigures& engine) {
+  if (pace <= 1) return requests;
+  const double step = engine.per_sequence_ms > 0
+                          ? engine.step_ms / engine.per_sequence_ms
+                          : kUnknownStep;
+  return pace * (step + requests) - step;
+}
+
 // For model engines the load is what a rank adds to the pass of its group:
 // requests that write, and prompt tokens that wait to be read. For others it is
 // the expected wait in units of one request.
@@ -320,6 +334,7 @@
   if (spec != nullptr && spec->engine) {
     const double usual = std::max(1.0, spec->engine->usual_prompt_tokens);
     cost += UnreadAt(backend, now) / usual;
+    cost = PacedCost(cost, backend.record.pace, *spec->engine);
     cost += kSlownessCost * SlownessOf(backend, least_gap, now);
   } else if (backend.service_seconds > 0) {
     cost = (cost + 1) * backend.service_seconds * 20;
--- a/src/store/backend_record.h
+++ b/src/store/backend_record.h
@@ -20,6 +20,7 @@
   BackendState state = BackendState::kReady;
   Millis cold_remaining{0};  // at the time of writing
   GroupName group;           // in which it is a rank; empty: none, or unknown
+  double pace = 1;           // how many times as long as usual it takes
   Revision listed;           // when its entry was created
   // When it started, in ms since 1970 by its own clock; absent: not told.
   std::optional<std::int64_t> started_ms;
--- a/src/store/fleet_builder.cc
+++ b/src/store/fleet_builder.cc
@@ -59,11 +59,16 @@
   const auto member =
       item == nullptr ? std::nullopt : DecodeMember(item->value);
   if (!member) {
-    members_.erase(key);
+    const auto known = members_.find(key);
+    if (known == members_.end()) return;
+    const auto rank = ranks_.find(known->second.backend);
+    if (rank != ranks_.end()) rank->second.pace = 1;
+    members_.erase(known);
     return;
   }
   members_[key] = *member;
-  if (!member->group.empty()) groups_[member->backend] = member->group;
+  if (member->group.empty()) return;
+  ranks_[member->backend] = {.group = member->group, .pace = member->pace};
 }
 
 // A version that is in force is never followed by an older one.
@@ -189,8 +194,10 @@
         record.listed == newest[record.address] &&
         !zones_out_.contains(record.zone)) {
       view->backends.push_back(record);
-      const auto group = groups_.find(record.address);
-      if (group != groups_.end()) view->backends.back().group = group->second;
+      const auto rank = ranks_.find(record.address);
+      if (rank == ranks_.end()) continue;
+      view->backends.back().group = rank->second.group;
+      view->backends.back().pace = rank->second.pace;
     }
   }
   for (const auto& [key, member] : members_) {
--- a/src/store/fleet_builder.h
+++ b/src/store/fleet_builder.h
@@ -84,8 +84,13 @@
   Departures departures_;
   std::map<ZoneName, ZoneOut> zones_out_;
   std::map<std::string, Member> members_;
-  // As agents told of the engines beside them; kept when they are gone.
-  std::map<Endpoint, GroupName> groups_;
+  // As agents told of the engines beside them. The group is kept when they are
+  // gone; the pace is then taken for usual.
+  struct Rank {
+    GroupName group;
+    double pace = 1;
+  };
+  std::map<Endpoint, Rank> ranks_;
 };
 
 }  // namespace mangohold
--- a/src/store/member.cc
+++ b/src/store/member.cc
@@ -1,5 +1,7 @@
 #include "store/member.h"
 
+#include <algorithm>
+
 #include "core/json_types.h"
 
 namespace mangohold {
@@ -9,7 +11,8 @@
       {"id", member.id},       {"role", static_cast<int>(member.role)},
       {"zone", member.zone},   {"caller", member.caller},
       {"peer", member.peer},   {"backend", member.backend},
-      {"group", member.group}, {"admin", member.admin}}
+      {"group", member.group}, {"admin", member.admin},
+      {"pace", member.pace}}
       .dump();
 }
 
@@ -27,7 +30,8 @@
                   .peer = json.at("peer").get<Endpoint>(),
                   .backend = json.at("backend").get<Endpoint>(),
                   .group = json.at("group").get<GroupName>(),
-                  .admin = json.at("admin").get<Endpoint>()};
+                  .admin = json.at("admin").get<Endpoint>(),
+                  .pace = std::max(1.0, json.value("pace", 1.0))};
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
   }
--- a/src/store/member.h
+++ b/src/store/member.h
@@ -20,6 +20,8 @@
   Endpoint backend;  // the backend server beside it, of agents
   GroupName group;   // the group in which that is a rank, of agents
   Endpoint admin;    // metrics, and the deployment for peers
+  // How many times as long as usual that backend server takes, of agents.
+  double pace = 1;
 };
 
 // The value under which a member is listed, and back; nothing for a text that
--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -237,6 +237,20 @@
   EXPECT_EQ(followers, 4U);
 }
 
+// The group's passes wait for the slow rank, all the longer for each request
+// that it has.
+TEST_F(DispatcherTest, ASlowRankGetsNothingWhileOthersHaveRoom) {
+  backends_[1].pace = 4;
+  dispatcher_.SetBackends(backends_);
+  std::map<InstanceId, int> sent;
+  for (int i = 0; i < (kRanks - 1) * kSlots; ++i) ++sent[SendOne(kModel)];
+  EXPECT_FALSE(sent.contains(Rank(1)));
+  // It is sound again.
+  backends_[1].pace = 1;
+  dispatcher_.SetBackends(backends_);
+  EXPECT_EQ(SendOne(kModel), Rank(1));
+}
+
 // A backlog of callers who are late already, and one who can still be on time.
 TEST_F(DispatcherTest, WhoCanStillBeOnTimeGoesBeforeWhoIsLate) {
   FillGroup();
