--- a/src/routing/group_gate.cc
+++ b/src/routing/group_gate.cc
@@ -76,12 +76,12 @@
       is_fresh ? gap_seconds_ + kSmoothing * (seconds - gap_seconds_) : seconds;
   gap_at_ = now;
   standstill_.OnEvent(rank, now);
-  if (started_at_) AdjustStart(gap, now);
+  AdjustStart(gap, now);
 }
 
 // All streams of the group go by its passes, so that one gap tells of all.
 void GroupGate::AdjustStart(Duration gap, TimePoint now) {
-  if (now - adjusted_at_ < kAdjustInterval) return;
+  if (!started_at_ || now - adjusted_at_ < kAdjustInterval) return;
   adjusted_at_ = now;
   if (gap <= target_gap_ * kGoodPart) {
     most_in_progress_ *= kGrowth;
