--- a/tests/unit/store_eras_test.cc
+++ b/tests/unit/store_eras_test.cc
@@ -376,8 +376,8 @@
         const bool knows = entry == nullptr ? entries_[i].IsSettled(now_)
                                             : entry->value.find("draining") !=
                                                   std::string::npos;
-        if (knows)
-          known_left_[i].insert(InstanceId("i-" + std::to_string(index)));
+        if (!knows) continue;
+        known_left_[i].insert(InstanceId("i-" + std::to_string(index)));
       }
     }
   }
