Take the slow start out again

A stream takes 2 s while the map is uneven, so that the few places of the start were taken by those who are late already, and new callers waited beyond their aim.

--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -124,7 +124,6 @@
        .give_up = has_begun_ ? deadline_ : GiveUpTime(),
        .deadline = deadline_,
        .on_time_until = job_.message.arrived + job_.route->target_latency,
-       .target_gap = job_.route->target_gap,
        .events = has_begun_ ? 0 : ExpectedEvents(),
        .tried = tried_,
        .zones = job_.zones});
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -366,14 +366,7 @@
 }
 
 void Dispatcher::SetAllParts() {
-  std::map<GroupGate*, double> places;
-  for (auto& [id, backend] : backends_) {
-    SetParts(backend);
-    if (backend.is_listed) places[backend.gate] += backend.record.slots;
-  }
-  for (const auto& [gate, all] : places) {
-    gate->SetPlaces(all / reach_.entries());
-  }
+  for (auto& [id, backend] : backends_) SetParts(backend);
 }
 
 void Dispatcher::SetEntries(const InstanceId& self,
@@ -395,7 +388,7 @@
   ++backend.own_requests;
   backend.own_unread += query.prompt_tokens;
   backend.recent.Add(now);
-  backend.gate->OnSent(query.number, query.target_gap);
+  backend.gate->OnSent(query.number);
   sent_[query.number] = {.backend = backend.record.id,
                          .service = query.service,
                          .gate = backend.gate,
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -74,8 +74,6 @@
     TimePoint deadline = TimePoint::max();
     // An answer that begins later is late.
     TimePoint on_time_until = TimePoint::max();
-    // The longest pause between events of a stream on time; 0: none.
-    Duration target_gap{0};
     double events = 0;
     std::vector<InstanceId> tried;
     // Zones of the regions where it may run; empty: all.
--- a/src/routing/group_gate.cc
+++ b/src/routing/group_gate.cc
@@ -1,9 +1,5 @@
 #include "routing/group_gate.h"
 
-#include <algorithm>
-
-#include "core/log.h"
-
 namespace mangohold {
 namespace {
 
@@ -13,34 +9,18 @@
 constexpr Millis kPaceMemory{1'000};
 // Weight of the newest gap in the smoothed one.
 constexpr double kSmoothing = 0.2;
-// Events come in good time within this part of the longest pause, and are about
-// to be late beyond the second one.
-constexpr double kGoodPart = 0.6;
-constexpr double kCriticalPart = 0.85;
-// A slow start is adjusted this often, by these factors.
-constexpr Millis kAdjustInterval{50};
-constexpr double kGrowth = 1.15;
-constexpr double kDecline = 0.8;
 
 }  // namespace
 
-bool GroupGate::IsStarting(TimePoint now) const {
-  return started_at_ && now - *started_at_ < options_.longest_start;
-}
-
 bool GroupGate::MayPass(TimePoint now) const {
-  if (is_closed()) return !trial_ && now >= next_try_;
-  return !IsStarting(now) || in_progress_ < most_in_progress_;
+  return !is_closed() || (!trial_ && now >= next_try_);
 }
 
-void GroupGate::OnSent(AttemptNumber number, Duration target_gap) {
-  ++in_progress_;
+void GroupGate::OnSent(AttemptNumber number) {
   if (is_closed()) trial_ = number;
-  if (target_gap > Duration(0)) target_gap_ = target_gap;
 }
 
 void GroupGate::OnEnded(AttemptNumber number) {
-  --in_progress_;
   if (trial_ == number) trial_.reset();
 }
 
@@ -57,11 +37,6 @@
 }
 
 void GroupGate::OnBegun(const InstanceId& rank, TimePoint sent, TimePoint now) {
-  if (is_closed()) {
-    started_at_ = now;
-    adjusted_at_ = now;
-    most_in_progress_ = std::max(1.0, options_.first_part * places_);
-  }
   refused_by_ = InstanceId();
   closed_since_.reset();
   trial_.reset();
@@ -76,21 +51,6 @@
       is_fresh ? gap_seconds_ + kSmoothing * (seconds - gap_seconds_) : seconds;
   gap_at_ = now;
   standstill_.OnEvent(rank, now);
-  AdjustStart(gap, now);
-}
-
-// All streams of the group go by its passes, so that one gap tells of all.
-void GroupGate::AdjustStart(Duration gap, TimePoint now) {
-  if (!started_at_ || now - adjusted_at_ < kAdjustInterval) return;
-  adjusted_at_ = now;
-  if (gap <= target_gap_ * kGoodPart) {
-    most_in_progress_ *= kGrowth;
-  } else if (gap > target_gap_ * kCriticalPart) {
-    most_in_progress_ = std::max(1.0, most_in_progress_ * kDecline);
-  }
-  if (IsStarting(now) && most_in_progress_ < places_) return;
-  Log(LogLevel::kInfo, "group_started", {{"ms", ToMillis(now - *started_at_)}});
-  started_at_.reset();
 }
 
 std::optional<Duration> GroupGate::ExpectedWait(TimePoint now) const {
