What fails alike everywhere ejects nobody; ejection in a module of its own

Cause: booking-read of further fails 1 request in 7 at every server alike (the client gets the second server's 500), and each of them counted against two sound servers: three in a row eject one. Change: the second failure doesn't count, and the first is forgiven. Test: Ejection.RequestsThatFailEverywhereCostNothing.

--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -263,8 +263,7 @@
     return OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendRefused);
   }
   const bool is_failure = status_ >= 500;
-  EndAttempt(is_failure ? Dispatcher::Result::kFailed
-                        : Dispatcher::Result::kServed);
+  EndAttempt(is_failure ? JudgeFailure() : Dispatcher::Result::kServed);
   if (is_failure && policy_.OnFailed() == DirectPolicy::Next::kSendAgain &&
       context_.BudgetOf(job_.service).TryRetry(BootNow())) {
     retry_reason_ = Reason::kBackendFailed;
@@ -274,6 +273,15 @@
   Deliver();
 }
 
+// A request that two backend servers fail alike says nothing of either.
+Dispatcher::Result ForwardRun::JudgeFailure() {
+  const bool is_alike = failed_by_ && *failed_by_ != backend_.id;
+  if (is_alike) context_.dispatcher.OnFailedElsewhere(*failed_by_);
+  if (!failed_by_) failed_by_ = backend_.id;
+  return is_alike ? Dispatcher::Result::kFailedAlike
+                  : Dispatcher::Result::kFailed;
+}
+
 // Passes the whole answer on. A stream that has begun ends here.
 void ForwardRun::Deliver() {
   if (has_begun_) {
--- a/src/caller/forward_run.h
+++ b/src/caller/forward_run.h
@@ -56,6 +56,7 @@
   int Priority() const;
   void Relay(std::string_view data);
   void OnWholeAnswer();
+  Dispatcher::Result JudgeFailure();
   void Deliver();
   // The attempt came to nothing.
   void OnAttemptFailed(DirectPolicy::Next next, Reason reason);
@@ -79,6 +80,8 @@
   BackendRecord backend_;  // of the attempt in progress, or the last one
   BackendConnection::Ptr connection_;
   std::vector<InstanceId> tried_;
+  // The first backend server that answered with a failure of its own.
+  std::optional<InstanceId> failed_by_;
   TimePoint sent_at_;
   std::optional<TimePoint> last_event_at_;  // of this attempt
   // The answer in progress.
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -47,7 +47,11 @@
   by_service_.clear();
   for (auto& [id, backend] : backends_) backend.is_listed = false;
   for (const BackendRecord& record : backends) {
-    Backend& backend = backends_[record.id];
+    Backend& backend =
+        backends_
+            .try_emplace(record.id,
+                         Backend{.ejection = Ejection(options_.ejection)})
+            .first->second;
     if (backend.record.listed != record.listed) backend.is_gone = false;
     backend.record = record;
     backend.is_listed = true;
@@ -273,7 +277,7 @@
 
 bool Dispatcher::IsOpen(const Backend& backend, const Query& query,
                         TimePoint now) {
-  if (backend.is_gone || backend.ejected_until > now) return false;
+  if (backend.is_gone || backend.ejection.IsEjected(now)) return false;
   if (!backend.gate->MayPass(now)) return false;
   const bool is_doubtful =
       backend.gate->standstill().IsDoubtful(backend.record.id);
@@ -340,7 +344,7 @@
     cost = (cost + 1) * backend.service_seconds * 20;
   }
   if (backend.record.zone != options_.zone) cost += options_.zone_penalty;
-  return cost + kFailureCost * backend.failure_share;
+  return cost + kFailureCost * backend.ejection.failure_share();
 }
 
 // What all entries together may send to one backend server in a second keeps to
@@ -478,8 +482,7 @@
   backend.own_unread -= sent.unread_tokens;
   switch (result) {
     case Result::kServed:
-      backend.failures = 0;
-      backend.failure_share = Smoothed(backend.failure_share, 0);
+      backend.ejection.OnServed();
       backend.service_seconds =
           backend.service_seconds == 0
               ? ToSeconds(now - sent.at)
@@ -487,7 +490,7 @@
       break;
     case Result::kRejected:
       if (!IsGroup(sent.service)) {
-        backend.ejected_until = now + options_.ejection / 2;
+        backend.ejection.Spare(now);
       } else if (!sent.gate->OnRefused(backend.record.id, now)) {
         Eject(backend, now);
       }
@@ -499,8 +502,9 @@
       Eject(backend, now);
       break;
     case Result::kFailed:
-      backend.failure_share = Smoothed(backend.failure_share, 1);
-      if (++backend.failures >= 3) Eject(backend, now);
+      if (backend.ejection.OnFailed()) Eject(backend, now);
+      break;
+    case Result::kFailedAlike:
       break;
     case Result::kStuck:
       backend.gate->standstill().OnLeft(backend.record.id, now);
@@ -516,16 +520,18 @@
 void Dispatcher::Eject(Backend& backend, TimePoint now) {
   const auto& group = by_service_[backend.record.service];
   const auto ejected = std::ranges::count_if(group, [&](const auto& id) {
-    return backends_.at(id).ejected_until > now;
+    return backends_.at(id).ejection.IsEjected(now);
   });
   if (static_cast<double>(ejected + 1) >
       options_.most_ejected * static_cast<double>(group.size())) {
     return;
   }
-  ++backend.failures;
-  const int doublings = std::min(backend.failures - 1, 4);
-  backend.ejected_until = now + std::min(options_.longest_ejection,
-                                         options_.ejection * (1 << doublings));
+  backend.ejection.Begin(now);
+}
+
+void Dispatcher::OnFailedElsewhere(const InstanceId& id) {
+  const auto it = backends_.find(id);
+  if (it != backends_.end()) it->second.ejection.ForgiveLast();
 }
 
 std::vector<BackendShare> Dispatcher::OwnShares() const {
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -23,6 +23,7 @@
 #include "core/outcome.h"
 #include "core/random.h"
 #include "routing/backend_notices.h"
+#include "routing/ejection.h"
 #include "routing/entry_reach.h"
 #include "routing/group_gate.h"
 #include "routing/sliding_count.h"
@@ -48,9 +49,7 @@
     double cold_slack = 0;
     // What a peer told is forgotten after this.
     Duration peer_memory = std::chrono::milliseconds(1'500);
-    // First and longest time for which a failing backend server is passed over.
-    Duration ejection = std::chrono::milliseconds(400);
-    Duration longest_ejection = std::chrono::seconds(5);
+    Ejection::Options ejection;
     GroupGate::Options gate;
     // Part of a service's backend servers that may be passed over at a time.
     double most_ejected = 0.5;
@@ -91,6 +90,7 @@
     kGone,         // another backend server has its address
     kUnreachable,  // no connection
     kFailed,       // broken off, or a failure of the backend server's own
+    kFailedAlike,  // a failure that another backend server has answered with
     kStuck,        // it stands still while others go on
     kCancelled     // the caller left
   };
@@ -116,6 +116,9 @@
   // The first bytes of the answer came: its prompt has been read.
   void OnAnswerBegun(AttemptNumber number, TimePoint now);
   void OnEnded(AttemptNumber number, Result result, TimePoint now);
+  // A request that this backend server failed was failed by another one as
+  // well: the failure was the request's own.
+  void OnFailedElsewhere(const InstanceId& id);
   // What an answer says of its backend server: that it is leaving, and for how
   // long it wants nothing more.
   void OnNotice(const InstanceId& id, bool is_leaving,
@@ -156,10 +159,8 @@
     // This entry's parts of what the backend server bears from all of them.
     int most_per_second = 0;
     int most_connections = 0;
-    int failures = 0;  // in a row
-    TimePoint ejected_until;
+    Ejection ejection;
     bool is_gone = false;        // until it is listed anew
-    double failure_share = 0;    // smoothed
     double service_seconds = 0;  // smoothed; 0: none served yet
   };
   struct Sent {
--- /dev/null
+++ b/tests/unit/ejection_test.cc
@@ -0,0 +1,54 @@
+#include "routing/ejection.h"
+
+#include <gtest/gtest.h>
+
+namespace mangohold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart = TimePoint() + seconds(100);
+
+TEST(Ejection, ThreeFailuresInARowEject) {
+  Ejection ejection;
+  EXPECT_FALSE(ejection.OnFailed());
+  EXPECT_FALSE(ejection.OnFailed());
+  ejection.OnServed();
+  EXPECT_FALSE(ejection.OnFailed());
+  EXPECT_FALSE(ejection.OnFailed());
+  EXPECT_TRUE(ejection.OnFailed());
+}
+
+TEST(Ejection, EachOneLastsLongerUntilSomethingIsServed) {
+  Ejection ejection;
+  ejection.Begin(kStart);
+  EXPECT_TRUE(ejection.IsEjected(kStart + milliseconds(399)));
+  EXPECT_FALSE(ejection.IsEjected(kStart + milliseconds(400)));
+  ejection.Begin(kStart);
+  EXPECT_TRUE(ejection.IsEjected(kStart + milliseconds(799)));
+  for (int i = 0; i < 10; ++i) ejection.Begin(kStart);
+  EXPECT_FALSE(ejection.IsEjected(kStart + seconds(5)));
+  ejection.OnServed();
+  ejection.Begin(kStart);
+  EXPECT_FALSE(ejection.IsEjected(kStart + milliseconds(400)));
+}
+
+// One request in seven fails at each server, alike: a sound one is never
+// ejected for it, nor avoided.
+TEST(Ejection, RequestsThatFailEverywhereCostNothing) {
+  Ejection ejection;
+  for (int i = 0; i < 100; ++i) {
+    EXPECT_FALSE(ejection.OnFailed());
+    ejection.ForgiveLast();
+  }
+  EXPECT_DOUBLE_EQ(ejection.failure_share(), 0);
+  // What only this one fails still counts.
+  ejection.OnFailed();
+  ejection.OnFailed();
+  EXPECT_TRUE(ejection.OnFailed());
+  EXPECT_GT(ejection.failure_share(), 0.4);
+}
+
+}  // namespace
+}  // namespace mangohold
