--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -123,6 +123,7 @@
        .prompt_tokens = job_.fields.prompt_tokens.value_or(0),
        .give_up = has_begun_ ? deadline_ : GiveUpTime(),
        .deadline = deadline_,
+       .on_time_until = job_.message.arrived + job_.route->target_latency,
        .events = has_begun_ ? 0 : ExpectedEvents(),
        .tried = tried_,
        .zones = job_.zones});
@@ -221,7 +222,7 @@
   if (phase_ != Phase::kSent) return;
   if (!has_bytes_) {
     has_bytes_ = true;
-    context_.dispatcher.OnAnswerBegun(attempt_);
+    context_.dispatcher.OnAnswerBegun(attempt_, BootNow());
   }
   if (is_relaying_) return Relay(events_.Feed(data));
   body_.append(data);
@@ -262,8 +263,7 @@
     return OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendRefused);
   }
   const bool is_failure = status_ >= 500;
-  EndAttempt(is_failure ? Dispatcher::Result::kFailed
-                        : Dispatcher::Result::kServed);
+  EndAttempt(is_failure ? JudgeFailure() : Dispatcher::Result::kServed);
   if (is_failure && policy_.OnFailed() == DirectPolicy::Next::kSendAgain &&
       context_.BudgetOf(job_.service).TryRetry(BootNow())) {
     retry_reason_ = Reason::kBackendFailed;
@@ -273,6 +273,15 @@
   Deliver();
 }
 
+// A request that two backend servers fail alike says nothing of either.
+Dispatcher::Result ForwardRun::JudgeFailure() {
+  const bool is_alike = failed_by_ && *failed_by_ != backend_.id;
+  if (is_alike) context_.dispatcher.OnFailedElsewhere(*failed_by_);
+  if (!failed_by_) failed_by_ = backend_.id;
+  return is_alike ? Dispatcher::Result::kFailedAlike
+                  : Dispatcher::Result::kFailed;
+}
+
 // Passes the whole answer on. A stream that has begun ends here.
 void ForwardRun::Deliver() {
   if (has_begun_) {
@@ -350,10 +359,8 @@
   if (phase_ != Phase::kSent || job_.route->kind != RouteKind::kStream) {
     return false;
   }
-  const TimePoint heard = last_event_at_.value_or(sent_at_);
   return policy_.MayReplaceAttempt() &&
-         context_.dispatcher.IsStuck(attempt_, last_event_at_.has_value(),
-                                     heard, now) &&
+         context_.dispatcher.IsStuck(attempt_, last_event_at_, now) &&
          context_.BudgetOf(job_.service).CanRetry(now);
 }
 
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -51,12 +51,9 @@
   leader_heard_ = BootNow();
   store_.AddEraListener([this] { OnEra(); });
   rank_.OnStart();
-  const auto poll = [this] {
-    rank_.Poll({.on_choices = [this](const auto& chosen) { OnPoll(chosen); },
-                .on_holdings = [this] { SendStatus(); }});
-  };
-  poll();
-  loop_.Every(options_.poll, poll);
+  Poll();
+  loop_.Every(options_.poll, [this] { Poll(); });
+  loop_.Every(options_.awaiting_poll, [this] { PollIfAwaiting(); });
   loop_.Every(kWatchInterval, [this] { WatchLeader(); });
   // Figures are read early, since a new leader may need them at once.
   loop_.Every(kDirectoryInterval, [this] {
@@ -79,16 +76,33 @@
 // --- Telling ----------------------------------------------------------------
 
 // The agent is listed once it knows its group, by which leaders and entries
-// tell the groups of a service apart.
+// tell the groups of a service apart, and with its engine's pace, by which
+// entries choose a rank.
 void RankAgent::ListItself() {
-  const GroupName& group = rank_.report()->group;
-  if (options_.self.group == group) return;
+  const RankReport& report = *rank_.report();
+  const bool is_paced = pace_listing_.OnPace(report.pace, BootNow());
+  if (options_.self.group == report.group && !is_paced) return;
   const bool is_first = options_.self.group.empty();
-  options_.self.group = group;
+  options_.self.group = report.group;
+  options_.self.pace = pace_listing_.listed();
   lease_.SetValue(EncodeMember(options_.self));
   if (is_first) lease_.Start();
 }
 
+void RankAgent::Poll() {
+  rank_.Poll({.on_choices = [this](const auto& chosen) { OnPoll(chosen); },
+              .on_holdings = [this] { SendStatus(); }});
+}
+
+// What a switch waits for is told as soon as it has happened.
+void RankAgent::PollIfAwaiting() {
+  if (!rank_.IsAwaiting()) return;
+  rank_.Refresh([this] {
+    if (HasNews()) SendStatus();
+    if (rank_.is_in_group() && !rank_.AreHoldingsKnown()) Poll();
+  });
+}
+
 void RankAgent::OnPoll(const ExpertCounts& choices) {
   if (rank_.is_in_group()) ListItself();
   choices_.Add(choices);
@@ -123,6 +137,7 @@
   message.status.agent = options_.self.id;
   message.status.term = term_;
   message.status.granted = granted_;
+  message.status.ready_for = ready_for_;
   message.status.missing = missing_;
   told_at_ = BootNow();
   told_ = message.status.report;
@@ -218,7 +233,9 @@
 void RankAgent::Execute(Job job) {
   RankCommand& command = job.command;
   const RankReport* report = rank_.report();
-  if (command.is_grant && job.term == term_) granted_ = command.version;
+  const bool is_of_term = job.term == term_;
+  if (command.is_grant && is_of_term) granted_ = command.version;
+  if (command.is_question && is_of_term) ready_for_ = command.version;
   const bool is_void = !report || !command.order || job.term < term_ ||
                        report->epoch != command.epoch ||
                        report->rank != command.rank;
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -16,6 +16,7 @@
 #include "group/group_leader.h"
 #include "group/map_delta.h"
 #include "group/own_rank.h"
+#include "group/pace_listing.h"
 #include "group/rank_messages.h"
 #include "group/remote_ranks.h"
 #include "net/datagram_socket.h"
@@ -36,6 +37,8 @@
     ServiceName service;  // of the engine, whose figures operators publish
     MapPlanning::Options planning;
     Millis poll{150};
+    // The same while a switch waits for what the next one tells.
+    Millis awaiting_poll{30};
     // A leader that says nothing for this long is replaced.
     Millis leader_silence{800};
     // The same at the agent beside a rank that holds the group.
@@ -57,6 +60,8 @@
 
   // Telling.
   void ListItself();
+  void Poll();
+  void PollIfAwaiting();
   void OnPoll(const ExpertCounts& choices);
   Duration TellInterval() const;
   bool HasNews() const;
@@ -96,7 +101,8 @@
   OwnRank rank_;
   std::optional<EngineFigures> engine_;  // of the service; absent: not known
 
-  MapVersion granted_;  // the leader may have armed its own rank with it
+  MapVersion granted_;    // the leader may have armed its own rank with it
+  MapVersion ready_for_;  // the last switch that it was asked about
   MapShelf maps_;
   MapVersion missing_;  // a map whose difference is from an unknown one
   std::deque<Job> jobs_;
@@ -106,6 +112,7 @@
   Endpoint collector_;  // where they go; empty: to the leader
   TimePoint told_at_;   // the last status
   RankReport told_;
+  PaceListing pace_listing_;
 
   bool knows_term_ = false;  // has read the newest term since its start
   LeaderTerm term_;
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -16,6 +16,8 @@
 constexpr double kFailureCost = 8.0;
 // Cost of a group whose passes take twice as long as another's, in loads.
 constexpr double kSlownessCost = 2.0;
+// A token step in requests that write, where their figures aren't published.
+constexpr double kUnknownStep = 10;
 // Room of a backend server that is open but costly, in requests.
 constexpr double kLeastRoom = 0.05;
 // A refused caller is asked to come back between these times.
@@ -23,18 +25,10 @@
 constexpr Millis kMostRetryAfter{2'000};
 // The part of a caller's patience that a new request's expected wait may take.
 constexpr double kShareOfPatience = 0.75;
-// The pace of events is forgotten after this.
-constexpr Millis kPaceMemory{1'000};
 // The part of an expected duration that is taken for certain.
 constexpr double kCertainShare = 0.8;
 // Callers come back after this when a service is too slow for them.
 constexpr Millis kSlowRetry{1'000};
-// A stream that brings nothing for this long stands still, if others of its
-// service brought something within the second one.
-constexpr Millis kStuckAfter{1'000};
-constexpr Millis kGoesOn{250};
-// Refusals of two ranks count together within this time.
-constexpr Millis kRefusalMemory{500};
 // Service time of a backend server that has served nothing yet.
 constexpr double kUnknownServiceSeconds = 1.0;
 // Time after which a service without any backend server may have one again.
@@ -53,16 +47,25 @@
   by_service_.clear();
   for (auto& [id, backend] : backends_) backend.is_listed = false;
   for (const BackendRecord& record : backends) {
-    Backend& backend = backends_[record.id];
+    Backend& backend =
+        backends_
+            .try_emplace(record.id,
+                         Backend{.ejection = Ejection(options_.ejection)})
+            .first->second;
     if (backend.record.listed != record.listed) backend.is_gone = false;
     backend.record = record;
     backend.is_listed = true;
-    backend.gate = &gates_[{record.service, record.group}];
+    backend.gate =
+        &gates_.try_emplace({record.service, record.group}, options_.gate)
+             .first->second;
     by_service_[record.service].push_back(record.id);
     notices_.OnListed(record.id, record.started_ms);
   }
   std::erase_if(backends_, [](const auto& item) {
-    return !item.second.is_listed && item.second.own_requests == 0;
+    const Backend& backend = item.second;
+    if (backend.is_listed || backend.own_requests > 0) return false;
+    backend.gate->standstill().Forget(item.first);
+    return true;
   });
   SetAllParts();
 }
@@ -100,7 +103,17 @@
   });
 }
 
+// Within one urgency those go first that can still be on time: who is late
+// already loses less by waiting on than the others would.
+void Dispatcher::SortWaiting(TimePoint now) {
+  std::ranges::stable_sort(waiting_, {}, [now](const Waiting& waiting) {
+    const Query& query = waiting.query;
+    return std::pair(query.priority, now > query.on_time_until);
+  });
+}
+
 std::vector<Dispatcher::Decision> Dispatcher::Decide(TimePoint now) {
+  SortWaiting(now);
   std::vector<Decision> decisions;
   std::map<ServiceName, int> ahead;
   std::vector<Waiting> still;
@@ -148,11 +161,9 @@
 double Dispatcher::LeastGap(const ServiceName& service, TimePoint now) const {
   double least = 0;
   for (const auto& [key, gate] : gates_) {
-    const bool is_known = key.first == service && gate.pace.gap_seconds > 0 &&
-                          now - gate.pace.at <= kPaceMemory;
-    if (!is_known) continue;
-    least = least == 0 ? gate.pace.gap_seconds
-                       : std::min(least, gate.pace.gap_seconds);
+    const double gap = key.first == service ? gate.GapSeconds(now) : 0;
+    if (gap <= 0) continue;
+    least = least == 0 ? gap : std::min(least, gap);
   }
   return least;
 }
@@ -160,10 +171,9 @@
 // By how much the passes of the backend server's group take longer than those
 // of the fastest one.
 double Dispatcher::SlownessOf(const Backend& backend, double least_gap,
-                              TimePoint now) const {
-  const EventPace& pace = backend.gate->pace;
-  if (least_gap <= 0 || now - pace.at > kPaceMemory) return 0;
-  return std::max(0.0, pace.gap_seconds / least_gap - 1);
+                              TimePoint now) {
+  const double gap = backend.gate->GapSeconds(now);
+  return least_gap <= 0 || gap <= 0 ? 0 : std::max(0.0, gap / least_gap - 1);
 }
 
 void Dispatcher::OnEventGap(AttemptNumber number, Duration gap, TimePoint now) {
@@ -171,22 +181,21 @@
   if (sent == sent_.end()) return;
   const auto backend = backends_.find(sent->second.backend);
   if (backend == backends_.end()) return;
-  EventPace& pace = backend->second.gate->pace;
-  const bool is_fresh = now - pace.at <= kPaceMemory;
-  pace.gap_seconds =
-      is_fresh ? Smoothed(pace.gap_seconds, ToSeconds(gap)) : ToSeconds(gap);
-  pace.at = now;
+  backend->second.gate->OnEventGap(sent->second.backend, gap, now);
 }
 
-bool Dispatcher::IsStuck(AttemptNumber number, bool has_begun, TimePoint heard,
+bool Dispatcher::IsStuck(AttemptNumber number,
+                         std::optional<TimePoint> last_event,
                          TimePoint now) const {
   const auto sent = sent_.find(number);
-  if (sent == sent_.end() || now - heard < kStuckAfter) return false;
+  if (sent == sent_.end()) return false;
   const auto backend = backends_.find(sent->second.backend);
   if (backend == backends_.end()) return false;
-  const EventPace& pace = backend->second.gate->pace;
-  const bool do_others_go_on = pace.gap_seconds > 0 && now - pace.at <= kGoesOn;
-  return do_others_go_on && (has_begun || backend->second.stuck_until > now);
+  return backend->second.gate->standstill().IsStuck(
+      {.backend = sent->second.backend,
+       .sent = sent->second.at,
+       .last_event = last_event},
+      now);
 }
 
 // A request joins the queue only with time to spare, so that few of those that
@@ -197,7 +206,7 @@
   const double expected = ToSeconds(wait);
   const double left = ToSeconds(waiting.query.give_up - now);
   const bool needs_margin =
-      waiting.is_new && !ClosedSince(waiting.query.service);
+      waiting.is_new && !GroupWait(waiting.query.service, now);
   return expected <= left * (needs_margin ? kShareOfPatience : 1.0);
 }
 
@@ -253,27 +262,26 @@
   return spec != nullptr && spec->engine && spec->engine->expert_sets > 0;
 }
 
-bool Dispatcher::MayPass(const GroupGate& gate, TimePoint now) {
-  return !gate.is_closed || (!gate.trial && now >= gate.next_try);
-}
-
-std::optional<TimePoint> Dispatcher::ClosedSince(
-    const ServiceName& service) const {
+std::optional<Duration> Dispatcher::GroupWait(const ServiceName& service,
+                                              TimePoint now) const {
   const auto group = by_service_.find(service);
   if (group == by_service_.end()) return std::nullopt;
-  std::optional<TimePoint> since;
+  std::optional<Duration> least;
   for (const InstanceId& id : group->second) {
-    const GroupGate& gate = *backends_.at(id).gate;
-    if (!gate.is_closed) return std::nullopt;
-    since = std::max(since.value_or(gate.closed_since), gate.closed_since);
+    const auto wait = backends_.at(id).gate->ExpectedWait(now);
+    if (!wait) return std::nullopt;
+    least = std::min(least.value_or(*wait), *wait);
   }
-  return since;
+  return least;
 }
 
 bool Dispatcher::IsOpen(const Backend& backend, const Query& query,
                         TimePoint now) {
-  if (backend.is_gone || backend.ejected_until > now) return false;
-  if (!MayPass(*backend.gate, now)) return false;
+  if (backend.is_gone || backend.ejection.IsEjected(now)) return false;
+  if (!backend.gate->MayPass(now)) return false;
+  const bool is_doubtful =
+      backend.gate->standstill().IsDoubtful(backend.record.id);
+  if (is_doubtful && backend.own_requests > 0) return false;
   if (!notices_.IsWelcome(backend.record.id, now)) return false;
   if (std::ranges::find(query.tried, backend.record.id) != query.tried.end()) {
     return false;
@@ -308,6 +316,18 @@
   return tokens;
 }
 
+// All ranks of a group wait for the slowest one's part of a pass: the steps,
+// and in each of them the requests that write. A rank that takes longer for
+// both costs as much as so many more requests would at the usual pace.
+double Dispatcher::PacedCost(double requests, double pace,
+                             const EngineFigures& engine) {
+  if (pace <= 1) return requests;
+  const double step = engine.per_sequence_ms > 0
+                          ? engine.step_ms / engine.per_sequence_ms
+                          : kUnknownStep;
+  return pace * (step + requests) - step;
+}
+
 // For model engines the load is what a rank adds to the pass of its group:
 // requests that write, and prompt tokens that wait to be read. For others it is
 // the expected wait in units of one request.
@@ -318,12 +338,13 @@
   if (spec != nullptr && spec->engine) {
     const double usual = std::max(1.0, spec->engine->usual_prompt_tokens);
     cost += UnreadAt(backend, now) / usual;
+    cost = PacedCost(cost, backend.record.pace, *spec->engine);
     cost += kSlownessCost * SlownessOf(backend, least_gap, now);
   } else if (backend.service_seconds > 0) {
     cost = (cost + 1) * backend.service_seconds * 20;
   }
   if (backend.record.zone != options_.zone) cost += options_.zone_penalty;
-  return cost + kFailureCost * backend.failure_share;
+  return cost + kFailureCost * backend.ejection.failure_share();
 }
 
 // What all entries together may send to one backend server in a second keeps to
@@ -371,9 +392,10 @@
   ++backend.own_requests;
   backend.own_unread += query.prompt_tokens;
   backend.recent.Add(now);
-  if (backend.gate->is_closed) backend.gate->trial = query.number;
+  backend.gate->OnSent(query.number);
   sent_[query.number] = {.backend = backend.record.id,
                          .service = query.service,
+                         .gate = backend.gate,
                          .unread_tokens = query.prompt_tokens,
                          .at = now};
   return {.number = query.number, .backend = backend.record};
@@ -389,11 +411,10 @@
 }
 
 // When all slots are taken, turns come as this entry's part of the slots gets
-// free. A closed group is expected to stay closed for as long again as it has
-// been.
+// free.
 Duration Dispatcher::ExpectedWait(const ServiceName& service, int ahead,
                                   TimePoint now) const {
-  if (const auto since = ClosedSince(service)) return now - *since;
+  if (const auto wait = GroupWait(service, now)) return *wait;
   const auto group = by_service_.find(service);
   if (group == by_service_.end()) return kUnknownWait;
   if (const auto until = QuietUntil(service, now)) return *until - now;
@@ -402,7 +423,7 @@
   int known = 0;
   for (const InstanceId& id : group->second) {
     const Backend& backend = backends_.at(id);
-    if (backend.gate->is_closed) continue;
+    if (backend.gate->is_closed()) continue;
     slots += backend.record.slots;
     seconds += backend.service_seconds;
     known += backend.service_seconds > 0 ? 1 : 0;
@@ -437,12 +458,12 @@
       {{"backend", id.value()}, {"ms", quiet->count()}});
 }
 
-void Dispatcher::OnAnswerBegun(AttemptNumber number) {
+void Dispatcher::OnAnswerBegun(AttemptNumber number, TimePoint now) {
   const auto it = sent_.find(number);
   if (it == sent_.end()) return;
   const auto backend = backends_.find(it->second.backend);
   if (backend != backends_.end()) {
-    *backend->second.gate = GroupGate{.pace = backend->second.gate->pace};
+    it->second.gate->OnBegun(it->second.backend, it->second.at, now);
     backend->second.own_unread -= it->second.unread_tokens;
   }
   it->second.unread_tokens = 0;
@@ -453,26 +474,25 @@
   if (it == sent_.end()) return;
   const Sent sent = it->second;
   sent_.erase(it);
+  sent.gate->OnEnded(number);
   const auto found = backends_.find(sent.backend);
   if (found == backends_.end()) return;
   Backend& backend = found->second;
-  if (backend.gate->trial == number) backend.gate->trial.reset();
   --backend.own_requests;
   backend.own_unread -= sent.unread_tokens;
   switch (result) {
     case Result::kServed:
-      backend.failures = 0;
-      backend.failure_share = Smoothed(backend.failure_share, 0);
+      backend.ejection.OnServed();
       backend.service_seconds =
           backend.service_seconds == 0
               ? ToSeconds(now - sent.at)
               : Smoothed(backend.service_seconds, ToSeconds(now - sent.at));
       break;
     case Result::kRejected:
-      if (IsGroup(sent.service)) {
-        OnGroupRefusal(backend, now);
-      } else {
-        backend.ejected_until = now + options_.ejection / 2;
+      if (!IsGroup(sent.service)) {
+        backend.ejection.Spare(now);
+      } else if (!sent.gate->OnRefused(backend.record.id, now)) {
+        Eject(backend, now);
       }
       break;
     case Result::kGone:
@@ -482,11 +502,12 @@
       Eject(backend, now);
       break;
     case Result::kFailed:
-      backend.failure_share = Smoothed(backend.failure_share, 1);
-      if (++backend.failures >= 3) Eject(backend, now);
+      if (backend.ejection.OnFailed()) Eject(backend, now);
+      break;
+    case Result::kFailedAlike:
       break;
     case Result::kStuck:
-      backend.stuck_until = now + kStuckAfter;
+      backend.gate->standstill().OnLeft(backend.record.id, now);
       Eject(backend, now);
       break;
     case Result::kCancelled:
@@ -494,35 +515,23 @@
   }
 }
 
-void Dispatcher::OnGroupRefusal(Backend& backend, TimePoint now) {
-  GroupGate& gate = *backend.gate;
-  const bool has_second = !gate.refused_by.empty() &&
-                          gate.refused_by != backend.record.id &&
-                          now - gate.refused_at <= kRefusalMemory;
-  const bool is_closing = has_second || gate.is_closed;
-  gate.refused_by = backend.record.id;
-  gate.refused_at = now;
-  if (!is_closing) return Eject(backend, now);
-  if (!gate.is_closed) gate.closed_since = now;
-  gate.is_closed = true;
-  gate.next_try = now + options_.group_retry;
-}
-
 // Passes a backend server over for a time that doubles with each failure, as
 // long as enough others are left to bear the load.
 void Dispatcher::Eject(Backend& backend, TimePoint now) {
   const auto& group = by_service_[backend.record.service];
   const auto ejected = std::ranges::count_if(group, [&](const auto& id) {
-    return backends_.at(id).ejected_until > now;
+    return backends_.at(id).ejection.IsEjected(now);
   });
   if (static_cast<double>(ejected + 1) >
       options_.most_ejected * static_cast<double>(group.size())) {
     return;
   }
-  ++backend.failures;
-  const int doublings = std::min(backend.failures - 1, 4);
-  backend.ejected_until = now + std::min(options_.longest_ejection,
-                                         options_.ejection * (1 << doublings));
+  backend.ejection.Begin(now);
+}
+
+void Dispatcher::OnFailedElsewhere(const InstanceId& id) {
+  const auto it = backends_.find(id);
+  if (it != backends_.end()) it->second.ejection.ForgiveLast();
 }
 
 std::vector<BackendShare> Dispatcher::OwnShares() const {
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -23,15 +23,14 @@
 #include "core/outcome.h"
 #include "core/random.h"
 #include "routing/backend_notices.h"
+#include "routing/ejection.h"
 #include "routing/entry_reach.h"
+#include "routing/group_gate.h"
 #include "routing/sliding_count.h"
 #include "store/backend_record.h"
 
 namespace mangohold {
 
-// One attempt of a request, numbered by the entry.
-using AttemptNumber = Number<struct AttemptNumberTag>;
-
 // What one entry has in progress at one backend server.
 struct BackendShare {
   InstanceId backend;
@@ -50,11 +49,8 @@
     double cold_slack = 0;
     // What a peer told is forgotten after this.
     Duration peer_memory = std::chrono::milliseconds(1'500);
-    // First and longest time for which a failing backend server is passed over.
-    Duration ejection = std::chrono::milliseconds(400);
-    Duration longest_ejection = std::chrono::seconds(5);
-    // A closed group of ranks is tried again after this.
-    Duration group_retry = std::chrono::milliseconds(120);
+    Ejection::Options ejection;
+    GroupGate::Options gate;
     // Part of a service's backend servers that may be passed over at a time.
     double most_ejected = 0.5;
     // Load that a backend server in another zone must save to be preferred.
@@ -75,6 +71,8 @@
     // When the whole answer has to be there, and the events that it is expected
     // to have; 0: not a stream.
     TimePoint deadline = TimePoint::max();
+    // An answer that begins later is late.
+    TimePoint on_time_until = TimePoint::max();
     double events = 0;
     std::vector<InstanceId> tried;
     // Zones of the regions where it may run; empty: all.
@@ -92,6 +90,7 @@
     kGone,         // another backend server has its address
     kUnreachable,  // no connection
     kFailed,       // broken off, or a failure of the backend server's own
+    kFailedAlike,  // a failure that another backend server has answered with
     kStuck,        // it stands still while others go on
     kCancelled     // the caller left
   };
@@ -115,8 +114,11 @@
   std::vector<Decision> Decide(TimePoint now);
 
   // The first bytes of the answer came: its prompt has been read.
-  void OnAnswerBegun(AttemptNumber number);
+  void OnAnswerBegun(AttemptNumber number, TimePoint now);
   void OnEnded(AttemptNumber number, Result result, TimePoint now);
+  // A request that this backend server failed was failed by another one as
+  // well: the failure was the request's own.
+  void OnFailedElsewhere(const InstanceId& id);
   // What an answer says of its backend server: that it is leaving, and for how
   // long it wants nothing more.
   void OnNotice(const InstanceId& id, bool is_leaving,
@@ -124,11 +126,9 @@
   // A stream brought an event `gap` after the one before.
   void OnEventGap(AttemptNumber number, Duration gap, TimePoint now);
 
-  // True if an attempt that last brought something at `heard` stands still
-  // while others of its service go on: its backend server is stuck. An answer
-  // that hasn't begun may be waiting its turn, and is only judged with one that
-  // had.
-  bool IsStuck(AttemptNumber number, bool has_begun, TimePoint heard,
+  // True if the attempt's backend server stands still while others of its group
+  // go on. `last_event` is of this attempt; absent: its answer hasn't begun.
+  bool IsStuck(AttemptNumber number, std::optional<TimePoint> last_event,
                TimePoint now) const;
 
   std::vector<BackendShare> OwnShares() const;
@@ -147,7 +147,6 @@
     BackendShare share;
     TimePoint heard;
   };
-  struct GroupGate;
   struct Backend {
     BackendRecord record;
     GroupGate* gate = nullptr;  // of its group; never null once listed
@@ -160,16 +159,14 @@
     // This entry's parts of what the backend server bears from all of them.
     int most_per_second = 0;
     int most_connections = 0;
-    int failures = 0;  // in a row
-    TimePoint ejected_until;
-    TimePoint stuck_until;
+    Ejection ejection;
     bool is_gone = false;        // until it is listed anew
-    double failure_share = 0;    // smoothed
     double service_seconds = 0;  // smoothed; 0: none served yet
   };
   struct Sent {
     InstanceId backend;
     ServiceName service;
+    GroupGate* gate = nullptr;  // by which it was sent; never null
     int unread_tokens = 0;
     TimePoint at;
   };
@@ -177,38 +174,20 @@
     Query query;
     bool is_new = true;  // not yet judged
   };
-  // How far apart the events of streams come.
-  struct EventPace {
-    double gap_seconds = 0;  // smoothed
-    TimePoint at;
-  };
-  // All ranks of a group refuse work while it isn't open, which shows when two
-  // of them do without any answer in between. One request at a time tries
-  // whether it is open again, the others wait.
-  struct GroupGate {
-    // The rank that refused last, and when.
-    InstanceId refused_by;
-    TimePoint refused_at;
-    bool is_closed = false;
-    TimePoint closed_since;
-    TimePoint next_try;
-    std::optional<AttemptNumber> trial;
-    EventPace pace;
-  };
   // Engines whose group isn't known count as one group of their service.
   using GroupKey = std::pair<ServiceName, GroupName>;
 
   bool IsGroup(const ServiceName& service) const;
-  void OnGroupRefusal(Backend& backend, TimePoint now);
-  static bool MayPass(const GroupGate& gate, TimePoint now);
-  // Since when all groups of the service are closed, by the one that closed
-  // last; nothing if one is open.
-  std::optional<TimePoint> ClosedSince(const ServiceName& service) const;
+  // The least time that work has to wait for a group of the service to take it;
+  // nothing if one does.
+  std::optional<Duration> GroupWait(const ServiceName& service,
+                                    TimePoint now) const;
   // The event gap of the service's fastest group, in seconds; 0: not known.
   double LeastGap(const ServiceName& service, TimePoint now) const;
-  double SlownessOf(const Backend& backend, double least_gap,
-                    TimePoint now) const;
+  static double SlownessOf(const Backend& backend, double least_gap,
+                           TimePoint now);
 
+  void SortWaiting(TimePoint now);
   bool CanFinish(const Query& query, TimePoint now) const;
   Backend* Choose(const Query& query, TimePoint now);
   Backend* LeastLoaded(const std::vector<Backend*>& open, const Query& query,
@@ -218,6 +197,8 @@
   bool IsOpen(const Backend& backend, const Query& query, TimePoint now);
   int RequestsAt(const Backend& backend, TimePoint now) const;
   int UnreadAt(const Backend& backend, TimePoint now) const;
+  static double PacedCost(double requests, double pace,
+                          const EngineFigures& engine);
   double CostOf(const Backend& backend, const Query& query, double least_gap,
                 TimePoint now) const;
   void SetParts(Backend& backend) const;
--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -223,10 +223,45 @@
   ASSERT_EQ(trial.size(), 1U);
   now_ += milliseconds(130);
   EXPECT_TRUE(Decide().empty());
-  dispatcher_.OnAnswerBegun(trial.begin()->first);
+  dispatcher_.OnAnswerBegun(trial.begin()->first, now_);
   EXPECT_EQ(Decide().size(), 4U);
 }
 
+// The group's passes wait for the slow rank, all the longer for each request
+// that it has.
+TEST_F(DispatcherTest, ASlowRankGetsNothingWhileOthersHaveRoom) {
+  backends_[1].pace = 4;
+  dispatcher_.SetBackends(backends_);
+  std::map<InstanceId, int> sent;
+  for (int i = 0; i < (kRanks - 1) * kSlots; ++i) ++sent[SendOne(kModel)];
+  EXPECT_FALSE(sent.contains(Rank(1)));
+  // It is sound again.
+  backends_[1].pace = 1;
+  dispatcher_.SetBackends(backends_);
+  EXPECT_EQ(SendOne(kModel), Rank(1));
+}
+
+// A backlog of callers who are late already, and one who can still be on time.
+TEST_F(DispatcherTest, WhoCanStillBeOnTimeGoesBeforeWhoIsLate) {
+  FillGroup();
+  const auto submit = [this](milliseconds target) {
+    last_ = last_.Next();
+    dispatcher_.Submit({.number = last_,
+                        .service = kModel,
+                        .priority = 1,
+                        .give_up = now_ + seconds(2),
+                        .on_time_until = now_ + target});
+    return last_;
+  };
+  const AttemptNumber late = submit(milliseconds(-100));
+  const AttemptNumber fresh = submit(milliseconds(400));
+  EXPECT_TRUE(Decide().empty());
+  dispatcher_.OnEnded(AttemptNumber(1), Dispatcher::Result::kServed, now_);
+  EXPECT_TRUE(Decide().contains(fresh));
+  dispatcher_.OnEnded(AttemptNumber(2), Dispatcher::Result::kServed, now_);
+  EXPECT_TRUE(Decide().contains(late));
+}
+
 // A service of three groups, of which one breaks: the others take its work, and
 // nothing but one trial at a time goes to it.
 TEST_F(DispatcherTest, ABrokenGroupLeavesItsWorkToTheOthers) {
@@ -258,7 +293,7 @@
       continue;
     }
     ++served;
-    dispatcher_.OnAnswerBegun(number);
+    dispatcher_.OnAnswerBegun(number, now_);
     dispatcher_.OnEnded(number, Dispatcher::Result::kServed, now_);
   }
   // One trial in each 120 ms of the three seconds.
@@ -311,7 +346,7 @@
       continue;
     }
     ++served;
-    dispatcher_.OnAnswerBegun(number);
+    dispatcher_.OnAnswerBegun(number, now_);
     dispatcher_.OnEnded(number, Dispatcher::Result::kServed, now_);
   }
   EXPECT_GT(served, 170);
@@ -367,16 +402,23 @@
   const InstanceId stuck = decisions.at(begun).backend->id;
   const TimePoint heard = now_;
   now_ += milliseconds(1'100);
-  EXPECT_FALSE(dispatcher_.IsStuck(begun, true, heard, now_))
+  EXPECT_FALSE(dispatcher_.IsStuck(begun, heard, now_))
       << "nothing else goes on either";
   dispatcher_.OnEventGap(other, milliseconds(60), now_);
-  EXPECT_TRUE(dispatcher_.IsStuck(begun, true, heard, now_));
-  EXPECT_FALSE(dispatcher_.IsStuck(begun, true, now_, now_));
-  EXPECT_FALSE(dispatcher_.IsStuck(waiting, false, heard, now_))
+  EXPECT_TRUE(dispatcher_.IsStuck(begun, heard, now_));
+  EXPECT_FALSE(dispatcher_.IsStuck(begun, now_, now_));
+  EXPECT_FALSE(dispatcher_.IsStuck(waiting, std::nullopt, now_))
       << "it may be waiting its turn";
   dispatcher_.OnEnded(begun, Dispatcher::Result::kStuck, now_);
   const AttemptNumber next = Submit(kModel);
   EXPECT_NE(Decide().at(next).backend->id, stuck);
+  // Once its time is over, one request at a time tries it.
+  now_ += seconds(10);
+  dispatcher_.OnEnded(waiting, Dispatcher::Result::kCancelled, now_);
+  dispatcher_.OnEnded(other, Dispatcher::Result::kServed, now_);
+  std::vector<InstanceId> chosen;
+  for (int i = 0; i < 8; ++i) chosen.push_back(SendOne(kModel));
+  EXPECT_EQ(std::ranges::count(chosen, stuck), 1);
 }
 
 // One slow rank holds up the whole group: what can't be whole in time would
--- /dev/null
+++ b/tests/unit/group_gate_test.cc
@@ -0,0 +1,60 @@
+#include "routing/group_gate.h"
+
+#include <gtest/gtest.h>
+
+namespace mangohold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const InstanceId kFirst("r0");
+const InstanceId kSecond("r1");
+
+class GroupGateTest : public testing::Test {
+ protected:
+  GroupGate gate_;
+  TimePoint now_ = TimePoint() + seconds(100);
+};
+
+TEST_F(GroupGateTest, OneRankThatRefusesStandsForItself) {
+  EXPECT_FALSE(gate_.OnRefused(kFirst, now_));
+  EXPECT_FALSE(gate_.OnRefused(kFirst, now_));
+  EXPECT_TRUE(gate_.MayPass(now_));
+  EXPECT_FALSE(gate_.ExpectedWait(now_));
+}
+
+TEST_F(GroupGateTest, RefusalsFarApartDoNotCountTogether) {
+  EXPECT_FALSE(gate_.OnRefused(kFirst, now_));
+  EXPECT_FALSE(gate_.OnRefused(kSecond, now_ + milliseconds(600)));
+}
+
+// All callers of the time without power wait for a group that forms anew.
+TEST_F(GroupGateTest, AClosedGroupIsTriedByOneAtATime) {
+  gate_.OnRefused(kFirst, now_);
+  ASSERT_TRUE(gate_.OnRefused(kSecond, now_));
+  EXPECT_FALSE(gate_.MayPass(now_));
+  now_ += milliseconds(130);
+  EXPECT_EQ(gate_.ExpectedWait(now_), milliseconds(130));
+  ASSERT_TRUE(gate_.MayPass(now_));
+  gate_.OnSent(AttemptNumber(1));
+  EXPECT_FALSE(gate_.MayPass(now_ + seconds(1)));
+  gate_.OnRefused(kFirst, now_);
+  gate_.OnEnded(AttemptNumber(1));
+  EXPECT_FALSE(gate_.MayPass(now_));
+  now_ += milliseconds(130);
+  ASSERT_TRUE(gate_.MayPass(now_));
+  gate_.OnSent(AttemptNumber(2));
+  gate_.OnBegun(kFirst, now_, now_);
+  EXPECT_TRUE(gate_.MayPass(now_));
+  EXPECT_FALSE(gate_.ExpectedWait(now_));
+}
+
+TEST_F(GroupGateTest, ThePaceIsForgottenAfterASecond) {
+  gate_.OnEventGap(kFirst, milliseconds(50), now_);
+  EXPECT_DOUBLE_EQ(gate_.GapSeconds(now_ + milliseconds(900)), 0.05);
+  EXPECT_DOUBLE_EQ(gate_.GapSeconds(now_ + milliseconds(1'100)), 0);
+}
+
+}  // namespace
+}  // namespace mangohold
