--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -417,6 +417,7 @@
   dispatcher_.OnEnded(waiting, Dispatcher::Result::kCancelled, now_);
   dispatcher_.OnEnded(other, Dispatcher::Result::kServed, now_);
   std::vector<InstanceId> chosen;
+  chosen.reserve(8);
   for (int i = 0; i < 8; ++i) chosen.push_back(SendOne(kModel));
   EXPECT_EQ(std::ranges::count(chosen, stuck), 1);
 }
