--- a/src/group/own_rank.cc
+++ b/src/group/own_rank.cc
@@ -83,16 +83,15 @@
 }
 
 void OwnRank::ReadCounts(PollHandlers handlers) {
-  engine_.Counts(address_,
-                 [this, handlers = std::move(handlers)](const auto& counts) {
-                   is_polling_ = false;
-                   if (!counts.ok())
-                     return LogEngineCall("counts", counts.status());
-                   if (!report_) return;
-                   if (!AreHoldingsKnown())
-                     ReadHoldings(*report_, handlers.on_holdings);
-                   handlers.on_choices(ChoicesSince(*counts));
-                 });
+  const auto on_counts = [this, handlers = std::move(handlers)](
+                             const absl::StatusOr<ExpertCounts>& counts) {
+    is_polling_ = false;
+    if (!counts.ok()) return LogEngineCall("counts", counts.status());
+    if (!report_) return;
+    if (!AreHoldingsKnown()) ReadHoldings(*report_, handlers.on_holdings);
+    handlers.on_choices(ChoicesSince(*counts));
+  };
+  engine_.Counts(address_, on_counts);
 }
 
 void OwnRank::ReadHoldings(const RankReport& report,
