--- a/src/store/lease_keeper.h
+++ b/src/store/lease_keeper.h
@@ -42,8 +42,9 @@
   Options options_;
   std::optional<LeaseId> lease_;
   bool is_granting_ = false;
-  // What was asked in an earlier era counts for nothing in a later one, where
-  // another process may hold a lease of the same number.
+  // Eras that began since the start. What was asked in an earlier one counts
+  // for nothing, since another process may hold a lease of the same number. The
+  // store's era doesn't tell it: there is none before the first answer.
   int eras_ = 0;
   bool is_released_ = false;
 };
--- a/src/store/store.cc
+++ b/src/store/store.cc
@@ -1,5 +1,7 @@
 #include "store/store.h"
 
+#include <algorithm>
+
 #include "core/log.h"
 
 namespace mangohold {
@@ -19,4 +21,16 @@
   return true;
 }
 
+// That a key is absent can be expected in every era.
+bool Store::IsOfPresentEra(const StoreChange& change) const {
+  const bool is_present = std::ranges::all_of(
+      change.expectations, [this](const StoreChange::Expectation& row) {
+        return row.revision == Revision() || row.revision.era() == era();
+      });
+  if (!is_present) {
+    Log(LogLevel::kInfo, "change_of_earlier_era", {{"era", era().value()}});
+  }
+  return is_present;
+}
+
 }  // namespace mangohold
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -118,6 +118,9 @@
  protected:
   // Takes the era of an answer. False if the answer is to be dropped.
   bool OnAnswerOf(StoreEra era);
+  // False for a change that expects a revision of another era, which names
+  // nothing any more: it isn't to be sent.
+  bool IsOfPresentEra(const StoreChange& change) const;
 
  private:
   std::optional<StoreEra> era_;  // absent: nothing was answered yet
