Say what changes a belief, and name it by the field's words

Cause, from reading the change as a newcomer: entries weren't logged when an engine's pace changed or an entry of the copy was passed over; OnTime took a whole replica for one revision; IsDoubtful stood beside the glossary's "suspect", and Spare needed explaining; the agents' status had a new required field, so that during a rolling update old and new agents wouldn't have understood each other at all. Change: log lines backend_pace and backend_entry_outdated; IsSuspect, OnRefused, OnTime(Revision); a status without the field is read, and no switch begins until all agents answer the question. Ruled out: a second kind of message for the question (the status is the answer to every command).

--- a/src/caller/entry_control.cc
+++ b/src/caller/entry_control.cc
@@ -98,7 +98,8 @@
 
 void EntryControl::Tick() {
   watchers_.AnswerDue();
-  if (builder_.OnTime(follower_.replica(), Contact(), BootNow())) Publish();
+  const Revision at = follower_.replica().at();
+  if (builder_.OnTime(at, Contact(), BootNow())) Publish();
 }
 
 void EntryControl::Publish() { handlers_.on_view(builder_.View()); }
--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -382,7 +382,7 @@
 }
 
 // A pass that the group reaches only after the ranks have been armed. All
-// agents have just told the last one, which may be about to end.
+// agents have just told the last one.
 PassNumber MapSwitch::ChoosePass() const {
   const Duration arming = std::max(options_.arming_time, expected_arming_);
   const auto ahead =
--- a/src/group/rank_messages.cc
+++ b/src/group/rank_messages.cc
@@ -124,7 +124,9 @@
       .holdings = json.at("holdings").get<std::vector<std::vector<int>>>(),
       .accepted = json.at("accepted").get<MapVersion>(),
       .granted = json.at("granted").get<MapVersion>(),
-      .ready_for = json.at("ready").get<MapVersion>(),
+      // Agents of before the question don't tell it; they are heard, and no
+      // switch begins until all answer.
+      .ready_for = json.value("ready", MapVersion()),
       .may_arm_late = json.at("late").get<bool>(),
       .missing = json.at("missing").get<MapVersion>()};
 }
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -279,9 +279,9 @@
                         TimePoint now) {
   if (backend.is_gone || backend.ejection.IsEjected(now)) return false;
   if (!backend.gate->MayPass(now)) return false;
-  const bool is_doubtful =
-      backend.gate->standstill().IsDoubtful(backend.record.id);
-  if (is_doubtful && backend.own_requests > 0) return false;
+  const bool is_suspect =
+      backend.gate->standstill().IsSuspect(backend.record.id);
+  if (is_suspect && backend.own_requests > 0) return false;
   if (!notices_.IsWelcome(backend.record.id, now)) return false;
   if (std::ranges::find(query.tried, backend.record.id) != query.tried.end()) {
     return false;
@@ -490,7 +490,7 @@
       break;
     case Result::kRejected:
       if (!IsGroup(sent.service)) {
-        backend.ejection.Spare(now);
+        backend.ejection.OnRefused(now);
       } else if (!sent.gate->OnRefused(backend.record.id, now)) {
         Eject(backend, now);
       }
--- a/src/routing/ejection.h
+++ b/src/routing/ejection.h
@@ -34,8 +34,8 @@
   // Begins an ejection, longer than the one before if nothing was served in
   // between.
   void Begin(TimePoint now);
-  // Passes it over for half of the first time, without a failure.
-  void Spare(TimePoint now) { until_ = now + options_.first / 2; }
+  // It refused work: passed over for half of the first time, without a failure.
+  void OnRefused(TimePoint now) { until_ = now + options_.first / 2; }
 
  private:
   Options options_;
--- a/src/routing/standstill.cc
+++ b/src/routing/standstill.cc
@@ -39,7 +39,7 @@
   signs_[backend].left = now;
 }
 
-bool Standstill::IsDoubtful(const InstanceId& backend) const {
+bool Standstill::IsSuspect(const InstanceId& backend) const {
   const auto signs = signs_.find(backend);
   return signs != signs_.end() && signs->second.left.has_value();
 }
--- a/src/routing/standstill.h
+++ b/src/routing/standstill.h
@@ -39,7 +39,7 @@
   bool IsStuck(const Attempt& attempt, TimePoint now) const;
   // True if one that stood still hasn't given a sign since: it is tried by one
   // request at a time.
-  bool IsDoubtful(const InstanceId& backend) const;
+  bool IsSuspect(const InstanceId& backend) const;
   void Forget(const InstanceId& backend) { signs_.erase(backend); }
 
  private:
--- a/src/store/fleet_builder.cc
+++ b/src/store/fleet_builder.cc
@@ -68,7 +68,13 @@
   }
   members_[key] = *member;
   if (member->group.empty()) return;
-  ranks_[member->backend] = {.group = member->group, .pace = member->pace};
+  Rank& rank = ranks_[member->backend];
+  if (rank.pace != member->pace) {
+    Log(LogLevel::kInfo, "backend_pace",
+        {{"address", member->backend.value()},
+         {"percent", static_cast<int>(member->pace * 100)}});
+  }
+  rank = {.group = member->group, .pace = member->pace};
 }
 
 // A version that is in force is never followed by an older one.
@@ -126,6 +132,8 @@
     departures_.OnLeft(id, record->started_ms, item->revision, now);
   } else if (departures_.IsOutdated(id, record->started_ms, item->revision,
                                     replica.listed_from())) {
+    Log(LogLevel::kInfo, "backend_entry_outdated",
+        {{"backend", id.value()}, {"era", item->revision.era().value()}});
     record->state = BackendState::kDraining;
   }
   Log(LogLevel::kInfo, "backend_listed",
@@ -144,10 +152,9 @@
          now - contact.answering_since < options_.unlisted_memory;
 }
 
-bool FleetBuilder::OnTime(const StoreReplica& replica, const Contact& contact,
-                          TimePoint now) {
+bool FleetBuilder::OnTime(Revision at, const Contact& contact, TimePoint now) {
   departures_.Forget(now);
-  const bool has_unlisted = DropUnlisted(contact, replica.at(), now);
+  const bool has_unlisted = DropUnlisted(contact, at, now);
   return DropLostZones(now) || has_unlisted;
 }
 
--- a/src/store/fleet_builder.h
+++ b/src/store/fleet_builder.h
@@ -44,8 +44,8 @@
                  const StoreReplica& replica, const Contact& contact,
                  TimePoint now);
   // Drops what is kept beyond its time. Returns true if the view is another.
-  bool OnTime(const StoreReplica& replica, const Contact& contact,
-              TimePoint now);
+  // `at` is the store's revision as it is known.
+  bool OnTime(Revision at, const Contact& contact, TimePoint now);
 
   // Takes a deployment, from the store or from a peer. Returns true if it is
   // newer than the one in force.
--- a/tests/unit/fleet_builder_test.cc
+++ b/tests/unit/fleet_builder_test.cc
@@ -130,9 +130,9 @@
   EXPECT_EQ(Backends(), 2U);
   now_ += milliseconds(1'500);
   Write("servers/a", BackendText("a:1", "ready"));
-  EXPECT_FALSE(builder_.OnTime(replica_, contact_, now_));
+  EXPECT_FALSE(builder_.OnTime(replica_.at(), contact_, now_));
   now_ += seconds(1);
-  EXPECT_TRUE(builder_.OnTime(replica_, contact_, now_));
+  EXPECT_TRUE(builder_.OnTime(replica_.at(), contact_, now_));
   ASSERT_EQ(Backends(), 1U);
   EXPECT_EQ(builder_.View()->backends[0].id, InstanceId("a"));
 }
--- a/tests/unit/standstill_test.cc
+++ b/tests/unit/standstill_test.cc
@@ -79,11 +79,11 @@
   const TimePoint sent = now_;
   AnswerElsewhere(11);
   standstill_.OnLeft(kStill, now_);
-  EXPECT_TRUE(standstill_.IsDoubtful(kStill));
+  EXPECT_TRUE(standstill_.IsSuspect(kStill));
   EXPECT_TRUE(IsStuck(sent + milliseconds(50)));
   // The machine is back.
   standstill_.OnEvent(kStill, now_);
-  EXPECT_FALSE(standstill_.IsDoubtful(kStill));
+  EXPECT_FALSE(standstill_.IsSuspect(kStill));
   EXPECT_FALSE(IsStuck(sent - milliseconds(50)));
 }
 
--- a/tests/unit/store_eras_test.cc
+++ b/tests/unit/store_eras_test.cc
@@ -150,7 +150,7 @@
     log_.OnEvents(relayed->events);
     return true;
   }
-  void OnTime(TimePoint now) { builder_.OnTime(replica_, Contact(), now); }
+  void OnTime(TimePoint now) { builder_.OnTime(replica_.at(), Contact(), now); }
   FleetViewPtr View() const { return builder_.View(); }
   const StoreReplica& replica() const { return replica_; }
   // True if what the store lacks doesn't count as kept for a moment.
