--- a/src/agent_main.cc
+++ b/src/agent_main.cc
@@ -87,15 +87,10 @@
   const bool has_started =
       HaveStarted({server.Start(), node.Start(), admin.Listen()});
   if (!has_started) return kExitUnavailable;
-  OnLeave(control, [&] {
-    traffic.Post([&] {
-      server.BeginLeaving();
-      const TimePoint now = Clock::now();
-      StopWhenIdle(
-          traffic, control, [&server] { return server.is_idle(); }, now,
-          now + settings.leave_limit);
-    });
-  });
+  OnLeave(control, traffic,
+          {.begin = [&server] { server.BeginLeaving(); },
+           .is_idle = [&server] { return server.is_idle(); },
+           .latest = settings.leave_limit});
   Log(LogLevel::kInfo, "started",
       {{"peer_address", settings.peer_address.value()}});
   RunThreads(control, traffic);
--- a/src/direct_entry_main.cc
+++ b/src/direct_entry_main.cc
@@ -106,18 +106,17 @@
   if (!has_started) return kExitUnavailable;
   control.OnHangUp(
       [&file] { ReloadLogLevel(file, &ParseDirectEntrySettings); });
-  OnLeave(control, [&] {
-    entry.BeginLeaving();
-    traffic.Post([&] {
-      const TimePoint now = Clock::now();
-      server.BeginLeaving();
-      traffic.After(kTakeAfterTerm, [&] { server.StopTaking(); });
-      StopWhenIdle(
-          traffic, control, [&server] { return server.is_idle(); },
-          now + kTakeAfterTerm,
-          now + FromSeconds(settings.grace_s) - kGraceMargin);
-    });
-  });
+  OnLeave(control, traffic,
+          {.announce = [&entry] { entry.BeginLeaving(); },
+           .begin =
+               [&server, &traffic] {
+                 server.BeginLeaving();
+                 traffic.After(kTakeAfterTerm,
+                               [&server] { server.StopTaking(); });
+               },
+           .is_idle = [&server] { return server.is_idle(); },
+           .earliest = kTakeAfterTerm,
+           .latest = FromSeconds(settings.grace_s) - kGraceMargin});
   Log(LogLevel::kInfo, "started",
       {{"caller_address", settings.caller_address.value()}});
   RunThreads(control, traffic);
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -58,16 +58,12 @@
   const bool has_started =
       HaveStarted({server.Start(), node.Start(), operators.Start()});
   if (!has_started) return kExitUnavailable;
-  OnLeave(control, [&] {
-    node.BeginLeaving();
-    traffic.Post([&] {
-      const TimePoint now = Clock::now();
-      server.BeginLeaving();
-      StopWhenIdle(
-          traffic, control, [&server] { return server.is_idle(); },
-          now + settings.address_max_age, now + settings.leave_limit);
-    });
-  });
+  OnLeave(control, traffic,
+          {.announce = [&node] { node.BeginLeaving(); },
+           .begin = [&server] { server.BeginLeaving(); },
+           .is_idle = [&server] { return server.is_idle(); },
+           .earliest = settings.address_max_age,
+           .latest = settings.leave_limit});
   Log(LogLevel::kInfo, "started",
       {{"caller_address", settings.caller_address.value()}});
   RunThreads(control, traffic);
--- a/src/net/graceful_stop.cc
+++ b/src/net/graceful_stop.cc
@@ -12,8 +12,7 @@
 // How often a leaving process looks whether it is idle.
 constexpr Duration kLeaveTick = std::chrono::milliseconds(50);
 
-}  // namespace
-
+// Runs on the traffic thread.
 void StopWhenIdle(EventLoop& traffic, EventLoop& control,
                   std::function<bool()> is_idle, TimePoint earliest,
                   TimePoint latest) {
@@ -31,14 +30,23 @@
   });
 }
 
-void OnLeave(EventLoop& control, std::function<void()> leave) {
+}  // namespace
+
+void OnLeave(EventLoop& control, EventLoop& traffic, Leave leave) {
   // Shared by all copies of the handler.
   const auto is_leaving = std::make_shared<bool>(false);
-  control.OnTerminate([&control, leave = std::move(leave), is_leaving] {
-    if (std::exchange(*is_leaving, true)) return control.Stop();
-    Log(LogLevel::kInfo, "leaving_began");
-    leave();
-  });
+  control.OnTerminate(
+      [&control, &traffic, leave = std::move(leave), is_leaving] {
+        if (std::exchange(*is_leaving, true)) return control.Stop();
+        Log(LogLevel::kInfo, "leaving_began");
+        if (leave.announce) leave.announce();
+        traffic.Post([&control, &traffic, leave] {
+          const TimePoint now = Clock::now();
+          leave.begin();
+          StopWhenIdle(traffic, control, leave.is_idle, now + leave.earliest,
+                       now + leave.latest);
+        });
+      });
 }
 
 void RunThreads(EventLoop& control, EventLoop& traffic) {
--- a/src/net/graceful_stop.h
+++ b/src/net/graceful_stop.h
@@ -9,14 +9,22 @@
 
 namespace mangohold {
 
-// Stops `control` once `is_idle` says so, but not before `earliest` and not
-// after `latest`. Runs on the traffic thread, which `is_idle` belongs to.
-void StopWhenIdle(EventLoop& traffic, EventLoop& control,
-                  std::function<bool()> is_idle, TimePoint earliest,
-                  TimePoint latest);
+// How a process leaves at SIGTERM.
+struct Leave {
+  // Says on the control thread that it leaves, so that others stop sending;
+  // may be absent.
+  std::function<void()> announce;
+  // Begins to leave on the traffic thread.
+  std::function<void()> begin;
+  // On the traffic thread: true once nothing is in progress.
+  std::function<bool()> is_idle;
+  // It ends once it is idle, but between these times after the signal.
+  Duration earliest{0};
+  Duration latest{0};
+};
 
-// Calls `leave` at the first SIGTERM; a second one stops `control` at once.
-void OnLeave(EventLoop& control, std::function<void()> leave);
+// Leaves at the first SIGTERM; a second one stops `control` at once.
+void OnLeave(EventLoop& control, EventLoop& traffic, Leave leave);
 
 // Runs `traffic` on a thread of its own and `control` on this one until it is
 // stopped, and ends the process.
--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -74,6 +74,23 @@
     return backend ? backend->id : InstanceId();
   }
 
+  // What each of two plain backend servers gets of 200 requests, one after the
+  // other; the first one takes `first_time` and ends them as `first_result`.
+  std::map<InstanceId, int> SendInTurn(milliseconds first_time,
+                                       Dispatcher::Result first_result) {
+    std::map<InstanceId, int> sent;
+    for (int i = 0; i < 200; ++i) {
+      const InstanceId backend = SendOne(kDesk);
+      const bool is_first = backend == InstanceId("d0");
+      ++sent[backend];
+      now_ += is_first ? first_time : milliseconds(30);
+      dispatcher_.OnEnded(
+          last_, is_first ? first_result : Dispatcher::Result::kServed, now_);
+    }
+    EXPECT_FALSE(sent.contains(InstanceId())) << "each is sent";
+    return sent;
+  }
+
   std::vector<AttemptNumber> FillGroup() {
     std::vector<AttemptNumber> numbers;
     numbers.reserve(std::size_t{kRanks} * kSlots);
@@ -169,32 +186,12 @@
 }
 
 TEST_F(DispatcherTest, SlowBackendServerGetsTheSmallerPart) {
-  std::map<InstanceId, int> sent;
-  for (int i = 0; i < 200; ++i) {
-    const AttemptNumber number = Submit(kDesk);
-    const auto backend = Decide().at(number).backend;
-    ASSERT_TRUE(backend);
-    ++sent[backend->id];
-    now_ += milliseconds(backend->id == InstanceId("d0") ? 300 : 30);
-    dispatcher_.OnEnded(number, Dispatcher::Result::kServed, now_);
-  }
+  auto sent = SendInTurn(milliseconds(300), Dispatcher::Result::kServed);
   EXPECT_LT(sent[InstanceId("d0")], 10);
 }
 
 TEST_F(DispatcherTest, GreyBackendServerIsAvoidedAndTriedAgain) {
-  std::map<InstanceId, int> sent;
-  for (int i = 0; i < 200; ++i) {
-    const AttemptNumber number = Submit(kDesk);
-    const auto backend = Decide().at(number).backend;
-    ASSERT_TRUE(backend);
-    ++sent[backend->id];
-    now_ += milliseconds(30);
-    const bool is_grey = backend->id == InstanceId("d0");
-    dispatcher_.OnEnded(
-        number,
-        is_grey ? Dispatcher::Result::kFailed : Dispatcher::Result::kServed,
-        now_);
-  }
+  auto sent = SendInTurn(milliseconds(30), Dispatcher::Result::kFailed);
   EXPECT_LT(sent[InstanceId("d0")], 20);
   EXPECT_GT(sent[InstanceId("d0")], 0);
 }
