Let the relay of changes run in virtual time

A scheduler stands between (the event loop is one), and held questions are a module without network.

--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "core/clock.h"
+#include "core/scheduler.h"
 
 namespace asio {
 class io_context;
@@ -13,10 +14,10 @@
 
 namespace mangohold {
 
-class EventLoop {
+class EventLoop : public Scheduler {
  public:
   EventLoop();
-  ~EventLoop();  // joins
+  ~EventLoop() override;  // joins
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
 
@@ -32,8 +33,9 @@
   void Join();
   // Queues `task` for the loop's thread; safe from any thread.
   void Post(std::function<void()> task);
+  TimePoint Now() const override { return BootNow(); }
   // Runs `task` on the loop's thread after `delay`.
-  void After(Duration delay, std::function<void()> task);
+  void After(Duration delay, std::function<void()> task) override;
   // Runs `task` at each `interval` until the loop ends.
   void Every(Duration interval, std::function<void()> task);
   // Calls `on_signal` on the loop's thread at each SIGTERM and SIGINT.
--- a/src/peer/zone_watchers.cc
+++ b/src/peer/zone_watchers.cc
@@ -12,7 +12,6 @@
 
 // The watcher and the one that stands by.
 constexpr std::size_t kServingPerZone = 2;
-constexpr std::size_t kMostQuestions = 512;
 constexpr Millis kConnectTimeout{300};
 // What an answer may take beyond the time for which a question is held.
 constexpr Millis kAnswerTimeout{500};
@@ -63,11 +62,12 @@
   if (age > options_.most_age) OnFailed(watcher, now);
 }
 
-ZoneWatchers::ZoneWatchers(HttpClient& http, Options options, Source source)
+ZoneWatchers::ZoneWatchers(HttpClient& http, const Options& options,
+                           HeldQuestions::Source source)
     : http_(http),
-      options_(options),
-      source_(std::move(source)),
-      choice_(std::move(options.choice)) {}
+      wait_(options.questions.wait),
+      choice_(options.choice),
+      questions_(options.questions, std::move(source)) {}
 
 bool ZoneWatchers::Watch(Revision after, OnEvents on_events) {
   const auto watcher = choice_.Choose(BootNow());
@@ -78,7 +78,7 @@
   Fetch(http_,
         {.url = url,
          .connect_timeout = kConnectTimeout,
-         .timeout = options_.wait + kAnswerTimeout},
+         .timeout = wait_ + kAnswerTimeout},
         [this, id = watcher->id,
          on_events = std::move(on_events)](const HttpResponse& response) {
           const bool is_whole = response.result == HttpResult::kComplete &&
@@ -110,37 +110,15 @@
                               const std::shared_ptr<HttpExchange>& exchange) {
   const auto after = ParseInteger(request.QueryValue("after"));
   if (!after || *after < 0) return exchange->Reply(400, {}, "no revision\n");
-  const bool can_answer = choice_.IsServing() &&
-                          questions_.size() < kMostQuestions &&
-                          source_(Revision::FromPacked(*after));
-  if (!can_answer) return exchange->Reply(503, {}, "not a watcher\n");
-  questions_.push_back({.after = Revision::FromPacked(*after),
-                        .asked = BootNow(),
-                        .exchange = exchange});
-  AnswerDue();
-}
-
-void ZoneWatchers::AnswerDue() {
-  const TimePoint now = BootNow();
-  std::erase_if(questions_, [this, now](const Question& question) {
-    return Answer(question, now);
-  });
-}
-
-// False if nothing has happened, and the question can be held longer.
-bool ZoneWatchers::Answer(const Question& question, TimePoint now) {
-  auto relayed = source_(question.after);
-  if (!relayed) {
-    question.exchange->Reply(410, {}, "forgotten\n");
-    return true;
-  }
-  relayed->held = now - question.asked;
-  if (relayed->events.events.empty() && relayed->held < options_.wait) {
-    return false;
-  }
-  question.exchange->Reply(200, {{"Content-Type", "application/cbor"}},
-                           EncodeRelayed(*relayed));
-  return true;
+  const auto reply = [exchange](const std::optional<RelayedEvents>& relayed) {
+    if (!relayed) return exchange->Reply(410, {}, "forgotten\n");
+    exchange->Reply(200, {{"Content-Type", "application/cbor"}},
+                    EncodeRelayed(*relayed));
+  };
+  const bool is_taken =
+      choice_.IsServing() &&
+      questions_.Take(Revision::FromPacked(*after), BootNow(), reply);
+  if (!is_taken) exchange->Reply(503, {}, "not a watcher\n");
 }
 
 }  // namespace mangohold
--- a/src/peer/zone_watchers.h
+++ b/src/peer/zone_watchers.h
@@ -15,6 +15,7 @@
 #include "net/http_client.h"
 #include "net/http_message.h"
 #include "net/http_server.h"
+#include "peer/held_questions.h"
 #include "store/change_relay.h"
 #include "store/member.h"
 
@@ -60,14 +61,11 @@
  public:
   struct Options {
     WatcherChoice::Options choice;
-    // A question is held for this long when nothing changes.
-    Millis wait{800};
+    HeldQuestions::Options questions;
   };
-  // What a watcher answers with now: nothing if it doesn't know all changes
-  // after the revision.
-  using Source = std::function<std::optional<RelayedEvents>(Revision after)>;
 
-  ZoneWatchers(HttpClient& http, Options options, Source source);
+  ZoneWatchers(HttpClient& http, const Options& options,
+               HeldQuestions::Source source);
 
   void SetAlive(const std::vector<Member>& alive) { choice_.SetAlive(alive); }
 
@@ -79,25 +77,17 @@
                   const std::shared_ptr<HttpExchange>& exchange);
   // Answers those that something is there for, or that were held long enough.
   // Call it after changes and from time to time.
-  void AnswerDue();
+  void AnswerDue() { questions_.AnswerDue(BootNow()); }
 
   static constexpr char kPath[] = "/changes";
 
  private:
-  struct Question {
-    Revision after;
-    TimePoint asked;
-    std::shared_ptr<HttpExchange> exchange;
-  };
-
-  bool Answer(const Question& question, TimePoint now);
   void LogSource(const InstanceId& watcher);
 
   HttpClient& http_;
-  Options options_;
-  Source source_;
+  Millis wait_;  // for which a question of this entry is held
   WatcherChoice choice_;
-  std::vector<Question> questions_;
+  HeldQuestions questions_;
   InstanceId source_watcher_;  // asked last; empty: the store itself
 };
 
--- a/src/store/store_follower.cc
+++ b/src/store/store_follower.cc
@@ -19,9 +19,9 @@
 
 }  // namespace
 
-StoreFollower::StoreFollower(EventLoop& loop, Store& store, Options options,
-                             Handlers handlers)
-    : loop_(loop),
+StoreFollower::StoreFollower(Scheduler& scheduler, Store& store,
+                             Options options, Handlers handlers)
+    : scheduler_(scheduler),
       store_(store),
       options_(std::move(options)),
       handlers_(std::move(handlers)),
@@ -34,14 +34,14 @@
 void StoreFollower::List(Freshness freshness) {
   replica_.BeginListing();
   listing_ = freshness;
-  listing_began_ = BootNow();
+  listing_began_ = scheduler_.Now();
   store_.List(kAllKeys, "", freshness, [this](auto page) { OnPage(page); });
 }
 
 void StoreFollower::OnPage(const absl::StatusOr<StorePage>& page) {
   if (!page.ok()) {
     OnFailure(page.status());
-    loop_.After(retry_, [this] { List(listing_); });
+    scheduler_.After(retry_, [this] { List(listing_); });
     return;
   }
   OnAnswer();
@@ -49,7 +49,7 @@
   // A store that came back from an older copy had been away, however shortly.
   const bool is_later_era =
       replica_.is_loaded() && page->at.era() != replica_.at().era();
-  if (is_later_era) answering_since_ = BootNow();
+  if (is_later_era) answering_since_ = scheduler_.Now();
   const bool is_last = !page->has_more || page->items.empty();
   Report(replica_.OnPage(*page));
   if (!is_last) {
@@ -64,7 +64,7 @@
 }
 
 void StoreFollower::Watch() {
-  const TimePoint sent = BootNow();
+  const TimePoint sent = scheduler_.Now();
   const bool is_relayed =
       relay_ != nullptr &&
       relay_->Watch(replica_.at(), [this, sent](const auto& relayed) {
@@ -75,7 +75,7 @@
 
 // The first watch is short: what was listed may be old.
 void StoreFollower::WatchStore() {
-  const TimePoint sent = BootNow();
+  const TimePoint sent = scheduler_.Now();
   const bool is_watcher = relay_ != nullptr && relay_->IsWatcher();
   const Millis wait = std::exchange(is_first_watch_, false) ? kFirstWait
                       : is_watcher ? options_.watcher_wait
@@ -90,13 +90,13 @@
 void StoreFollower::OnRelayed(const absl::StatusOr<RelayedEvents>& relayed,
                               TimePoint sent) {
   if (!relayed.ok()) {
-    loop_.After(options_.first_retry, [this] { Watch(); });
+    scheduler_.After(options_.first_retry, [this] { Watch(); });
     return;
   }
   // An answer of another era was given before this process, or the other one,
   // knew of the change.
   if (relayed->events.at.era() != replica_.at().era()) return Watch();
-  const TimePoint now = BootNow();
+  const TimePoint now = scheduler_.Now();
   const auto scaled = [](Duration duration, double factor) {
     return std::chrono::duration_cast<Duration>(duration * factor);
   };
@@ -112,7 +112,7 @@
                              TimePoint sent, Millis wait) {
   if (!events.ok()) {
     OnFailure(events.status());
-    loop_.After(retry_, [this] { Watch(); });
+    scheduler_.After(retry_, [this] { Watch(); });
     return;
   }
   OnAnswer();
@@ -132,16 +132,16 @@
   const Duration waited =
       events->events.empty()
           ? std::min<Duration>(
-                BootNow() - sent,
+                scheduler_.Now() - sent,
                 std::chrono::duration_cast<Duration>(wait * kCertainWait))
           : Duration(0);
   const StoreEvents followed = WithoutIgnored(*events);
   Report(replica_.OnEvents(followed));
   log_.OnEvents(followed);
-  const bool was_cut_short = BootNow() - sent < wait;
+  const bool was_cut_short = scheduler_.Now() - sent < wait;
   Confirm(was_cut_short ? sent : sent + waited);
   if (was_cut_short) {
-    loop_.After(options_.batch, [this] { Watch(); });
+    scheduler_.After(options_.batch, [this] { Watch(); });
     return;
   }
   Watch();
@@ -168,7 +168,7 @@
 std::optional<RelayedEvents> StoreFollower::Tell(Revision after) const {
   auto events = log_.Since(after);
   if (!events || confirmed_as_of_ == TimePoint()) return std::nullopt;
-  const TimePoint now = BootNow();
+  const TimePoint now = scheduler_.Now();
   return RelayedEvents{.events = *std::move(events),
                        .age = now - confirmed_as_of_,
                        .is_answering = is_answering_,
@@ -177,14 +177,14 @@
 
 void StoreFollower::OnAnswer() {
   retry_ = options_.first_retry;
-  if (!is_answering_) OnContact(true, BootNow());
+  if (!is_answering_) OnContact(true, scheduler_.Now());
 }
 
 void StoreFollower::OnFailure(const absl::Status& status) {
   retry_ = std::min(options_.longest_retry, retry_ * 2);
   if (!is_answering_) return;
   Log(LogLevel::kWarning, "store_lost", {{"error", MessageOf(status)}});
-  OnContact(false, BootNow());
+  OnContact(false, scheduler_.Now());
 }
 
 // `since` counts while the store answers.
--- a/src/store/store_follower.h
+++ b/src/store/store_follower.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "core/clock.h"
-#include "net/event_loop.h"
+#include "core/scheduler.h"
 #include "store/change_log.h"
 #include "store/change_relay.h"
 #include "store/store.h"
@@ -20,7 +20,8 @@
   struct Handlers {
     // The keys that changed, once the replica holds the changes.
     std::function<void(const std::vector<std::string>& keys)> on_changed;
-    // Every change acknowledged before `as_of` (by `BootNow`) is known.
+    // Every change acknowledged before `as_of` (by the scheduler's time) is
+    // known.
     std::function<void(TimePoint as_of)> on_confirmed;
     // The store stopped or began again to answer.
     std::function<void(bool is_answering)> on_contact;
@@ -41,7 +42,7 @@
     double drift = 0.01;
   };
 
-  StoreFollower(EventLoop& loop, Store& store, Options options,
+  StoreFollower(Scheduler& scheduler, Store& store, Options options,
                 Handlers handlers);
 
   // From now on changes are asked for there where possible. It outlives this
@@ -72,7 +73,7 @@
   StoreEvents WithoutIgnored(const StoreEvents& events) const;
   void Report(const std::vector<std::string>& keys);
 
-  EventLoop& loop_;
+  Scheduler& scheduler_;
   Store& store_;
   Options options_;
   Handlers handlers_;
