Reproduce: a departure by removal never comes into force beside a refused watcher

The test plays 24 entries in 3 zones with the real follower, choice of watchers, held questions and fleet builder in virtual time, 100 seeds each. A third of the entries is refused by the store, or all watches are cut about once a second, or all watchers die; a server leaves by draining or by removal. Bound: the drain bound of the reported fleet, 4 s.

--- /dev/null
+++ b/tests/unit/departures_at_scale_test.cc
@@ -0,0 +1,300 @@
+// How long entries of a large fleet go on using a backend server that has left,
+// when those through which they follow the store are in trouble. The real
+// follower, choice of watchers, held questions and fleet builder, in virtual
+// time.
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/random.h"
+#include "peer/held_questions.h"
+#include "peer/zone_watchers.h"
+#include "platform/schema.h"
+#include "store/fleet_builder.h"
+#include "store/store_follower.h"
+#include "virtual_scheduler.h"
+#include "virtual_store.h"
+
+namespace mangohold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::Treatment;
+using testing::VirtualScheduler;
+using testing::VirtualStore;
+using testing::VirtualStoreCalls;
+
+constexpr int kZones = 3;
+constexpr int kEntriesPerZone = 8;
+// The longest time after the store's acknowledgement for which a backend server
+// may still be used.
+constexpr seconds kDrainBound(4);
+constexpr char kServer[] = "servers/s0";
+
+std::string ServerText(const std::string& state) {
+  return R"({"service":"s","address":"a:1","zone":"z0","version":"v1",)"
+         R"("slots":6,"state":")" +
+         state + R"(","cold_remaining_ms":0,"sequence":4,"born":1000})";
+}
+
+// The control side of one entry.
+class EntryModel : public ChangeRelay {
+ public:
+  EntryModel(VirtualScheduler& scheduler, VirtualStore& store, Member self,
+             Random& random)
+      : scheduler_(scheduler),
+        random_(random),
+        calls_(store),
+        choice_({.self = std::move(self)}),
+        follower_(scheduler, calls_, {},
+                  {.on_changed = [this](const auto& keys) { OnChanged(keys); },
+                   .on_confirmed = [](TimePoint /*as_of*/) {},
+                   .on_contact = [](bool /*is_answering*/) {}}),
+        questions_({},
+                   [this](Revision after) { return follower_.Tell(after); }) {}
+
+  void Start(const std::map<InstanceId, EntryModel*>& fleet,
+             const std::vector<Member>& members, const Member& self) {
+    fleet_ = &fleet;
+    std::vector<Member> alive = members;
+    std::erase_if(alive, [&](const Member& m) { return m.id == self.id; });
+    choice_.SetAlive(alive);
+    follower_.SetRelay(*this);
+    follower_.Start();
+    scheduler_.Every(milliseconds(200), [this] { Tick(); });
+  }
+
+  bool Watch(Revision after, OnEvents on_events) override {
+    const auto watcher = choice_.Choose(scheduler_.Now());
+    if (!watcher) return false;
+    const auto is_over = std::make_shared<bool>(false);
+    const auto finish = [this, is_over, id = watcher->id,
+                         on_events](absl::StatusOr<RelayedEvents> relayed) {
+      if (std::exchange(*is_over, true)) return;
+      if (relayed.ok()) {
+        choice_.OnAnswer(id, relayed->age, scheduler_.Now());
+      } else {
+        choice_.OnFailed(id, scheduler_.Now());
+      }
+      on_events(std::move(relayed));
+    };
+    const auto fail = [finish] { finish(absl::UnavailableError("no answer")); };
+    scheduler_.After(milliseconds(1'300), fail);
+    EntryModel* const asked = fleet_->at(watcher->id);
+    scheduler_.After(Hop(), [this, asked, after, finish, fail] {
+      asked->OnQuestion(after, [this, finish, fail](const auto& relayed) {
+        scheduler_.After(Hop(), [relayed, finish, fail] {
+          relayed ? finish(*relayed) : fail();
+        });
+      });
+    });
+    return true;
+  }
+  bool IsWatcher() const override { return choice_.IsWatcher(); }
+  bool IsServing() const { return choice_.IsServing(); }
+  bool is_dead() const { return is_dead_; }
+
+  void OnQuestion(Revision after, const HeldQuestions::Reply& reply) {
+    if (is_dead_) return;
+    const bool is_taken =
+        choice_.IsServing() && questions_.Take(after, scheduler_.Now(), reply);
+    if (!is_taken) reply(std::nullopt);
+  }
+  void Die() { is_dead_ = true; }
+  VirtualStoreCalls& calls() { return calls_; }
+  // The time at which the server was last taken out of use; nothing while it
+  // is in use.
+  std::optional<TimePoint> left_at() const { return left_at_; }
+
+ private:
+  // The network, and the time until a small machine gets to it.
+  Duration Hop() { return milliseconds(1 + random_.Below(30)); }
+  FleetBuilder::Contact Contact() const {
+    return {.is_answering = follower_.is_answering(),
+            .answering_since = follower_.answering_since()};
+  }
+  void OnChanged(const std::vector<std::string>& keys) {
+    builder_.OnChanged(keys, follower_.replica(), Contact(), scheduler_.Now());
+    Look();
+    questions_.AnswerDue(scheduler_.Now());
+  }
+  void Tick() {
+    questions_.AnswerDue(scheduler_.Now());
+    builder_.OnTime(follower_.replica().at(), Contact(), scheduler_.Now());
+    Look();
+  }
+  void Look() {
+    const bool is_used = !builder_.View()->backends.empty();
+    if (is_used) {
+      left_at_.reset();
+    } else if (!left_at_) {
+      left_at_ = scheduler_.Now();
+    }
+  }
+
+  VirtualScheduler& scheduler_;
+  Random& random_;
+  VirtualStoreCalls calls_;
+  WatcherChoice choice_;
+  FleetBuilder builder_{platform::Schema(), {}};
+  StoreFollower follower_;
+  HeldQuestions questions_;
+  const std::map<InstanceId, EntryModel*>* fleet_ = nullptr;
+  std::optional<TimePoint> left_at_ = TimePoint();
+  bool is_dead_ = false;
+};
+
+enum class Manner { kDrains, kVanishes, kCount };
+
+// A fleet that has settled, with one backend server in use.
+class FleetModel {
+ public:
+  explicit FleetModel(std::uint64_t seed) : random_(seed) {
+    for (int i = 0; i < kZones * kEntriesPerZone; ++i) {
+      members_.push_back({.id = InstanceId("e" + std::to_string(i)),
+                          .zone = ZoneName("z" + std::to_string(i % kZones))});
+    }
+    for (const Member& member : members_) {
+      entries_.push_back(
+          std::make_unique<EntryModel>(scheduler_, store_, member, random_));
+      by_id_[member.id] = entries_.back().get();
+    }
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+      entries_[i]->Start(by_id_, members_, members_[i]);
+    }
+    store_.Put(kServer, ServerText("ready"));
+    RunFor(seconds(10));
+  }
+
+  void RunFor(Duration duration) {
+    scheduler_.RunUntil(scheduler_.Now() + duration);
+  }
+  // The longest time for which an entry that `counts` goes on using the server
+  // that leaves now.
+  Duration LongestUse(Manner manner,
+                      const std::function<bool(const EntryModel&)>& counts) {
+    const TimePoint left = scheduler_.Now();
+    if (manner == Manner::kDrains) {
+      store_.Put(kServer, ServerText("draining"));
+    } else {
+      store_.Remove(kServer);
+    }
+    RunFor(kObserved);
+    Duration longest{0};
+    for (const auto& entry : entries_) {
+      if (!counts(*entry)) continue;
+      const auto at = entry->left_at();
+      longest = std::max(longest, at ? *at - left : Duration(kObserved));
+    }
+    return longest;
+  }
+  const std::vector<std::unique_ptr<EntryModel>>& entries() const {
+    return entries_;
+  }
+  Random& random() { return random_; }
+  VirtualScheduler& scheduler() { return scheduler_; }
+
+ private:
+  static constexpr seconds kObserved{12};
+
+  VirtualScheduler scheduler_;
+  VirtualStore store_{scheduler_};
+  Random random_;
+  std::vector<Member> members_;
+  std::vector<std::unique_ptr<EntryModel>> entries_;
+  std::map<InstanceId, EntryModel*> by_id_;
+};
+
+constexpr int kSeeds = 100;
+
+// The longest use over all seeds, in ms. `trouble` begins before the server
+// leaves, and tells which entries count.
+using Trouble =
+    std::function<std::function<bool(const EntryModel&)>(FleetModel&)>;
+
+std::int64_t LongestUse(Manner manner, const Trouble& trouble) {
+  Duration longest{0};
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    FleetModel fleet(seed);
+    const auto counts = trouble(fleet);
+    longest = std::max(longest, fleet.LongestUse(manner, counts));
+  }
+  return ToMillis(longest);
+}
+
+// The store refuses a third of the entries, or answers them nothing.
+std::function<bool(const EntryModel&)> RefuseSome(FleetModel& fleet) {
+  std::set<const EntryModel*> refused;
+  const Treatment treatment =
+      fleet.random().Below(2) == 0 ? Treatment::kRefused : Treatment::kSilent;
+  for (const auto& entry : fleet.entries()) {
+    if (fleet.random().Unit() >= 0.35) continue;
+    entry->calls().SetTreatment(treatment);
+    refused.insert(entry.get());
+  }
+  fleet.RunFor(milliseconds(fleet.random().Below(6'000)));
+  return
+      [refused](const EntryModel& entry) { return !refused.contains(&entry); };
+}
+
+// The store cuts each entry's watches about once a second.
+std::function<bool(const EntryModel&)> CutWatches(FleetModel& fleet) {
+  for (const auto& entry : fleet.entries()) {
+    fleet.scheduler().Every(milliseconds(500 + fleet.random().Below(1'000)),
+                            [calls = &entry->calls()] { calls->CutWatches(); });
+  }
+  fleet.RunFor(milliseconds(fleet.random().Below(3'000)));
+  return [](const EntryModel& /*entry*/) { return true; };
+}
+
+// All entries through which others follow the store die.
+std::function<bool(const EntryModel&)> KillServing(FleetModel& fleet) {
+  for (const auto& entry : fleet.entries()) {
+    if (entry->IsServing()) entry->Die();
+  }
+  fleet.RunFor(milliseconds(fleet.random().Below(2'000)));
+  return [](const EntryModel& entry) { return !entry.is_dead(); };
+}
+
+// Guards against requests that reached a backend server for over the bound
+// after it had left (DRAIN at 99 entries): the store served their senders, but
+// refused those through which these followed it.
+TEST(DeparturesAtScale, RefusedWatchersHoldBackNoDraining) {
+  EXPECT_LE(LongestUse(Manner::kDrains, RefuseSome), ToMillis(kDrainBound));
+}
+
+// The same for servers whose entries vanish: moving to another source of
+// changes began the time anew for which an entry is kept.
+TEST(DeparturesAtScale, RefusedWatchersHoldBackNoRemoval) {
+  EXPECT_LE(LongestUse(Manner::kVanishes, RefuseSome), ToMillis(kDrainBound));
+}
+
+TEST(DeparturesAtScale, WatchesThatAreCutHoldBackNoDraining) {
+  EXPECT_LE(LongestUse(Manner::kDrains, CutWatches), ToMillis(kDrainBound));
+}
+
+// Guards against a departure that never comes into force while calls fail now
+// and then: each failure began the time anew for which an entry is kept.
+TEST(DeparturesAtScale, WatchesThatAreCutHoldBackNoRemoval) {
+  EXPECT_LE(LongestUse(Manner::kVanishes, CutWatches), ToMillis(kDrainBound));
+}
+
+// Guards against sums of delays: each hop is within its own bound, and all of
+// them together are over the bound of a departure.
+TEST(DeparturesAtScale, DeadWatchersHoldBackNoDraining) {
+  EXPECT_LE(LongestUse(Manner::kDrains, KillServing), ToMillis(kDrainBound));
+}
+
+TEST(DeparturesAtScale, DeadWatchersHoldBackNoRemoval) {
+  EXPECT_LE(LongestUse(Manner::kVanishes, KillServing), ToMillis(kDrainBound));
+}
+
+}  // namespace
+}  // namespace mangohold
