Tell when and by which way an entry knew that a backend server left

The hypotheses of the incident couldn't be told apart in the logs: they said that a server was listed as draining, but not how late that can have been, who told it, nor by which view an attempt was sent.

New: attempt_sent (revision of the view, age of its confirmation), a line backend_departed (way, through whom, the longest that the store can have known before, for how long a vanished entry was kept), backend_kept, and with each answer that says its server is leaving, whether the sender had known. Metrics: departures_total by way, quantiles of departure_lag_seconds, and sent_to_leaving_total, which has to stay at zero.

--- a/src/caller/entry_control.cc
+++ b/src/caller/entry_control.cc
@@ -26,7 +26,9 @@
       counters_(counters),
       options_(std::move(options)),
       handlers_(std::move(handlers)),
-      builder_(options_.schema, {}),
+      builder_(options_.schema,
+               {.on_departure =
+                    [this](const DepartureNews& news) { OnDeparture(news); }}),
       follower_(
           loop, store,
           {.ignored_prefixes = {options_.schema.leader_prefix,
@@ -91,6 +93,24 @@
   if (is_missing) lease_.OnMissing();
 }
 
+// The store can't have acknowledged it before the last confirmation, by which
+// this entry knew all changes until then.
+void EntryControl::OnDeparture(const DepartureNews& news) {
+  const DepartureWay way = watchers_.source().empty() ? DepartureWay::kStore
+                                                      : DepartureWay::kWatcher;
+  const Duration lag = BootNow() - confirmed_as_of_ + news.kept;
+  counters_.CountDeparture(way);
+  counters_.Record(Timing::kDeparture, lag);
+  Log(LogLevel::kInfo, "backend_departed",
+      {{"backend", news.backend.value()},
+       {"removed", static_cast<int>(news.is_removed)},
+       {"way", Name(way)},
+       {"through", watchers_.source().value()},
+       {"revision", follower_.replica().at().number()},
+       {"known_within_ms", ToMillis(lag)},
+       {"kept_ms", ToMillis(news.kept)}});
+}
+
 void EntryControl::OnConfirmed(TimePoint as_of) {
   confirmed_as_of_ = std::max(confirmed_as_of_, as_of);
   handlers_.on_confirmed(confirmed_as_of_);
--- a/src/caller/entry_control.h
+++ b/src/caller/entry_control.h
@@ -59,6 +59,7 @@
                    const std::shared_ptr<HttpExchange>& exchange);
   bool IsReady() const;
   DirectoryAnswer Answer(const DirectoryQuestion& question) const;
+  void OnDeparture(const DepartureNews& news);
   FleetBuilder::Contact Contact() const;
 
   EventLoop& loop_;
--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -160,6 +160,8 @@
   if (retry_reason_) context_.counters.CountRetry(*retry_reason_);
   policy_.OnSent();
   sent_at_ = now;
+  sent_by_ = context_.view->revision;
+  LogSend(now);
   status_ = 0;
   body_.clear();
   is_relaying_ = false;
@@ -173,6 +175,16 @@
                      .listener = shared_from_this()});
 }
 
+void ForwardRun::LogSend(TimePoint now) const {
+  Log(LogLevel::kInfo, "attempt_sent",
+      {{"request", job_.fields.id.value()},
+       {"backend", backend_.id.value()},
+       {"send", policy_.sends()},
+       {"revision", sent_by_.number()},
+       {"confirmed_ms_ago", ToMillis(now - context_.confirmed_as_of)},
+       {"ms", ToMillis(now - job_.message.arrived)}});
+}
+
 HttpFields ForwardRun::FieldsFor(const BackendRecord& backend,
                                  TimePoint now) const {
   const auto left = std::chrono::duration_cast<Millis>(deadline_ - now);
@@ -213,11 +225,31 @@
   status_ = status;
   answer_fields_ = context_.dialect.Return(fields);
   answer_ = context_.dialect.DecodeAnswer(status, fields);
-  context_.dispatcher.OnNotice(backend_.id, answer_.is_leaving, answer_.quiet,
-                               BootNow());
+  TakeNotice(BootNow());
   is_relaying_ = job_.route->kind == RouteKind::kStream && IsSuccess(status);
 }
 
+// An answer that says that its backend server is leaving. The line tells
+// whether this entry could have known so when it sent the request.
+void ForwardRun::TakeNotice(TimePoint now) {
+  const auto known = context_.dispatcher.LeavingSince(backend_.id);
+  context_.dispatcher.OnNotice(backend_.id, answer_.is_leaving, answer_.quiet,
+                               now);
+  if (!answer_.is_leaving) return;
+  const bool was_known = known && *known < sent_at_;
+  if (!known) context_.counters.CountDeparture(DepartureWay::kAnswer);
+  if (was_known) context_.counters.Count(Event::kSentToLeaving);
+  Log(was_known ? LogLevel::kWarning : LogLevel::kInfo, "backend_leaving",
+      {{"backend", backend_.id.value()},
+       {"request", job_.fields.id.value()},
+       {"way", Name(DepartureWay::kAnswer)},
+       {"news", static_cast<int>(!known)},
+       {"sent_ms_ago", ToMillis(now - sent_at_)},
+       {"known_ms_ago", known ? ToMillis(now - *known) : 0},
+       {"sent_by_revision", sent_by_.number()},
+       {"revision", context_.view->revision.number()}});
+}
+
 void ForwardRun::OnBackendBody(std::string_view data) {
   if (phase_ != Phase::kSent) return;
   if (!has_bytes_) {
@@ -410,7 +442,7 @@
   phase_ = Phase::kFinished;
   const Duration latency = BootNow() - job_.message.arrived;
   context_.counters.CountOutcome(outcome);
-  context_.counters.RecordLatency(latency);
+  context_.counters.Record(Timing::kRequest, latency);
   Log(LogLevel::kInfo, "request_ended",
       {{"request", job_.fields.id.value()},
        {"route", job_.route->name.value()},
--- a/src/caller/forward_run.h
+++ b/src/caller/forward_run.h
@@ -50,6 +50,8 @@
 
   void Submit();
   void Send(const BackendRecord& backend);
+  void LogSend(TimePoint now) const;
+  void TakeNotice(TimePoint now);
   HttpFields FieldsFor(const BackendRecord& backend, TimePoint now) const;
   TimePoint GiveUpTime() const;
   double ExpectedEvents() const;
@@ -83,6 +85,7 @@
   // The first backend server that answered with a failure of its own.
   std::optional<InstanceId> failed_by_;
   TimePoint sent_at_;
+  Revision sent_by_;  // the view by which the backend server was chosen
   std::optional<TimePoint> last_event_at_;  // of this attempt
   // The answer in progress.
   int status_ = 0;
--- a/src/caller/request_run.cc
+++ b/src/caller/request_run.cc
@@ -322,7 +322,7 @@
 
 void RequestRun::Finish(const Action& action) {
   context_.counters.CountOutcome(action.outcome);
-  context_.counters.RecordLatency(Clock::now() - arrived_at_);
+  context_.counters.Record(Timing::kRequest, Clock::now() - arrived_at_);
   Log(LogLevel::kInfo, "request_done",
       {{"request_id", request_.id.value()},
        {"service", request_.service.value()},
--- a/src/config/fleet_view.h
+++ b/src/config/fleet_view.h
@@ -18,6 +18,8 @@
     return routes == nullptr ? DeploymentVersion()
                              : routes->deployment().version;
   }
+  // Of the store, up to which everything is known here.
+  Revision revision;
   // Backend servers that new work may go to.
   std::vector<BackendRecord> backends;
   // The entries that the store lists.
--- a/src/core/counters.cc
+++ b/src/core/counters.cc
@@ -36,12 +36,19 @@
                    "log_lines_dropped",
                    "orders",
                    "map_switches",
-                   "datagrams_dropped"};
+                   "datagrams_dropped",
+                   "sent_to_leaving"};
 
 constexpr std::array<std::string_view, static_cast<int>(Gauge::kCount)>
     kGaugeNames = {"in_flight",      "queued",        "admission_limit",
                    "backends_known", "backends_open", "kept_answer_bytes"};
 
+constexpr std::array<std::string_view, static_cast<int>(DepartureWay::kCount)>
+    kWayNames = {"store", "watcher", "answer"};
+
+constexpr std::array<std::string_view, static_cast<int>(Timing::kCount)>
+    kTimingNames = {"request_seconds", "departure_lag_seconds"};
+
 using Quantiles =
     acc::accumulator_set<double,
                          acc::stats<acc::tag::count, acc::tag::sum,
@@ -81,19 +88,41 @@
   }
 }
 
+void AppendQuantiles(std::string& out, std::string_view name,
+                     const Quantiles& quantiles) {
+  AppendType(out, name, "summary");
+  for (const double quantile : kQuantiles) {
+    std::array<char, 16> label{};
+    std::snprintf(label.data(), label.size(), "%g", quantile);
+    AppendLine(out, name, "quantile", label.data(),
+               acc::quantile(quantiles, acc::quantile_probability = quantile));
+  }
+  const std::string base(name);
+  AppendLine(out, base + "_sum", "", "", acc::sum(quantiles));
+  AppendLine(out, base + "_count", "", "",
+             static_cast<double>(acc::count(quantiles)));
+}
+
 }  // namespace
 
-struct Counters::Latency {
+std::string_view Name(DepartureWay way) {
+  return kWayNames.at(static_cast<std::size_t>(way));
+}
+
+struct Counters::Timings {
+  using Row = std::array<Quantiles, static_cast<std::size_t>(Timing::kCount)>;
+
   mutable std::mutex mutex;
-  Quantiles quantiles{acc::extended_p_square_probabilities = kQuantiles};
+  Row rows = {Quantiles{acc::extended_p_square_probabilities = kQuantiles},
+              Quantiles{acc::extended_p_square_probabilities = kQuantiles}};
 };
 
-Counters::Counters() : latency_(std::make_unique<Latency>()) {}
+Counters::Counters() : timings_(std::make_unique<Timings>()) {}
 Counters::~Counters() = default;
 
-void Counters::RecordLatency(Duration latency) {
-  const std::lock_guard lock(latency_->mutex);
-  latency_->quantiles(ToSeconds(latency));
+void Counters::Record(Timing timing, Duration duration) {
+  const std::lock_guard lock(timings_->mutex);
+  timings_->rows.at(static_cast<std::size_t>(timing))(ToSeconds(duration));
 }
 
 std::string Counters::PrometheusText() const {
@@ -114,18 +143,15 @@
     AppendType(out, kGaugeNames[i], "gauge");
     AppendLine(out, kGaugeNames[i], "", "", static_cast<double>(gauges_[i]));
   }
-  const std::lock_guard lock(latency_->mutex);
-  AppendType(out, "request_seconds", "summary");
-  for (const double quantile : kQuantiles) {
-    std::array<char, 16> label{};
-    std::snprintf(label.data(), label.size(), "%g", quantile);
-    AppendLine(out, "request_seconds", "quantile", label.data(),
-               acc::quantile(latency_->quantiles,
-                             acc::quantile_probability = quantile));
+  AppendType(out, "departures_total", "counter");
+  for (std::size_t i = 0; i < departures_.size(); ++i) {
+    AppendLine(out, "departures_total", "way", kWayNames.at(i),
+               static_cast<double>(departures_[i]));
+  }
+  const std::lock_guard lock(timings_->mutex);
+  for (std::size_t i = 0; i < kTimingNames.size(); ++i) {
+    AppendQuantiles(out, kTimingNames.at(i), timings_->rows.at(i));
   }
-  AppendLine(out, "request_seconds_sum", "", "", acc::sum(latency_->quantiles));
-  AppendLine(out, "request_seconds_count", "", "",
-             static_cast<double>(acc::count(latency_->quantiles)));
   return out;
 }
 
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -36,6 +36,7 @@
   kOrders,
   kMapSwitches,
   kDatagramsDropped,
+  kSentToLeaving,
   kCount
 };
 
@@ -50,6 +51,22 @@
   kCount
 };
 
+// By which way this process first knew that a backend server is leaving.
+enum class DepartureWay {
+  kStore,    // it follows the store itself
+  kWatcher,  // another entry told
+  kAnswer,   // an answer of the backend server's own
+  kCount
+};
+std::string_view Name(DepartureWay way);
+
+// Times of which quantiles are kept.
+enum class Timing {
+  kRequest,    // from a request's arrival to its last byte
+  kDeparture,  // the longest that a departure can have been unknown here
+  kCount
+};
+
 // The metrics of one process. Counters may be raised from any thread;
 // latencies are recorded under a lock.
 class Counters {
@@ -75,8 +92,10 @@
   void Set(Gauge gauge, std::int64_t value) {
     gauges_[static_cast<std::size_t>(gauge)] = value;
   }
-  // Adds the time from a request's arrival to its last byte.
-  void RecordLatency(Duration latency);
+  void CountDeparture(DepartureWay way) {
+    ++departures_[static_cast<std::size_t>(way)];
+  }
+  void Record(Timing timing, Duration duration);
 
   std::uint64_t Value(Event event) const {
     return events_[static_cast<std::size_t>(event)];
@@ -88,7 +107,7 @@
   std::string PrometheusText() const;
 
  private:
-  struct Latency;
+  struct Timings;
   template <typename Enum, typename Value>
   using Row =
       std::array<std::atomic<Value>, static_cast<std::size_t>(Enum::kCount)>;
@@ -97,8 +116,9 @@
   Row<Outcome, std::uint64_t> outcomes_{};
   Row<Reason, std::uint64_t> refusals_{};
   Row<Reason, std::uint64_t> retries_{};
+  Row<DepartureWay, std::uint64_t> departures_{};
   Row<Gauge, std::int64_t> gauges_{};
-  std::unique_ptr<Latency> latency_;
+  std::unique_ptr<Timings> timings_;
 };
 
 }  // namespace mangohold
--- a/src/peer/zone_watchers.h
+++ b/src/peer/zone_watchers.h
@@ -72,6 +72,9 @@
   bool Watch(Revision after, OnEvents on_events) override;
   bool IsWatcher() const override { return choice_.IsWatcher(); }
 
+  // The watcher that was asked last; empty: the store itself.
+  const InstanceId& source() const { return source_watcher_; }
+
   // Takes a question of another entry.
   void OnQuestion(const HttpRequest& request,
                   const std::shared_ptr<HttpExchange>& exchange);
@@ -88,7 +91,7 @@
   Millis wait_;  // for which a question of this entry is held
   WatcherChoice choice_;
   HeldQuestions questions_;
-  InstanceId source_watcher_;  // asked last; empty: the store itself
+  InstanceId source_watcher_;
 };
 
 }  // namespace mangohold
--- a/src/routing/backend_notices.cc
+++ b/src/routing/backend_notices.cc
@@ -25,7 +25,10 @@
 }
 
 bool BackendNotices::OnLeaving(const InstanceId& id, TimePoint now) {
-  return !std::exchange(NoticeOf(id, now).is_leaving, true);
+  Notice& notice = NoticeOf(id, now);
+  if (notice.leaving_since) return false;
+  notice.leaving_since = now;
+  return true;
 }
 
 void BackendNotices::OnQuiet(const InstanceId& id, Millis quiet,
@@ -52,8 +55,13 @@
 }
 
 bool BackendNotices::IsLeaving(const InstanceId& id) const {
+  return LeavingSince(id).has_value();
+}
+
+std::optional<TimePoint> BackendNotices::LeavingSince(
+    const InstanceId& id) const {
   const auto it = notices_.find(id);
-  return it != notices_.end() && it->second.is_leaving;
+  return it == notices_.end() ? std::nullopt : it->second.leaving_since;
 }
 
 TimePoint BackendNotices::QuietUntil(const InstanceId& id) const {
--- a/src/routing/backend_notices.h
+++ b/src/routing/backend_notices.h
@@ -27,12 +27,14 @@
   // True if it may be sent to.
   bool IsWelcome(const InstanceId& id, TimePoint now) const;
   bool IsLeaving(const InstanceId& id) const;
+  // When its answer first said that it is leaving; nothing if none did.
+  std::optional<TimePoint> LeavingSince(const InstanceId& id) const;
   // The end of its quiet time; the past if it didn't ask for one.
   TimePoint QuietUntil(const InstanceId& id) const;
 
  private:
   struct Notice {
-    bool is_leaving = false;
+    std::optional<TimePoint> leaving_since;
     TimePoint quiet_until;
     std::optional<std::int64_t> started_ms;
     TimePoint at;  // the last word
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -449,9 +449,7 @@
 
 void Dispatcher::OnNotice(const InstanceId& id, bool is_leaving,
                           std::optional<Millis> quiet, TimePoint now) {
-  if (is_leaving && notices_.OnLeaving(id, now)) {
-    Log(LogLevel::kInfo, "backend_leaving", {{"backend", id.value()}});
-  }
+  if (is_leaving) notices_.OnLeaving(id, now);
   if (!quiet || *quiet <= Millis(0)) return;
   notices_.OnQuiet(id, *quiet, now);
   Log(LogLevel::kInfo, "backend_quiet",
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -123,6 +123,10 @@
   // long it wants nothing more.
   void OnNotice(const InstanceId& id, bool is_leaving,
                 std::optional<Millis> quiet, TimePoint now);
+  // When an answer first said that the backend server is leaving.
+  std::optional<TimePoint> LeavingSince(const InstanceId& id) const {
+    return notices_.LeavingSince(id);
+  }
   // A stream brought an event `gap` after the one before.
   void OnEventGap(AttemptNumber number, Duration gap, TimePoint now);
 
--- a/src/store/fleet_builder.cc
+++ b/src/store/fleet_builder.cc
@@ -10,12 +10,13 @@
 
 FleetBuilder::FleetBuilder(StoreSchema schema, Options options)
     : schema_(std::move(schema)),
-      options_(options),
-      departures_(options.departure_memory) {}
+      options_(std::move(options)),
+      departures_(options_.departure_memory) {}
 
 bool FleetBuilder::OnChanged(const std::vector<std::string>& keys,
                              const StoreReplica& replica,
                              const Contact& contact, TimePoint now) {
+  at_ = replica.at();
   bool has_changed = false;
   for (const std::string& key : keys) {
     const StoreItem* item = replica.Find(key);
@@ -114,11 +115,14 @@
   const StoreItem* item = replica.Find(key);
   if (item == nullptr) {
     if (IsUnsettled(contact, now)) {
-      unlisted_.insert(id);
+      const bool is_news = unlisted_.try_emplace(id, now).second;
+      if (is_news) {
+        Log(LogLevel::kInfo, "backend_kept", {{"backend", id.value()}});
+      }
       return false;
     }
     const bool was_known = backends_.contains(id);
-    DropBackend(id, replica.at(), now);
+    DropBackend(id, replica.at(), Duration(0), now);
     return was_known;
   }
   unlisted_.erase(id);
@@ -142,6 +146,12 @@
        {"address", record->address.value()},
        {"draining", static_cast<int>(record->state == BackendState::kDraining)},
        {"revision", item->revision.number()}});
+  const auto known = backends_.find(id);
+  const bool was_ready =
+      known != backends_.end() && known->second.state == BackendState::kReady;
+  if (was_ready && record->state == BackendState::kDraining) {
+    TellDeparture({.backend = id});
+  }
   backends_[id] = *record;
   backends_[id].listed = item->created;
   return true;
@@ -153,6 +163,7 @@
 }
 
 bool FleetBuilder::OnTime(Revision at, const Contact& contact, TimePoint now) {
+  at_ = at;
   departures_.Forget(now);
   const bool has_unlisted = DropUnlisted(contact, at, now);
   return DropLostZones(now) || has_unlisted;
@@ -161,18 +172,28 @@
 bool FleetBuilder::DropUnlisted(const Contact& contact, Revision at,
                                 TimePoint now) {
   if (unlisted_.empty() || IsUnsettled(contact, now)) return false;
-  for (const InstanceId& id : unlisted_) DropBackend(id, at, now);
+  for (const auto& [id, since] : unlisted_) {
+    DropBackend(id, at, now - since, now);
+  }
   unlisted_.clear();
   return true;
 }
 
-void FleetBuilder::DropBackend(const InstanceId& id, Revision at,
+void FleetBuilder::DropBackend(const InstanceId& id, Revision at, Duration kept,
                                TimePoint now) {
   Log(LogLevel::kInfo, "backend_gone", {{"backend", id.value()}});
   const auto backend = backends_.find(id);
   if (backend == backends_.end()) return;
   departures_.OnLeft(id, backend->second.started_ms, at, now);
+  const bool was_ready = backend->second.state == BackendState::kReady;
   backends_.erase(backend);
+  if (was_ready) {
+    TellDeparture({.backend = id, .is_removed = true, .kept = kept});
+  }
+}
+
+void FleetBuilder::TellDeparture(const DepartureNews& news) const {
+  if (options_.on_departure) options_.on_departure(news);
 }
 
 bool FleetBuilder::DropLostZones(TimePoint now) {
@@ -192,6 +213,7 @@
 FleetViewPtr FleetBuilder::View() const {
   auto view = std::make_shared<FleetView>();
   view->routes = routes_;
+  view->revision = at_;
   std::map<Endpoint, Revision> newest;
   for (const auto& [id, record] : backends_) {
     newest[record.address] = std::max(newest[record.address], record.listed);
--- a/src/store/fleet_builder.h
+++ b/src/store/fleet_builder.h
@@ -2,9 +2,9 @@
 // network.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -16,6 +16,14 @@
 
 namespace mangohold {
 
+// A backend server that was in use and has left.
+struct DepartureNews {
+  InstanceId backend;
+  bool is_removed = false;  // its entry has vanished; else it is draining
+  // For how long it was kept after its entry had vanished.
+  Duration kept{0};
+};
+
 class FleetBuilder {
  public:
   struct Options {
@@ -29,6 +37,8 @@
     Duration lost_zone_memory = std::chrono::seconds(30);
     // How old such a copy may be at the most.
     Duration departure_memory = std::chrono::seconds(60);
+    // Hears of each backend server that is in use no more, if it is set.
+    std::function<void(const DepartureNews&)> on_departure;
   };
 
   FleetBuilder(StoreSchema schema, Options options);
@@ -69,7 +79,9 @@
   void TakeMember(const std::string& key, const StoreItem* item);
   bool DropLostZones(TimePoint now);
   bool DropUnlisted(const Contact& contact, Revision at, TimePoint now);
-  void DropBackend(const InstanceId& id, Revision at, TimePoint now);
+  void DropBackend(const InstanceId& id, Revision at, Duration kept,
+                   TimePoint now);
+  void TellDeparture(const DepartureNews& news) const;
   bool TakeBackend(const std::string& key, const StoreReplica& replica,
                    const Contact& contact, TimePoint now);
   bool IsUnsettled(const Contact& contact, TimePoint now) const;
@@ -78,9 +90,10 @@
   Options options_;
   RouteTablePtr routes_;
   std::string deployment_text_;
+  Revision at_;  // of the store, as it is known
   std::map<InstanceId, BackendRecord> backends_;
-  // Backend servers that vanished while the store was away.
-  std::set<InstanceId> unlisted_;
+  // Backend servers that vanished while the store was away, and when.
+  std::map<InstanceId, TimePoint> unlisted_;
   Departures departures_;
   std::map<ZoneName, ZoneOut> zones_out_;
   std::map<std::string, Member> members_;
