Judge by answers, not by failed calls, whether the store has been away

What callers saw: requests went to backend servers whose entries had been removed long before, in fleets that follow the store through watchers.

Cause: an entry that vanishes while the store may have been away is kept for 2 s. The 2 s began anew with each failed call of whoever this process follows the store through, and stopped while that one was refused: a follower that alternates between a refused watcher and the one standing by never came to their end. Class: a timer that any small fault restarts, fed by another machine's trouble.

Change: StoreContact. The store has been away if nobody whom this process hears was answered for two heartbeats, since a shorter absence lapses no entry. Own watches, relayed ones, peers' confirmations and the own lease's renewals are answers. The relay carries no word on a watcher's contact any more.

--- a/src/caller/entry_control.cc
+++ b/src/caller/entry_control.cc
@@ -34,17 +34,18 @@
           {.ignored_prefixes = {options_.schema.leader_prefix,
                                 options_.schema.demand_prefix}},
           {.on_changed = [this](const auto& keys) { OnChanged(keys); },
-           .on_confirmed = [this](TimePoint as_of) { OnConfirmed(as_of); },
-           .on_contact = [](bool /*is_answering*/) {}}),
+           .on_confirmed = [this](TimePoint as_of) { OnConfirmed(as_of); }}),
       watchers_(http,
                 {.choice = {.self = options_.self,
                             .most_direct = options_.most_direct_followers}},
                 [this](Revision after) { return follower_.Tell(after); }),
-      lease_(loop, store,
-             {.key = options_.schema.member_prefix + options_.self.id.value(),
-              .value = EncodeMember(options_.self),
-              .ttl = kLeaseTtl,
-              .renewal = kLeaseRenewal}),
+      lease_(
+          loop, store,
+          {.on_renewed = [this](TimePoint sent) { contact_.OnAnswered(sent); },
+           .key = options_.schema.member_prefix + options_.self.id.value(),
+           .value = EncodeMember(options_.self),
+           .ttl = kLeaseTtl,
+           .renewal = kLeaseRenewal}),
       ready_(loop.io(),
              {.address = options_.ready_address,
               .max_connections = kMostAdminConnections},
@@ -62,7 +63,9 @@
                     const std::shared_ptr<HttpExchange>& exchange) {
                HandleAdmin(request, exchange);
              }),
-      http_(http) {}
+      http_(http) {
+  store.AddEraListener([this] { contact_.OnRestored(BootNow()); });
+}
 
 absl::Status EntryControl::Start() {
   for (HttpServer* server : {&ready_, &directory_, &admin_}) {
@@ -76,14 +79,9 @@
   return absl::OkStatus();
 }
 
-FleetBuilder::Contact EntryControl::Contact() const {
-  return {.is_answering = follower_.is_answering(),
-          .answering_since = follower_.answering_since()};
-}
-
 void EntryControl::OnChanged(const std::vector<std::string>& keys) {
   const bool is_new =
-      builder_.OnChanged(keys, follower_.replica(), Contact(), BootNow());
+      builder_.OnChanged(keys, follower_.replica(), contact_, BootNow());
   if (is_new) Publish();
   watchers_.AnswerDue();
   const std::string own =
@@ -112,6 +110,7 @@
 }
 
 void EntryControl::OnConfirmed(TimePoint as_of) {
+  contact_.OnAnswered(as_of);
   confirmed_as_of_ = std::max(confirmed_as_of_, as_of);
   handlers_.on_confirmed(confirmed_as_of_);
 }
@@ -119,7 +118,7 @@
 void EntryControl::Tick() {
   watchers_.AnswerDue();
   const Revision at = follower_.replica().at();
-  if (builder_.OnTime(at, Contact(), BootNow())) Publish();
+  if (builder_.OnTime(at, contact_, BootNow())) Publish();
 }
 
 void EntryControl::Publish() { handlers_.on_view(builder_.View()); }
--- a/src/caller/entry_control.h
+++ b/src/caller/entry_control.h
@@ -60,13 +60,13 @@
   bool IsReady() const;
   DirectoryAnswer Answer(const DirectoryQuestion& question) const;
   void OnDeparture(const DepartureNews& news);
-  FleetBuilder::Contact Contact() const;
 
   EventLoop& loop_;
   Counters& counters_;
   Options options_;
   Handlers handlers_;
   FleetBuilder builder_;
+  StoreContact contact_;
   StoreFollower follower_;
   ZoneWatchers watchers_;
   LeaseKeeper lease_;
--- a/src/store/change_relay.cc
+++ b/src/store/change_relay.cc
@@ -42,9 +42,7 @@
   Json::to_cbor({{"events", std::move(events)},
                  {"at", relayed.events.at},
                  {"age", ToMicros(relayed.age)},
-                 {"held", ToMicros(relayed.held)},
-                 {"answering", relayed.is_answering},
-                 {"answering_for", ToMicros(relayed.answering_for)}},
+                 {"held", ToMicros(relayed.held)}},
                 bytes);
   return bytes;
 }
@@ -52,12 +50,9 @@
 absl::StatusOr<RelayedEvents> DecodeRelayed(std::string_view bytes) {
   try {
     const Json json = Json::from_cbor(bytes.begin(), bytes.end());
-    RelayedEvents relayed{
-        .events = {.at = json.at("at").get<Revision>()},
-        .age = ToDuration(json.at("age")),
-        .held = ToDuration(json.at("held")),
-        .is_answering = json.at("answering").get<bool>(),
-        .answering_for = ToDuration(json.at("answering_for"))};
+    RelayedEvents relayed{.events = {.at = json.at("at").get<Revision>()},
+                          .age = ToDuration(json.at("age")),
+                          .held = ToDuration(json.at("held"))};
     for (const Json& event : json.at("events")) {
       relayed.events.events.push_back(ToEvent(event));
     }
--- a/src/store/change_relay.h
+++ b/src/store/change_relay.h
@@ -19,9 +19,6 @@
   Duration age{0};
   // How long the question was held before the answer.
   Duration held{0};
-  // Whether the store answers the teller, and since how long.
-  bool is_answering = false;
-  Duration answering_for{0};
 };
 
 std::string EncodeRelayed(const RelayedEvents& relayed);
--- a/src/store/fleet_builder.cc
+++ b/src/store/fleet_builder.cc
@@ -15,7 +15,7 @@
 
 bool FleetBuilder::OnChanged(const std::vector<std::string>& keys,
                              const StoreReplica& replica,
-                             const Contact& contact, TimePoint now) {
+                             const StoreContact& contact, TimePoint now) {
   at_ = replica.at();
   bool has_changed = false;
   for (const std::string& key : keys) {
@@ -110,11 +110,11 @@
 
 bool FleetBuilder::TakeBackend(const std::string& key,
                                const StoreReplica& replica,
-                               const Contact& contact, TimePoint now) {
+                               const StoreContact& contact, TimePoint now) {
   const InstanceId id(key.substr(schema_.backend_prefix.size()));
   const StoreItem* item = replica.Find(key);
   if (item == nullptr) {
-    if (IsUnsettled(contact, now)) {
+    if (!contact.IsSettled(now)) {
       const bool is_news = unlisted_.try_emplace(id, now).second;
       if (is_news) {
         Log(LogLevel::kInfo, "backend_kept", {{"backend", id.value()}});
@@ -157,21 +157,17 @@
   return true;
 }
 
-bool FleetBuilder::IsUnsettled(const Contact& contact, TimePoint now) const {
-  return !contact.is_answering ||
-         now - contact.answering_since < options_.unlisted_memory;
-}
-
-bool FleetBuilder::OnTime(Revision at, const Contact& contact, TimePoint now) {
+bool FleetBuilder::OnTime(Revision at, const StoreContact& contact,
+                          TimePoint now) {
   at_ = at;
   departures_.Forget(now);
   const bool has_unlisted = DropUnlisted(contact, at, now);
   return DropLostZones(now) || has_unlisted;
 }
 
-bool FleetBuilder::DropUnlisted(const Contact& contact, Revision at,
+bool FleetBuilder::DropUnlisted(const StoreContact& contact, Revision at,
                                 TimePoint now) {
-  if (unlisted_.empty() || IsUnsettled(contact, now)) return false;
+  if (unlisted_.empty() || !contact.IsSettled(now)) return false;
   for (const auto& [id, since] : unlisted_) {
     DropBackend(id, at, now - since, now);
   }
--- a/src/store/fleet_builder.h
+++ b/src/store/fleet_builder.h
@@ -11,6 +11,7 @@
 #include "config/fleet_view.h"
 #include "store/departures.h"
 #include "store/member.h"
+#include "store/store_contact.h"
 #include "store/store_replica.h"
 #include "store/store_schema.h"
 
@@ -27,10 +28,6 @@
 class FleetBuilder {
  public:
   struct Options {
-    // Backend servers that vanished from the list while the store was away, or
-    // right after, are kept for this long after its return: their entries
-    // lapsed, although they may be well.
-    Duration unlisted_memory = std::chrono::seconds(2);
     // A zone that was out when the store came back from an older copy, which
     // doesn't say so, stays out for this long: operators write again what was
     // lost.
@@ -43,19 +40,15 @@
 
   FleetBuilder(StoreSchema schema, Options options);
 
-  // The state of the connection to the store, for the entries that vanish.
-  struct Contact {
-    bool is_answering = false;
-    TimePoint answering_since;
-  };
-
   // Takes the keys that changed. Returns true if the view is another one.
+  // Backend servers that vanish from the list while `contact` isn't settled are
+  // kept until it is: their entries may have lapsed, although they are well.
   bool OnChanged(const std::vector<std::string>& keys,
-                 const StoreReplica& replica, const Contact& contact,
+                 const StoreReplica& replica, const StoreContact& contact,
                  TimePoint now);
   // Drops what is kept beyond its time. Returns true if the view is another.
   // `at` is the store's revision as it is known.
-  bool OnTime(Revision at, const Contact& contact, TimePoint now);
+  bool OnTime(Revision at, const StoreContact& contact, TimePoint now);
 
   // Takes a deployment, from the store or from a peer. Returns true if it is
   // newer than the one in force.
@@ -78,13 +71,12 @@
                 const StoreReplica& replica, TimePoint now);
   void TakeMember(const std::string& key, const StoreItem* item);
   bool DropLostZones(TimePoint now);
-  bool DropUnlisted(const Contact& contact, Revision at, TimePoint now);
+  bool DropUnlisted(const StoreContact& contact, Revision at, TimePoint now);
   void DropBackend(const InstanceId& id, Revision at, Duration kept,
                    TimePoint now);
   void TellDeparture(const DepartureNews& news) const;
   bool TakeBackend(const std::string& key, const StoreReplica& replica,
-                   const Contact& contact, TimePoint now);
-  bool IsUnsettled(const Contact& contact, TimePoint now) const;
+                   const StoreContact& contact, TimePoint now);
 
   StoreSchema schema_;
   Options options_;
--- a/src/store/lease_keeper.cc
+++ b/src/store/lease_keeper.cc
@@ -31,8 +31,11 @@
 void LeaseKeeper::Renew() {
   if (is_released_) return;
   if (!lease_) return Grant();
-  store_.KeepLease(*lease_, [this, era = eras_](LeaseFate fate) {
+  const TimePoint sent = loop_.Now();
+  store_.KeepLease(*lease_, [this, sent, era = eras_](LeaseFate fate) {
     if (era != eras_) return;
+    const bool is_renewed = fate == LeaseFate::kHeld;
+    if (is_renewed && options_.on_renewed) options_.on_renewed(sent);
     if (fate != LeaseFate::kEnded || is_released_) return;
     lease_.reset();
     Grant();
--- a/src/store/lease_keeper.h
+++ b/src/store/lease_keeper.h
@@ -15,6 +15,8 @@
 class LeaseKeeper {
  public:
   struct Options {
+    // Hears when a renewal was sent that the store then granted, if it is set.
+    std::function<void(TimePoint sent)> on_renewed;
     std::string key;
     std::string value;
     Millis ttl{3'000};
--- a/src/store/store_follower.cc
+++ b/src/store/store_follower.cc
@@ -46,10 +46,6 @@
   }
   OnAnswer();
   if (!replica_.Fits(*page)) return List(Freshness::kLinearizable);
-  // A store that came back from an older copy had been away, however shortly.
-  const bool is_later_era =
-      replica_.is_loaded() && page->at.era() != replica_.at().era();
-  if (is_later_era) answering_since_ = scheduler_.Now();
   const bool is_last = !page->has_more || page->items.empty();
   Report(replica_.OnPage(*page));
   if (!is_last) {
@@ -96,11 +92,9 @@
   // An answer of another era was given before this process, or the other one,
   // knew of the change.
   if (relayed->events.at.era() != replica_.at().era()) return Watch();
-  const TimePoint now = scheduler_.Now();
   const auto scaled = [](Duration duration, double factor) {
     return std::chrono::duration_cast<Duration>(duration * factor);
   };
-  OnContact(relayed->is_answering, now - relayed->answering_for);
   Report(replica_.OnEvents(relayed->events));
   log_.OnEvents(relayed->events);
   Confirm(sent + scaled(relayed->held, 1 - options_.drift) -
@@ -168,31 +162,20 @@
 std::optional<RelayedEvents> StoreFollower::Tell(Revision after) const {
   auto events = log_.Since(after);
   if (!events || confirmed_as_of_ == TimePoint()) return std::nullopt;
-  const TimePoint now = scheduler_.Now();
   return RelayedEvents{.events = *std::move(events),
-                       .age = now - confirmed_as_of_,
-                       .is_answering = is_answering_,
-                       .answering_for = now - answering_since_};
+                       .age = scheduler_.Now() - confirmed_as_of_};
 }
 
 void StoreFollower::OnAnswer() {
   retry_ = options_.first_retry;
-  if (!is_answering_) OnContact(true, scheduler_.Now());
+  if (std::exchange(is_answering_, true)) return;
+  Log(LogLevel::kInfo, "store_answers");
 }
 
 void StoreFollower::OnFailure(const absl::Status& status) {
   retry_ = std::min(options_.longest_retry, retry_ * 2);
-  if (!is_answering_) return;
+  if (!std::exchange(is_answering_, false)) return;
   Log(LogLevel::kWarning, "store_lost", {{"error", MessageOf(status)}});
-  OnContact(false, scheduler_.Now());
-}
-
-// `since` counts while the store answers.
-void StoreFollower::OnContact(bool is_answering, TimePoint since) {
-  answering_since_ = since;
-  if (std::exchange(is_answering_, is_answering) == is_answering) return;
-  if (is_answering) Log(LogLevel::kInfo, "store_answers");
-  handlers_.on_contact(is_answering);
 }
 
 void StoreFollower::Report(const std::vector<std::string>& keys) {
--- a/src/store/store_follower.h
+++ b/src/store/store_follower.h
@@ -23,8 +23,6 @@
     // Every change acknowledged before `as_of` (by the scheduler's time) is
     // known.
     std::function<void(TimePoint as_of)> on_confirmed;
-    // The store stopped or began again to answer.
-    std::function<void(bool is_answering)> on_contact;
   };
   struct Options {
     Millis watch_wait{2'000};
@@ -53,10 +51,6 @@
   // some were forgotten.
   std::optional<RelayedEvents> Tell(Revision after) const;
   const StoreReplica& replica() const { return replica_; }
-  bool is_answering() const { return is_answering_; }
-  // When the store last began to answer again after it had failed to, by
-  // `BootNow`.
-  TimePoint answering_since() const { return answering_since_; }
 
  private:
   void List(Freshness freshness);
@@ -69,7 +63,6 @@
                 Millis wait);
   void OnAnswer();
   void OnFailure(const absl::Status& status);
-  void OnContact(bool is_answering, TimePoint since);
   StoreEvents WithoutIgnored(const StoreEvents& events) const;
   void Report(const std::vector<std::string>& keys);
 
@@ -86,7 +79,6 @@
   TimePoint confirmed_as_of_;
   Millis retry_;
   bool is_answering_ = false;
-  TimePoint answering_since_;
 };
 
 }  // namespace mangohold
--- a/tests/unit/departures_at_scale_test.cc
+++ b/tests/unit/departures_at_scale_test.cc
@@ -53,10 +53,11 @@
         random_(random),
         calls_(store),
         choice_({.self = std::move(self)}),
-        follower_(scheduler, calls_, {},
-                  {.on_changed = [this](const auto& keys) { OnChanged(keys); },
-                   .on_confirmed = [](TimePoint /*as_of*/) {},
-                   .on_contact = [](bool /*is_answering*/) {}}),
+        follower_(
+            scheduler, calls_, {},
+            {.on_changed = [this](const auto& keys) { OnChanged(keys); },
+             .on_confirmed =
+                 [this](TimePoint as_of) { contact_.OnAnswered(as_of); }}),
         questions_({},
                    [this](Revision after) { return follower_.Tell(after); }) {}
 
@@ -69,6 +70,7 @@
     follower_.SetRelay(*this);
     follower_.Start();
     scheduler_.Every(milliseconds(200), [this] { Tick(); });
+    scheduler_.After(milliseconds(random_.Below(2'000)), [this] { Renew(); });
   }
 
   bool Watch(Revision after, OnEvents on_events) override {
@@ -114,20 +116,23 @@
   std::optional<TimePoint> left_at() const { return left_at_; }
 
  private:
+  // Its lease, which tells that the store is there.
+  void Renew() {
+    if (calls_.treatment() == Treatment::kServed) {
+      contact_.OnAnswered(scheduler_.Now());
+    }
+    scheduler_.After(seconds(2), [this] { Renew(); });
+  }
   // The network, and the time until a small machine gets to it.
   Duration Hop() { return milliseconds(1 + random_.Below(30)); }
-  FleetBuilder::Contact Contact() const {
-    return {.is_answering = follower_.is_answering(),
-            .answering_since = follower_.answering_since()};
-  }
   void OnChanged(const std::vector<std::string>& keys) {
-    builder_.OnChanged(keys, follower_.replica(), Contact(), scheduler_.Now());
+    builder_.OnChanged(keys, follower_.replica(), contact_, scheduler_.Now());
     Look();
     questions_.AnswerDue(scheduler_.Now());
   }
   void Tick() {
     questions_.AnswerDue(scheduler_.Now());
-    builder_.OnTime(follower_.replica().at(), Contact(), scheduler_.Now());
+    builder_.OnTime(follower_.replica().at(), contact_, scheduler_.Now());
     Look();
   }
   void Look() {
@@ -144,6 +149,7 @@
   VirtualStoreCalls calls_;
   WatcherChoice choice_;
   FleetBuilder builder_{platform::Schema(), {}};
+  StoreContact contact_;
   StoreFollower follower_;
   HeldQuestions questions_;
   const std::map<InstanceId, EntryModel*>* fleet_ = nullptr;
@@ -226,6 +232,8 @@
     const auto counts = trouble(fleet);
     longest = std::max(longest, fleet.LongestUse(manner, counts));
   }
+  ::testing::Test::RecordProperty("longest_ms",
+                                  std::to_string(ToMillis(longest)));
   return ToMillis(longest);
 }
 
--- a/tests/unit/fleet_builder_test.cc
+++ b/tests/unit/fleet_builder_test.cc
@@ -64,7 +64,8 @@
   Revision revision_;
   std::map<std::string, Revision> created_;
   TimePoint now_ = TimePoint() + seconds(100);
-  FleetBuilder::Contact contact_ = {.is_answering = true};
+  // The store has been there all the time.
+  StoreContact contact_{{.least_absence = std::chrono::hours(10'000)}};
 };
 
 TEST_F(FleetBuilderTest, DecodesADeployment) {
@@ -124,14 +125,17 @@
 TEST_F(FleetBuilderTest, EntriesThatLapsedWithTheStoreAwayAreKeptForAWhile) {
   Write("servers/a", BackendText("a:1", "ready"));
   Write("servers/b", BackendText("b:1", "ready"));
-  contact_ = {.is_answering = true, .answering_since = now_};
+  contact_ = StoreContact();
+  contact_.OnAnswered(now_);
   Remove("servers/a");
   Remove("servers/b");
   EXPECT_EQ(Backends(), 2U);
   now_ += milliseconds(1'500);
+  contact_.OnAnswered(now_);
   Write("servers/a", BackendText("a:1", "ready"));
   EXPECT_FALSE(builder_.OnTime(replica_.at(), contact_, now_));
   now_ += seconds(1);
+  contact_.OnAnswered(now_);
   EXPECT_TRUE(builder_.OnTime(replica_.at(), contact_, now_));
   ASSERT_EQ(Backends(), 1U);
   EXPECT_EQ(builder_.View()->backends[0].id, InstanceId("a"));
--- a/tests/unit/store_eras_test.cc
+++ b/tests/unit/store_eras_test.cc
@@ -129,7 +129,7 @@
     replica_.BeginListing();
     const bool is_later_era =
         replica_.is_loaded() && store.at().era() != replica_.at().era();
-    if (is_later_era) answering_since_ = now;
+    if (is_later_era) contact_.OnRestored(now);
     Take(replica_.OnPage(store.List()), now);
     log_.OnListed(replica_.at());
   }
@@ -150,26 +150,25 @@
     log_.OnEvents(relayed->events);
     return true;
   }
-  void OnTime(TimePoint now) { builder_.OnTime(replica_.at(), Contact(), now); }
+  void OnTime(TimePoint now) { builder_.OnTime(replica_.at(), contact_, now); }
   FleetViewPtr View() const { return builder_.View(); }
   const StoreReplica& replica() const { return replica_; }
-  // True if what the store lacks doesn't count as kept for a moment.
+  // True if what the store lacks doesn't count as kept for a moment, and didn't
+  // a step ago.
   bool IsSettled(TimePoint now) const {
-    return now - answering_since_ > seconds(2);
+    return contact_.IsSettled(now - milliseconds(100));
   }
 
  private:
-  FleetBuilder::Contact Contact() const {
-    return {.is_answering = true, .answering_since = answering_since_};
-  }
   void Take(const std::vector<std::string>& keys, TimePoint now) {
-    builder_.OnChanged(keys, replica_, Contact(), now);
+    builder_.OnChanged(keys, replica_, contact_, now);
   }
 
   StoreReplica replica_;
   ChangeLog log_;
   FleetBuilder builder_{platform::Schema(), {}};
-  TimePoint answering_since_;
+  // The store has been there all the time, but for its restores.
+  StoreContact contact_{{.least_absence = std::chrono::hours(10'000)}};
 };
 
 TEST(StoreEras, ARevisionOfALaterEraIsNewer) {
--- a/tests/virtual_store.h
+++ b/tests/virtual_store.h
@@ -90,6 +90,7 @@
       if (is_cut) Fail(watch, Millis(0));
     }
   }
+  Treatment treatment() const { return treatment_; }
   // Cuts the watches in progress; later calls are served as before.
   void CutWatches() {
     for (const auto& watch : std::exchange(watches_, {})) Fail(watch, kDelay);
