Order a backend server's words by start and heartbeat

What callers saw, or could: a server that had said it leaves was used again.

Cause: of the entries under one id the one written last counted, though a heartbeat may be written late: one said before the leaving took it back, one of an earlier start under the same id spoke for the later one, and a late one brought a removed entry back. Class: arrival taken for order.

Change: a word is its start and its heartbeat. One that was certainly said before what is known changes nothing, and doesn't end a departure. Where start or heartbeat aren't told, the entry written last counts, as before.

Ruled out: making a leaving final for a start. A newer word of the server's own counts, as after a restored store.

Before: FleetBuilderTest.ALateHeartbeat… and AnEarlierStart… fail (4 checks).

--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -59,7 +59,7 @@
         &gates_.try_emplace({record.service, record.group}, options_.gate)
              .first->second;
     by_service_[record.service].push_back(record.id);
-    notices_.OnListed(record.id, record.started_ms);
+    notices_.OnListed(record.id, record.word.started_ms);
   }
   std::erase_if(backends_, [](const auto& item) {
     const Backend& backend = item.second;
--- a/src/store/backend_record.h
+++ b/src/store/backend_record.h
@@ -11,6 +11,24 @@
 
 enum class BackendState { kReady, kDraining, kCount };
 
+// Which of the words that a backend server says of itself this one is. Words
+// may be written late, and after newer ones.
+struct BackendWord {
+  // When the backend server started, in ms since 1970 by its own clock; absent:
+  // not told.
+  std::optional<std::int64_t> started_ms;
+  // The heartbeat of that start; absent: not told.
+  std::optional<std::int64_t> heartbeat;
+
+  // True if it was certainly said before `other`.
+  bool IsBefore(const BackendWord& other) const {
+    if (started_ms != other.started_ms) {
+      return started_ms && other.started_ms && *started_ms < *other.started_ms;
+    }
+    return heartbeat && other.heartbeat && *heartbeat < *other.heartbeat;
+  }
+};
+
 struct BackendRecord {
   InstanceId id;  // of one start of the backend server
   ServiceName service;
@@ -22,8 +40,7 @@
   GroupName group;           // in which it is a rank; empty: none, or unknown
   double pace = 1;           // how many times as long as usual it takes
   Revision listed;           // when its entry was created
-  // When it started, in ms since 1970 by its own clock; absent: not told.
-  std::optional<std::int64_t> started_ms;
+  BackendWord word;
 };
 
 }  // namespace mangohold
--- a/src/store/departures.cc
+++ b/src/store/departures.cc
@@ -2,21 +2,21 @@
 
 namespace mangohold {
 
-void Departures::OnLeft(const InstanceId& id,
-                        std::optional<std::int64_t> started_ms,
+void Departures::OnLeft(const InstanceId& id, const BackendWord& word,
                         Revision revision, TimePoint now) {
-  departures_[id] = {.started_ms = started_ms, .revision = revision, .at = now};
+  departures_[id] = {.word = word, .revision = revision, .at = now};
 }
 
-bool Departures::IsOutdated(const InstanceId& id,
-                            std::optional<std::int64_t> started_ms,
+bool Departures::IsOutdated(const InstanceId& id, const BackendWord& word,
                             Revision revision, Revision listed_from) {
   const auto it = departures_.find(id);
   if (it == departures_.end()) return false;
   const Departure& departure = it->second;
   const bool is_from_copy =
       revision.era() > departure.revision.era() && revision <= listed_from;
-  if (is_from_copy && started_ms == departure.started_ms) return true;
+  const bool is_same_start = word.started_ms == departure.word.started_ms;
+  if (is_from_copy && is_same_start) return true;
+  if (word.IsBefore(departure.word)) return true;
   departures_.erase(it);
   return false;
 }
--- a/src/store/fleet_builder.cc
+++ b/src/store/fleet_builder.cc
@@ -132,9 +132,14 @@
         {{"backend", id.value()}, {"error", MessageOf(record.status())}});
     return backends_.erase(id) > 0;
   }
+  if (IsLate(*record)) {
+    Log(LogLevel::kInfo, "backend_entry_late",
+        {{"backend", id.value()}, {"revision", item->revision.number()}});
+    return false;
+  }
   if (record->state == BackendState::kDraining) {
-    departures_.OnLeft(id, record->started_ms, item->revision, now);
-  } else if (departures_.IsOutdated(id, record->started_ms, item->revision,
+    departures_.OnLeft(id, record->word, item->revision, now);
+  } else if (departures_.IsOutdated(id, record->word, item->revision,
                                     replica.listed_from())) {
     Log(LogLevel::kInfo, "backend_entry_outdated",
         {{"backend", id.value()}, {"era", item->revision.era().value()}});
@@ -157,6 +162,12 @@
   return true;
 }
 
+// Late entries change nothing: a newer word of the same id is known.
+bool FleetBuilder::IsLate(const BackendRecord& record) const {
+  const auto known = backends_.find(record.id);
+  return known != backends_.end() && record.word.IsBefore(known->second.word);
+}
+
 bool FleetBuilder::OnTime(Revision at, const StoreContact& contact,
                           TimePoint now) {
   at_ = at;
@@ -180,7 +191,7 @@
   Log(LogLevel::kInfo, "backend_gone", {{"backend", id.value()}});
   const auto backend = backends_.find(id);
   if (backend == backends_.end()) return;
-  departures_.OnLeft(id, backend->second.started_ms, at, now);
+  departures_.OnLeft(id, backend->second.word, at, now);
   const bool was_ready = backend->second.state == BackendState::kReady;
   backends_.erase(backend);
   if (was_ready) {
--- a/src/store/fleet_builder.h
+++ b/src/store/fleet_builder.h
@@ -75,6 +75,7 @@
   void DropBackend(const InstanceId& id, Revision at, Duration kept,
                    TimePoint now);
   void TellDeparture(const DepartureNews& news) const;
+  bool IsLate(const BackendRecord& record) const;
   bool TakeBackend(const std::string& key, const StoreReplica& replica,
                    const StoreContact& contact, TimePoint now);
 
--- a/tests/unit/fleet_builder_test.cc
+++ b/tests/unit/fleet_builder_test.cc
@@ -164,6 +164,40 @@
   EXPECT_EQ(builder_.View()->backends[0].id, InstanceId("new"));
 }
 
+std::string WordText(const char* state, int started_ms, int heartbeat) {
+  return R"({"service":"s","address":"a:1","zone":"north","version":"v1",)"
+         R"("slots":12,"state":")" +
+         std::string(state) + R"(","cold_remaining_ms":0,"sequence":)" +
+         std::to_string(heartbeat) + R"(,"born":)" +
+         std::to_string(started_ms) + "}";
+}
+
+// Guards against a heartbeat, said before the leaving and written after it,
+// that takes the leaving back.
+TEST_F(FleetBuilderTest, ALateHeartbeatDoesNotTakeALeavingBack) {
+  Write("servers/a", WordText("ready", 1'000, 7));
+  Write("servers/a", WordText("draining", 1'000, 9));
+  Write("servers/a", WordText("ready", 1'000, 8));
+  EXPECT_EQ(Backends(), 0U);
+  Remove("servers/a");
+  Write("servers/a", WordText("ready", 1'000, 8));
+  EXPECT_EQ(Backends(), 0U) << "its entry had been removed";
+  Write("servers/a", WordText("ready", 1'000, 10));
+  EXPECT_EQ(Backends(), 1U) << "its own newer word";
+}
+
+// Guards against a late heartbeat of an earlier start under the same id.
+TEST_F(FleetBuilderTest, AnEarlierStartDoesNotSpeakForALaterOne) {
+  Write("servers/a", WordText("ready", 1'000, 50));
+  Write("servers/a", WordText("ready", 2'000, 1));
+  Write("servers/a", WordText("draining", 2'000, 2));
+  Write("servers/a", WordText("ready", 1'000, 51));
+  EXPECT_EQ(Backends(), 0U);
+  Write("servers/a", WordText("ready", 3'000, 1));
+  Write("servers/a", WordText("draining", 2'000, 3));
+  EXPECT_EQ(Backends(), 1U);
+}
+
 TEST_F(FleetBuilderTest, ADeploymentFromAPeerIsTakenIfItIsNewer) {
   Write("op/config", DeploymentText(7));
   EXPECT_TRUE(builder_.TakeDeployment(
