Tie a leaving that an answer told to the start that told it

What callers saw, or could: a server that said in its answers that it leaves got requests again, when a late heartbeat of an earlier start under its id was listed; or a later start under the id never got any, when the first listing after the answer was its own.

Cause: a notice learned its start from the next listing, whichever that was, and any other start ended it.

Change: the notice takes the start under which its server is listed when the answer comes, and only a later start ends it.

Before: BackendNotices.AnEarlierStart… and ALaterStart… fail.

--- a/src/routing/backend_notices.cc
+++ b/src/routing/backend_notices.cc
@@ -24,8 +24,11 @@
   return notice;
 }
 
-bool BackendNotices::OnLeaving(const InstanceId& id, TimePoint now) {
+bool BackendNotices::OnLeaving(const InstanceId& id,
+                               std::optional<std::int64_t> started_ms,
+                               TimePoint now) {
   Notice& notice = NoticeOf(id, now);
+  if (!notice.started_ms) notice.started_ms = started_ms;
   if (notice.leaving_since) return false;
   notice.leaving_since = now;
   return true;
@@ -43,10 +46,10 @@
   const auto it = notices_.find(id);
   if (it == notices_.end() || !started_ms) return;
   Notice& notice = it->second;
-  if (notice.started_ms && notice.started_ms != started_ms) {
-    notices_.erase(it);
-  } else {
+  if (!notice.started_ms) {
     notice.started_ms = started_ms;
+  } else if (*notice.started_ms < *started_ms) {
+    notices_.erase(it);
   }
 }
 
--- a/src/routing/backend_notices.h
+++ b/src/routing/backend_notices.h
@@ -15,13 +15,16 @@
 
 class BackendNotices {
  public:
-  // Its answer said that it is leaving. True if that is news.
-  bool OnLeaving(const InstanceId& id, TimePoint now);
+  // Its answer said that it is leaving; `started_ms` is of its listing by then.
+  // True if that is news.
+  bool OnLeaving(const InstanceId& id, std::optional<std::int64_t> started_ms,
+                 TimePoint now);
   // It refused a request and wants no other one for `quiet`, of which an hour
   // counts at the most.
   void OnQuiet(const InstanceId& id, Millis quiet, TimePoint now);
   // It is listed, as started at `started_ms` by its own clock where that is
-  // known. Another start under the same id hasn't said anything yet.
+  // known. A later start under the same id hasn't said anything yet; an earlier
+  // one says nothing any more.
   void OnListed(const InstanceId& id, std::optional<std::int64_t> started_ms);
 
   // True if it may be sent to.
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -449,7 +449,13 @@
 
 void Dispatcher::OnNotice(const InstanceId& id, bool is_leaving,
                           std::optional<Millis> quiet, TimePoint now) {
-  if (is_leaving) notices_.OnLeaving(id, now);
+  if (is_leaving) {
+    const auto known = backends_.find(id);
+    const auto started_ms = known == backends_.end()
+                                ? std::nullopt
+                                : known->second.record.word.started_ms;
+    notices_.OnLeaving(id, started_ms, now);
+  }
   if (!quiet || *quiet <= Millis(0)) return;
   notices_.OnQuiet(id, *quiet, now);
   Log(LogLevel::kInfo, "backend_quiet",
--- a/tests/unit/backend_notices_test.cc
+++ b/tests/unit/backend_notices_test.cc
@@ -14,8 +14,8 @@
 TEST(BackendNotices, ALeavingOneStaysUnwelcomeWhateverIsListed) {
   BackendNotices notices;
   EXPECT_TRUE(notices.IsWelcome(kId, kNow));
-  EXPECT_TRUE(notices.OnLeaving(kId, kNow));
-  EXPECT_FALSE(notices.OnLeaving(kId, kNow)) << "known already";
+  EXPECT_TRUE(notices.OnLeaving(kId, std::nullopt, kNow));
+  EXPECT_FALSE(notices.OnLeaving(kId, std::nullopt, kNow)) << "known already";
   notices.OnListed(kId, std::nullopt);
   notices.OnListed(kId, 1'000);
   notices.OnListed(kId, 1'000);
@@ -24,12 +24,31 @@
 
 TEST(BackendNotices, AnotherStartUnderTheSameIdIsWelcome) {
   BackendNotices notices;
-  notices.OnLeaving(kId, kNow);
+  notices.OnLeaving(kId, std::nullopt, kNow);
   notices.OnListed(kId, 1'000);
   notices.OnListed(kId, 2'000);
   EXPECT_TRUE(notices.IsWelcome(kId, kNow));
 }
 
+// Guards against a late heartbeat of an earlier start that cancels the leaving.
+TEST(BackendNotices, AnEarlierStartUnderTheSameIdSaysNothing) {
+  BackendNotices notices;
+  notices.OnLeaving(kId, 2'000, kNow);
+  notices.OnListed(kId, 1'000);
+  EXPECT_FALSE(notices.IsWelcome(kId, kNow));
+  notices.OnListed(kId, 2'000);
+  EXPECT_FALSE(notices.IsWelcome(kId, kNow));
+}
+
+// Guards against a start that is never used, since an earlier one had left
+// before the next listing.
+TEST(BackendNotices, ALaterStartThatIsListedFirstIsWelcome) {
+  BackendNotices notices;
+  notices.OnLeaving(kId, 1'000, kNow);
+  notices.OnListed(kId, 2'000);
+  EXPECT_TRUE(notices.IsWelcome(kId, kNow));
+}
+
 TEST(BackendNotices, AQuietOneIsLeftAloneForItsTime) {
   BackendNotices notices;
   notices.OnQuiet(kId, milliseconds(700), kNow);
