Ask again whether a backend server may be sent to once its connection stands

Cause: a request's backend server is chosen, and then a connection may take up to 0.6 s to stand; what became known meanwhile (draining, gone, its zone out, leaving by its answer) didn't count. Class: decided before, sent after.

Change: a connection asks its request right before the bytes go out. One that isn't wanted any more hasn't run: it is sent elsewhere within its retry budget, with reason backend_leaving.

Test: DispatcherTest.ABackendServerThatLeftSinceItWasChosenGetsNothing (without the change there is nobody to ask).

--- a/src/backend/backend_connection.cc
+++ b/src/backend/backend_connection.cc
@@ -75,6 +75,10 @@
         if (self->phase_ != Phase::kConnecting) return;
         self->connect_timer_.cancel();
         if (connect_error) return self->Fail();
+        const auto listener = self->exchange_.listener;
+        if (listener == nullptr || !listener->IsStillWanted()) {
+          return self->Fail();
+        }
         SetPeerOptions(self->socket_);
         self->phase_ = Phase::kBusy;
         self->Write();
--- a/src/backend/backend_connection.h
+++ b/src/backend/backend_connection.h
@@ -27,6 +27,8 @@
 class BackendListener {
  public:
   virtual ~BackendListener() = default;
+  // Asked when a new connection stands, right before the request goes out.
+  virtual bool IsStillWanted() const = 0;
   // Tells whether an answer's head belongs to the request.
   virtual bool IsOwnAnswer(int status, const HttpFields& fields) const = 0;
   virtual void OnBackendHead(int status, const HttpFields& fields) = 0;
--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -208,6 +208,10 @@
   return fields;
 }
 
+bool ForwardRun::IsStillWanted() const {
+  return context_.dispatcher.MayStillSend(attempt_, BootNow());
+}
+
 bool ForwardRun::IsOwnAnswer(int status, const HttpFields& fields) const {
   const AnswerFields answer = context_.dialect.DecodeAnswer(status, fields);
   const bool is_own = !answer.id || *answer.id == job_.fields.id;
@@ -342,6 +346,10 @@
   if (phase_ != Phase::kSent) return;
   connection_ = nullptr;
   events_.DropPartial();
+  if (failure == ExchangeFailure::kNotSent && !IsStillWanted()) {
+    EndAttempt(Dispatcher::Result::kCancelled);
+    return OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendLeaving);
+  }
   if (failure == ExchangeFailure::kNotSent) {
     EndAttempt(Dispatcher::Result::kUnreachable);
     return OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendUnreachable);
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -519,6 +519,13 @@
   }
 }
 
+bool Dispatcher::MayStillSend(AttemptNumber number, TimePoint now) const {
+  const auto sent = sent_.find(number);
+  if (sent == sent_.end()) return false;
+  const InstanceId& id = sent->second.backend;
+  return Knows(id) && !backends_.at(id).is_gone && notices_.IsWelcome(id, now);
+}
+
 // Passes a backend server over for a time that doubles with each failure, as
 // long as enough others are left to bear the load.
 void Dispatcher::Eject(Backend& backend, TimePoint now) {
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -116,6 +116,9 @@
   // The first bytes of the answer came: its prompt has been read.
   void OnAnswerBegun(AttemptNumber number, TimePoint now);
   void OnEnded(AttemptNumber number, Result result, TimePoint now);
+  // True if the attempt's backend server may still be sent to. It may have left
+  // since it was chosen.
+  bool MayStillSend(AttemptNumber number, TimePoint now) const;
   // A request that this backend server failed was failed by another one as
   // well: the failure was the request's own.
   void OnFailedElsewhere(const InstanceId& id);
--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -459,6 +459,23 @@
 
 // A backend server whose entry lapses and comes back, with work in progress
 // there, was counted with less work than it has, and drew all that came.
+// Guards against a send that follows its choice after the backend server left:
+// a connection takes time to stand.
+TEST_F(DispatcherTest, ABackendServerThatLeftSinceItWasChosenGetsNothing) {
+  const InstanceId chosen = SendOne(kDesk);
+  const AttemptNumber attempt = last_;
+  EXPECT_TRUE(dispatcher_.MayStillSend(attempt, now_));
+  auto others = backends_;
+  std::erase_if(others,
+                [&](const auto& record) { return record.id == chosen; });
+  dispatcher_.SetBackends(others);
+  EXPECT_FALSE(dispatcher_.MayStillSend(attempt, now_)) << "the store said so";
+  dispatcher_.SetBackends(backends_);
+  EXPECT_TRUE(dispatcher_.MayStillSend(attempt, now_));
+  dispatcher_.OnNotice(chosen, true, std::nullopt, now_);
+  EXPECT_FALSE(dispatcher_.MayStillSend(attempt, now_)) << "its answer said so";
+}
+
 TEST_F(DispatcherTest, ABackendServerThatIsListedAgainKeepsItsCounts) {
   const auto running = FillGroup();
   std::vector<BackendRecord> fewer(backends_.begin() + 1, backends_.end());
