--- a/src/caller/entry_control.cc
+++ b/src/caller/entry_control.cc
@@ -26,23 +26,26 @@
       counters_(counters),
       options_(std::move(options)),
       handlers_(std::move(handlers)),
-      builder_(options_.schema, {}),
+      builder_(options_.schema,
+               {.on_departure =
+                    [this](const DepartureNews& news) { OnDeparture(news); }}),
       follower_(
           loop, store,
           {.ignored_prefixes = {options_.schema.leader_prefix,
                                 options_.schema.demand_prefix}},
           {.on_changed = [this](const auto& keys) { OnChanged(keys); },
-           .on_confirmed = [this](TimePoint as_of) { OnConfirmed(as_of); },
-           .on_contact = [](bool /*is_answering*/) {}}),
+           .on_confirmed = [this](TimePoint as_of) { OnConfirmed(as_of); }}),
       watchers_(http,
                 {.choice = {.self = options_.self,
                             .most_direct = options_.most_direct_followers}},
                 [this](Revision after) { return follower_.Tell(after); }),
-      lease_(loop, store,
-             {.key = options_.schema.member_prefix + options_.self.id.value(),
-              .value = EncodeMember(options_.self),
-              .ttl = kLeaseTtl,
-              .renewal = kLeaseRenewal}),
+      lease_(
+          loop, store,
+          {.on_renewed = [this](TimePoint sent) { contact_.OnAnswered(sent); },
+           .key = options_.schema.member_prefix + options_.self.id.value(),
+           .value = EncodeMember(options_.self),
+           .ttl = kLeaseTtl,
+           .renewal = kLeaseRenewal}),
       ready_(loop.io(),
              {.address = options_.ready_address,
               .max_connections = kMostAdminConnections},
@@ -60,7 +63,9 @@
                     const std::shared_ptr<HttpExchange>& exchange) {
                HandleAdmin(request, exchange);
              }),
-      http_(http) {}
+      http_(http) {
+  store.AddEraListener([this] { contact_.OnRestored(BootNow()); });
+}
 
 absl::Status EntryControl::Start() {
   for (HttpServer* server : {&ready_, &directory_, &admin_}) {
@@ -74,14 +79,9 @@
   return absl::OkStatus();
 }
 
-FleetBuilder::Contact EntryControl::Contact() const {
-  return {.is_answering = follower_.is_answering(),
-          .answering_since = follower_.answering_since()};
-}
-
 void EntryControl::OnChanged(const std::vector<std::string>& keys) {
   const bool is_new =
-      builder_.OnChanged(keys, follower_.replica(), Contact(), BootNow());
+      builder_.OnChanged(keys, follower_.replica(), contact_, BootNow());
   if (is_new) Publish();
   watchers_.AnswerDue();
   const std::string own =
@@ -91,7 +91,26 @@
   if (is_missing) lease_.OnMissing();
 }
 
+// The store can't have acknowledged it before the last confirmation, by which
+// this entry knew all changes until then.
+void EntryControl::OnDeparture(const DepartureNews& news) {
+  const DepartureWay way = watchers_.source().empty() ? DepartureWay::kStore
+                                                      : DepartureWay::kWatcher;
+  const Duration lag = BootNow() - confirmed_as_of_ + news.kept;
+  counters_.CountDeparture(way);
+  counters_.Record(Timing::kDeparture, lag);
+  Log(LogLevel::kInfo, "backend_departed",
+      {{"backend", news.backend.value()},
+       {"removed", static_cast<int>(news.is_removed)},
+       {"way", Name(way)},
+       {"through", watchers_.source().value()},
+       {"revision", follower_.replica().at().number()},
+       {"known_within_ms", ToMillis(lag)},
+       {"kept_ms", ToMillis(news.kept)}});
+}
+
 void EntryControl::OnConfirmed(TimePoint as_of) {
+  contact_.OnAnswered(as_of);
   confirmed_as_of_ = std::max(confirmed_as_of_, as_of);
   handlers_.on_confirmed(confirmed_as_of_);
 }
@@ -99,7 +118,7 @@
 void EntryControl::Tick() {
   watchers_.AnswerDue();
   const Revision at = follower_.replica().at();
-  if (builder_.OnTime(at, Contact(), BootNow())) Publish();
+  if (builder_.OnTime(at, contact_, BootNow())) Publish();
 }
 
 void EntryControl::Publish() { handlers_.on_view(builder_.View()); }
--- a/src/caller/entry_control.h
+++ b/src/caller/entry_control.h
@@ -59,13 +59,14 @@
                    const std::shared_ptr<HttpExchange>& exchange);
   bool IsReady() const;
   DirectoryAnswer Answer(const DirectoryQuestion& question) const;
-  FleetBuilder::Contact Contact() const;
+  void OnDeparture(const DepartureNews& news);
 
   EventLoop& loop_;
   Counters& counters_;
   Options options_;
   Handlers handlers_;
   FleetBuilder builder_;
+  StoreContact contact_;
   StoreFollower follower_;
   ZoneWatchers watchers_;
   LeaseKeeper lease_;
--- a/src/caller/forward_run.h
+++ b/src/caller/forward_run.h
@@ -39,6 +39,7 @@
   AttemptNumber attempt() const { return attempt_; }
   bool is_finished() const { return phase_ == Phase::kFinished; }
 
+  bool IsStillWanted() const override;
   bool IsOwnAnswer(int status, const HttpFields& fields) const override;
   void OnBackendHead(int status, const HttpFields& fields) override;
   void OnBackendBody(std::string_view data) override;
@@ -50,6 +51,8 @@
 
   void Submit();
   void Send(const BackendRecord& backend);
+  void LogSend(TimePoint now) const;
+  void TakeNotice(TimePoint now);
   HttpFields FieldsFor(const BackendRecord& backend, TimePoint now) const;
   TimePoint GiveUpTime() const;
   double ExpectedEvents() const;
@@ -83,6 +86,7 @@
   // The first backend server that answered with a failure of its own.
   std::optional<InstanceId> failed_by_;
   TimePoint sent_at_;
+  Revision sent_by_;  // the view by which the backend server was chosen
   std::optional<TimePoint> last_event_at_;  // of this attempt
   // The answer in progress.
   int status_ = 0;
--- a/src/peer/zone_watchers.cc
+++ b/src/peer/zone_watchers.cc
@@ -12,10 +12,7 @@
 
 // The watcher and the one that stands by.
 constexpr std::size_t kServingPerZone = 2;
-constexpr std::size_t kMostQuestions = 512;
 constexpr Millis kConnectTimeout{300};
-// What an answer may take beyond the time for which a question is held.
-constexpr Millis kAnswerTimeout{500};
 
 }  // namespace
 
@@ -58,16 +55,12 @@
   avoided_until_[watcher] = now + options_.avoidance;
 }
 
-void WatcherChoice::OnAnswer(const InstanceId& watcher, Duration age,
-                             TimePoint now) {
-  if (age > options_.most_age) OnFailed(watcher, now);
-}
-
-ZoneWatchers::ZoneWatchers(HttpClient& http, Options options, Source source)
+ZoneWatchers::ZoneWatchers(HttpClient& http, const Options& options,
+                           HeldQuestions::Source source)
     : http_(http),
-      options_(options),
-      source_(std::move(source)),
-      choice_(std::move(options.choice)) {}
+      patience_(options.questions.patience),
+      choice_(options.choice),
+      questions_(options.questions, std::move(source)) {}
 
 bool ZoneWatchers::Watch(Revision after, OnEvents on_events) {
   const auto watcher = choice_.Choose(BootNow());
@@ -76,9 +69,7 @@
   const std::string url = "http://" + watcher->admin.value() + kPath +
                           "?after=" + std::to_string(after.packed());
   Fetch(http_,
-        {.url = url,
-         .connect_timeout = kConnectTimeout,
-         .timeout = options_.wait + kAnswerTimeout},
+        {.url = url, .connect_timeout = kConnectTimeout, .timeout = patience_},
         [this, id = watcher->id,
          on_events = std::move(on_events)](const HttpResponse& response) {
           const bool is_whole = response.result == HttpResult::kComplete &&
@@ -87,9 +78,7 @@
               is_whole ? DecodeRelayed(response.body)
                        : absl::StatusOr<RelayedEvents>(absl::UnavailableError(
                              "no answer of " + id.value()));
-          if (relayed.ok()) {
-            choice_.OnAnswer(id, relayed->age, BootNow());
-          } else {
+          if (!relayed.ok()) {
             choice_.OnFailed(id, BootNow());
             Log(LogLevel::kInfo, "watcher_failed",
                 {{"watcher", id.value()}, {"status", response.status}});
@@ -110,37 +99,15 @@
                               const std::shared_ptr<HttpExchange>& exchange) {
   const auto after = ParseInteger(request.QueryValue("after"));
   if (!after || *after < 0) return exchange->Reply(400, {}, "no revision\n");
-  const bool can_answer = choice_.IsServing() &&
-                          questions_.size() < kMostQuestions &&
-                          source_(Revision::FromPacked(*after));
-  if (!can_answer) return exchange->Reply(503, {}, "not a watcher\n");
-  questions_.push_back({.after = Revision::FromPacked(*after),
-                        .asked = BootNow(),
-                        .exchange = exchange});
-  AnswerDue();
-}
-
-void ZoneWatchers::AnswerDue() {
-  const TimePoint now = BootNow();
-  std::erase_if(questions_, [this, now](const Question& question) {
-    return Answer(question, now);
-  });
-}
-
-// False if nothing has happened, and the question can be held longer.
-bool ZoneWatchers::Answer(const Question& question, TimePoint now) {
-  auto relayed = source_(question.after);
-  if (!relayed) {
-    question.exchange->Reply(410, {}, "forgotten\n");
-    return true;
-  }
-  relayed->held = now - question.asked;
-  if (relayed->events.events.empty() && relayed->held < options_.wait) {
-    return false;
-  }
-  question.exchange->Reply(200, {{"Content-Type", "application/cbor"}},
-                           EncodeRelayed(*relayed));
-  return true;
+  const auto reply = [exchange](const std::optional<RelayedEvents>& relayed) {
+    if (!relayed) return exchange->Reply(410, {}, "not known here\n");
+    exchange->Reply(200, {{"Content-Type", "application/cbor"}},
+                    EncodeRelayed(*relayed));
+  };
+  const bool is_taken =
+      choice_.IsServing() &&
+      questions_.Take(Revision::FromPacked(*after), BootNow(), reply);
+  if (!is_taken) exchange->Reply(503, {}, "not a watcher\n");
 }
 
 }  // namespace mangohold
--- a/src/peer/zone_watchers.h
+++ b/src/peer/zone_watchers.h
@@ -15,6 +15,7 @@
 #include "net/http_client.h"
 #include "net/http_message.h"
 #include "net/http_server.h"
+#include "peer/held_questions.h"
 #include "store/change_relay.h"
 #include "store/member.h"
 
@@ -29,8 +30,6 @@
     int most_direct = 12;
     // A watcher that failed, or was found behind, isn't asked for this long.
     Duration avoidance = std::chrono::seconds(3);
-    // A watcher whose knowledge is older than this is behind.
-    Duration most_age = std::chrono::milliseconds(2'600);
   };
 
   explicit WatcherChoice(Options options) : options_(std::move(options)) {}
@@ -44,7 +43,6 @@
   // The watcher to ask; nothing if the store is to be asked.
   std::optional<Member> Choose(TimePoint now) const;
   void OnFailed(const InstanceId& watcher, TimePoint now);
-  void OnAnswer(const InstanceId& watcher, Duration age, TimePoint now);
 
  private:
   Options options_;
@@ -60,45 +58,37 @@
  public:
   struct Options {
     WatcherChoice::Options choice;
-    // A question is held for this long when nothing changes.
-    Millis wait{800};
+    HeldQuestions::Options questions;
   };
-  // What a watcher answers with now: nothing if it doesn't know all changes
-  // after the revision.
-  using Source = std::function<std::optional<RelayedEvents>(Revision after)>;
 
-  ZoneWatchers(HttpClient& http, Options options, Source source);
+  ZoneWatchers(HttpClient& http, const Options& options,
+               HeldQuestions::Source source);
 
   void SetAlive(const std::vector<Member>& alive) { choice_.SetAlive(alive); }
 
   bool Watch(Revision after, OnEvents on_events) override;
-  bool IsWatcher() const override { return choice_.IsWatcher(); }
+  bool IsServing() const override { return choice_.IsServing(); }
+
+  // The watcher that was asked last; empty: the store itself.
+  const InstanceId& source() const { return source_watcher_; }
 
   // Takes a question of another entry.
   void OnQuestion(const HttpRequest& request,
                   const std::shared_ptr<HttpExchange>& exchange);
   // Answers those that something is there for, or that were held long enough.
   // Call it after changes and from time to time.
-  void AnswerDue();
+  void AnswerDue() { questions_.AnswerDue(BootNow()); }
 
   static constexpr char kPath[] = "/changes";
 
  private:
-  struct Question {
-    Revision after;
-    TimePoint asked;
-    std::shared_ptr<HttpExchange> exchange;
-  };
-
-  bool Answer(const Question& question, TimePoint now);
   void LogSource(const InstanceId& watcher);
 
   HttpClient& http_;
-  Options options_;
-  Source source_;
+  Millis patience_;  // with a question of this entry
   WatcherChoice choice_;
-  std::vector<Question> questions_;
-  InstanceId source_watcher_;  // asked last; empty: the store itself
+  HeldQuestions questions_;
+  InstanceId source_watcher_;
 };
 
 }  // namespace mangohold
--- a/src/routing/backend_notices.cc
+++ b/src/routing/backend_notices.cc
@@ -24,8 +24,14 @@
   return notice;
 }
 
-bool BackendNotices::OnLeaving(const InstanceId& id, TimePoint now) {
-  return !std::exchange(NoticeOf(id, now).is_leaving, true);
+bool BackendNotices::OnLeaving(const InstanceId& id,
+                               std::optional<std::int64_t> started_ms,
+                               TimePoint now) {
+  Notice& notice = NoticeOf(id, now);
+  if (!notice.started_ms) notice.started_ms = started_ms;
+  if (notice.leaving_since) return false;
+  notice.leaving_since = now;
+  return true;
 }
 
 void BackendNotices::OnQuiet(const InstanceId& id, Millis quiet,
@@ -40,10 +46,10 @@
   const auto it = notices_.find(id);
   if (it == notices_.end() || !started_ms) return;
   Notice& notice = it->second;
-  if (notice.started_ms && notice.started_ms != started_ms) {
-    notices_.erase(it);
-  } else {
+  if (!notice.started_ms) {
     notice.started_ms = started_ms;
+  } else if (*notice.started_ms < *started_ms) {
+    notices_.erase(it);
   }
 }
 
@@ -52,8 +58,13 @@
 }
 
 bool BackendNotices::IsLeaving(const InstanceId& id) const {
+  return LeavingSince(id).has_value();
+}
+
+std::optional<TimePoint> BackendNotices::LeavingSince(
+    const InstanceId& id) const {
   const auto it = notices_.find(id);
-  return it != notices_.end() && it->second.is_leaving;
+  return it == notices_.end() ? std::nullopt : it->second.leaving_since;
 }
 
 TimePoint BackendNotices::QuietUntil(const InstanceId& id) const {
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -59,7 +59,7 @@
         &gates_.try_emplace({record.service, record.group}, options_.gate)
              .first->second;
     by_service_[record.service].push_back(record.id);
-    notices_.OnListed(record.id, record.started_ms);
+    notices_.OnListed(record.id, record.word.started_ms);
   }
   std::erase_if(backends_, [](const auto& item) {
     const Backend& backend = item.second;
@@ -449,8 +449,12 @@
 
 void Dispatcher::OnNotice(const InstanceId& id, bool is_leaving,
                           std::optional<Millis> quiet, TimePoint now) {
-  if (is_leaving && notices_.OnLeaving(id, now)) {
-    Log(LogLevel::kInfo, "backend_leaving", {{"backend", id.value()}});
+  if (is_leaving) {
+    const auto known = backends_.find(id);
+    const auto started_ms = known == backends_.end()
+                                ? std::nullopt
+                                : known->second.record.word.started_ms;
+    notices_.OnLeaving(id, started_ms, now);
   }
   if (!quiet || *quiet <= Millis(0)) return;
   notices_.OnQuiet(id, *quiet, now);
@@ -515,6 +519,13 @@
   }
 }
 
+bool Dispatcher::MayStillSend(AttemptNumber number, TimePoint now) const {
+  const auto sent = sent_.find(number);
+  if (sent == sent_.end()) return false;
+  const InstanceId& id = sent->second.backend;
+  return Knows(id) && !backends_.at(id).is_gone && notices_.IsWelcome(id, now);
+}
+
 // Passes a backend server over for a time that doubles with each failure, as
 // long as enough others are left to bear the load.
 void Dispatcher::Eject(Backend& backend, TimePoint now) {
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -116,6 +116,9 @@
   // The first bytes of the answer came: its prompt has been read.
   void OnAnswerBegun(AttemptNumber number, TimePoint now);
   void OnEnded(AttemptNumber number, Result result, TimePoint now);
+  // True if the attempt's backend server may still be sent to. It may have left
+  // since it was chosen.
+  bool MayStillSend(AttemptNumber number, TimePoint now) const;
   // A request that this backend server failed was failed by another one as
   // well: the failure was the request's own.
   void OnFailedElsewhere(const InstanceId& id);
@@ -123,6 +126,10 @@
   // long it wants nothing more.
   void OnNotice(const InstanceId& id, bool is_leaving,
                 std::optional<Millis> quiet, TimePoint now);
+  // When an answer first said that the backend server is leaving.
+  std::optional<TimePoint> LeavingSince(const InstanceId& id) const {
+    return notices_.LeavingSince(id);
+  }
   // A stream brought an event `gap` after the one before.
   void OnEventGap(AttemptNumber number, Duration gap, TimePoint now);
 
--- a/src/store/change_relay.h
+++ b/src/store/change_relay.h
@@ -19,9 +19,6 @@
   Duration age{0};
   // How long the question was held before the answer.
   Duration held{0};
-  // Whether the store answers the teller, and since how long.
-  bool is_answering = false;
-  Duration answering_for{0};
 };
 
 std::string EncodeRelayed(const RelayedEvents& relayed);
@@ -36,8 +33,8 @@
   // Asks another entry for the changes after `after`. False if none is to be
   // asked, so that the store is.
   virtual bool Watch(Revision after, OnEvents on_events) = 0;
-  // True while others follow the store through this entry.
-  virtual bool IsWatcher() const = 0;
+  // True while others may follow the store through this entry.
+  virtual bool IsServing() const = 0;
 };
 
 }  // namespace mangohold
--- a/src/store/fleet_builder.cc
+++ b/src/store/fleet_builder.cc
@@ -10,12 +10,13 @@
 
 FleetBuilder::FleetBuilder(StoreSchema schema, Options options)
     : schema_(std::move(schema)),
-      options_(options),
-      departures_(options.departure_memory) {}
+      options_(std::move(options)),
+      departures_(options_.departure_memory) {}
 
 bool FleetBuilder::OnChanged(const std::vector<std::string>& keys,
                              const StoreReplica& replica,
-                             const Contact& contact, TimePoint now) {
+                             const StoreContact& contact, TimePoint now) {
+  at_ = replica.at();
   bool has_changed = false;
   for (const std::string& key : keys) {
     const StoreItem* item = replica.Find(key);
@@ -109,16 +110,19 @@
 
 bool FleetBuilder::TakeBackend(const std::string& key,
                                const StoreReplica& replica,
-                               const Contact& contact, TimePoint now) {
+                               const StoreContact& contact, TimePoint now) {
   const InstanceId id(key.substr(schema_.backend_prefix.size()));
   const StoreItem* item = replica.Find(key);
   if (item == nullptr) {
-    if (IsUnsettled(contact, now)) {
-      unlisted_.insert(id);
+    if (!contact.IsSettled(now)) {
+      const bool is_news = unlisted_.try_emplace(id, now).second;
+      if (is_news) {
+        Log(LogLevel::kInfo, "backend_kept", {{"backend", id.value()}});
+      }
       return false;
     }
     const bool was_known = backends_.contains(id);
-    DropBackend(id, replica.at(), now);
+    DropBackend(id, replica.at(), Duration(0), now);
     return was_known;
   }
   unlisted_.erase(id);
@@ -128,9 +132,14 @@
         {{"backend", id.value()}, {"error", MessageOf(record.status())}});
     return backends_.erase(id) > 0;
   }
+  if (IsLate(*record)) {
+    Log(LogLevel::kInfo, "backend_entry_late",
+        {{"backend", id.value()}, {"revision", item->revision.number()}});
+    return false;
+  }
   if (record->state == BackendState::kDraining) {
-    departures_.OnLeft(id, record->started_ms, item->revision, now);
-  } else if (departures_.IsOutdated(id, record->started_ms, item->revision,
+    departures_.OnLeft(id, record->word, item->revision, now);
+  } else if (departures_.IsOutdated(id, record->word, item->revision,
                                     replica.listed_from())) {
     Log(LogLevel::kInfo, "backend_entry_outdated",
         {{"backend", id.value()}, {"era", item->revision.era().value()}});
@@ -142,37 +151,56 @@
        {"address", record->address.value()},
        {"draining", static_cast<int>(record->state == BackendState::kDraining)},
        {"revision", item->revision.number()}});
+  const auto known = backends_.find(id);
+  const bool was_ready =
+      known != backends_.end() && known->second.state == BackendState::kReady;
+  if (was_ready && record->state == BackendState::kDraining) {
+    TellDeparture({.backend = id});
+  }
   backends_[id] = *record;
   backends_[id].listed = item->created;
   return true;
 }
 
-bool FleetBuilder::IsUnsettled(const Contact& contact, TimePoint now) const {
-  return !contact.is_answering ||
-         now - contact.answering_since < options_.unlisted_memory;
+// Late entries change nothing: a newer word of the same id is known.
+bool FleetBuilder::IsLate(const BackendRecord& record) const {
+  const auto known = backends_.find(record.id);
+  return known != backends_.end() && record.word.IsBefore(known->second.word);
 }
 
-bool FleetBuilder::OnTime(Revision at, const Contact& contact, TimePoint now) {
+bool FleetBuilder::OnTime(Revision at, const StoreContact& contact,
+                          TimePoint now) {
+  at_ = at;
   departures_.Forget(now);
   const bool has_unlisted = DropUnlisted(contact, at, now);
   return DropLostZones(now) || has_unlisted;
 }
 
-bool FleetBuilder::DropUnlisted(const Contact& contact, Revision at,
+bool FleetBuilder::DropUnlisted(const StoreContact& contact, Revision at,
                                 TimePoint now) {
-  if (unlisted_.empty() || IsUnsettled(contact, now)) return false;
-  for (const InstanceId& id : unlisted_) DropBackend(id, at, now);
+  if (unlisted_.empty() || !contact.IsSettled(now)) return false;
+  for (const auto& [id, since] : unlisted_) {
+    DropBackend(id, at, now - since, now);
+  }
   unlisted_.clear();
   return true;
 }
 
-void FleetBuilder::DropBackend(const InstanceId& id, Revision at,
+void FleetBuilder::DropBackend(const InstanceId& id, Revision at, Duration kept,
                                TimePoint now) {
   Log(LogLevel::kInfo, "backend_gone", {{"backend", id.value()}});
   const auto backend = backends_.find(id);
   if (backend == backends_.end()) return;
-  departures_.OnLeft(id, backend->second.started_ms, at, now);
+  departures_.OnLeft(id, backend->second.word, at, now);
+  const bool was_ready = backend->second.state == BackendState::kReady;
   backends_.erase(backend);
+  if (was_ready) {
+    TellDeparture({.backend = id, .is_removed = true, .kept = kept});
+  }
+}
+
+void FleetBuilder::TellDeparture(const DepartureNews& news) const {
+  if (options_.on_departure) options_.on_departure(news);
 }
 
 bool FleetBuilder::DropLostZones(TimePoint now) {
@@ -192,6 +220,7 @@
 FleetViewPtr FleetBuilder::View() const {
   auto view = std::make_shared<FleetView>();
   view->routes = routes_;
+  view->revision = at_;
   std::map<Endpoint, Revision> newest;
   for (const auto& [id, record] : backends_) {
     newest[record.address] = std::max(newest[record.address], record.listed);
--- a/src/store/store_follower.cc
+++ b/src/store/store_follower.cc
@@ -14,14 +14,14 @@
 // A watch without events waited at the store for at least this share of the
 // wait, whatever the clocks' drift.
 constexpr double kCertainWait = 0.9;
-// Of the first watch after a listing.
-constexpr Millis kFirstWait{100};
+// Of a watch that is to tell soon whether the store answers.
+constexpr Millis kShortWait{100};
 
 }  // namespace
 
-StoreFollower::StoreFollower(EventLoop& loop, Store& store, Options options,
-                             Handlers handlers)
-    : loop_(loop),
+StoreFollower::StoreFollower(Scheduler& scheduler, Store& store,
+                             Options options, Handlers handlers)
+    : scheduler_(scheduler),
       store_(store),
       options_(std::move(options)),
       handlers_(std::move(handlers)),
@@ -34,22 +34,18 @@
 void StoreFollower::List(Freshness freshness) {
   replica_.BeginListing();
   listing_ = freshness;
-  listing_began_ = BootNow();
+  listing_began_ = scheduler_.Now();
   store_.List(kAllKeys, "", freshness, [this](auto page) { OnPage(page); });
 }
 
 void StoreFollower::OnPage(const absl::StatusOr<StorePage>& page) {
   if (!page.ok()) {
     OnFailure(page.status());
-    loop_.After(retry_, [this] { List(listing_); });
+    scheduler_.After(retry_, [this] { List(listing_); });
     return;
   }
   OnAnswer();
   if (!replica_.Fits(*page)) return List(Freshness::kLinearizable);
-  // A store that came back from an older copy had been away, however shortly.
-  const bool is_later_era =
-      replica_.is_loaded() && page->at.era() != replica_.at().era();
-  if (is_later_era) answering_since_ = BootNow();
   const bool is_last = !page->has_more || page->items.empty();
   Report(replica_.OnPage(*page));
   if (!is_last) {
@@ -59,12 +55,12 @@
   }
   log_.OnListed(replica_.at());
   if (listing_ == Freshness::kLinearizable) Confirm(listing_began_);
-  is_first_watch_ = true;
+  is_short_watch_ = true;
   WatchStore();
 }
 
 void StoreFollower::Watch() {
-  const TimePoint sent = BootNow();
+  const TimePoint sent = scheduler_.Now();
   const bool is_relayed =
       relay_ != nullptr &&
       relay_->Watch(replica_.at(), [this, sent](const auto& relayed) {
@@ -73,12 +69,13 @@
   if (!is_relayed) WatchStore();
 }
 
-// The first watch is short: what was listed may be old.
+// The first watch is short, since what was listed may be old; so is one after a
+// failure, which tells soon whether it was more than a watch that was cut.
 void StoreFollower::WatchStore() {
-  const TimePoint sent = BootNow();
-  const bool is_watcher = relay_ != nullptr && relay_->IsWatcher();
-  const Millis wait = std::exchange(is_first_watch_, false) ? kFirstWait
-                      : is_watcher ? options_.watcher_wait
+  const TimePoint sent = scheduler_.Now();
+  const bool is_serving = relay_ != nullptr && relay_->IsServing();
+  const Millis wait = std::exchange(is_short_watch_, false) ? kShortWait
+                      : is_serving ? options_.serving_wait
                                    : options_.watch_wait;
   store_.Watch(kAllKeys, replica_.at(), wait, [this, sent, wait](auto events) {
     OnEvents(events, sent, wait);
@@ -90,17 +87,15 @@
 void StoreFollower::OnRelayed(const absl::StatusOr<RelayedEvents>& relayed,
                               TimePoint sent) {
   if (!relayed.ok()) {
-    loop_.After(options_.first_retry, [this] { Watch(); });
-    return;
+    return Watch();
   }
   // An answer of another era was given before this process, or the other one,
   // knew of the change.
   if (relayed->events.at.era() != replica_.at().era()) return Watch();
-  const TimePoint now = BootNow();
+  OnAnswer();
   const auto scaled = [](Duration duration, double factor) {
     return std::chrono::duration_cast<Duration>(duration * factor);
   };
-  OnContact(relayed->is_answering, now - relayed->answering_for);
   Report(replica_.OnEvents(relayed->events));
   log_.OnEvents(relayed->events);
   Confirm(sent + scaled(relayed->held, 1 - options_.drift) -
@@ -112,7 +107,7 @@
                              TimePoint sent, Millis wait) {
   if (!events.ok()) {
     OnFailure(events.status());
-    loop_.After(retry_, [this] { Watch(); });
+    scheduler_.After(retry_, [this] { Watch(); });
     return;
   }
   OnAnswer();
@@ -132,16 +127,16 @@
   const Duration waited =
       events->events.empty()
           ? std::min<Duration>(
-                BootNow() - sent,
+                scheduler_.Now() - sent,
                 std::chrono::duration_cast<Duration>(wait * kCertainWait))
           : Duration(0);
   const StoreEvents followed = WithoutIgnored(*events);
   Report(replica_.OnEvents(followed));
   log_.OnEvents(followed);
-  const bool was_cut_short = BootNow() - sent < wait;
+  const bool was_cut_short = scheduler_.Now() - sent < wait;
   Confirm(was_cut_short ? sent : sent + waited);
   if (was_cut_short) {
-    loop_.After(options_.batch, [this] { Watch(); });
+    scheduler_.After(options_.batch, [this] { Watch(); });
     return;
   }
   Watch();
@@ -167,32 +162,30 @@
 
 std::optional<RelayedEvents> StoreFollower::Tell(Revision after) const {
   auto events = log_.Since(after);
-  if (!events || confirmed_as_of_ == TimePoint()) return std::nullopt;
-  const TimePoint now = BootNow();
+  if (!events || IsBehind()) return std::nullopt;
   return RelayedEvents{.events = *std::move(events),
-                       .age = now - confirmed_as_of_,
-                       .is_answering = is_answering_,
-                       .answering_for = now - answering_since_};
+                       .age = scheduler_.Now() - confirmed_as_of_};
+}
+
+bool StoreFollower::IsBehind() const {
+  const TimePoint now = scheduler_.Now();
+  const bool is_failing =
+      lost_since_ && now - *lost_since_ > options_.most_told_failing;
+  return is_failing || now - confirmed_as_of_ > options_.most_told_age;
 }
 
 void StoreFollower::OnAnswer() {
   retry_ = options_.first_retry;
-  if (!is_answering_) OnContact(true, BootNow());
+  if (!std::exchange(lost_since_, std::nullopt)) return;
+  Log(LogLevel::kInfo, "store_answers");
 }
 
 void StoreFollower::OnFailure(const absl::Status& status) {
   retry_ = std::min(options_.longest_retry, retry_ * 2);
-  if (!is_answering_) return;
+  is_short_watch_ = true;
+  if (lost_since_) return;
+  lost_since_ = scheduler_.Now();
   Log(LogLevel::kWarning, "store_lost", {{"error", MessageOf(status)}});
-  OnContact(false, BootNow());
-}
-
-// `since` counts while the store answers.
-void StoreFollower::OnContact(bool is_answering, TimePoint since) {
-  answering_since_ = since;
-  if (std::exchange(is_answering_, is_answering) == is_answering) return;
-  if (is_answering) Log(LogLevel::kInfo, "store_answers");
-  handlers_.on_contact(is_answering);
 }
 
 void StoreFollower::Report(const std::vector<std::string>& keys) {
--- a/src/store/store_follower.h
+++ b/src/store/store_follower.h
@@ -2,11 +2,12 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "core/clock.h"
-#include "net/event_loop.h"
+#include "core/scheduler.h"
 #include "store/change_log.h"
 #include "store/change_relay.h"
 #include "store/store.h"
@@ -20,15 +21,19 @@
   struct Handlers {
     // The keys that changed, once the replica holds the changes.
     std::function<void(const std::vector<std::string>& keys)> on_changed;
-    // Every change acknowledged before `as_of` (by `BootNow`) is known.
+    // Every change acknowledged before `as_of` (by the scheduler's time) is
+    // known.
     std::function<void(TimePoint as_of)> on_confirmed;
-    // The store stopped or began again to answer.
-    std::function<void(bool is_answering)> on_contact;
   };
   struct Options {
     Millis watch_wait{2'000};
     // The same while others follow the store through this process.
-    Millis watcher_wait{1'500};
+    Millis serving_wait{1'000};
+    // Others are told nothing when this process was last told all changes
+    // longer ago, or when its calls to the store have failed for so long: what
+    // they learn late through it they would learn in time elsewhere.
+    Duration most_told_age = std::chrono::milliseconds(2'000);
+    Duration most_told_failing = std::chrono::milliseconds(400);
     // After events the next watch waits for this long, so that changes that
     // come in quick succession cost one call.
     Millis batch{200};
@@ -41,7 +46,7 @@
     double drift = 0.01;
   };
 
-  StoreFollower(EventLoop& loop, Store& store, Options options,
+  StoreFollower(Scheduler& scheduler, Store& store, Options options,
                 Handlers handlers);
 
   // From now on changes are asked for there where possible. It outlives this
@@ -49,13 +54,9 @@
   void SetRelay(ChangeRelay& relay) { relay_ = &relay; }
   void Start();
   // The changes after `after` and how fresh they are, for others; nothing if
-  // some were forgotten.
+  // some were forgotten, or if this process may be behind.
   std::optional<RelayedEvents> Tell(Revision after) const;
   const StoreReplica& replica() const { return replica_; }
-  bool is_answering() const { return is_answering_; }
-  // When the store last began to answer again after it had failed to, by
-  // `BootNow`.
-  TimePoint answering_since() const { return answering_since_; }
 
  private:
   void List(Freshness freshness);
@@ -66,13 +67,13 @@
   void Confirm(TimePoint as_of);
   void OnEvents(const absl::StatusOr<StoreEvents>& events, TimePoint sent,
                 Millis wait);
+  bool IsBehind() const;
   void OnAnswer();
   void OnFailure(const absl::Status& status);
-  void OnContact(bool is_answering, TimePoint since);
   StoreEvents WithoutIgnored(const StoreEvents& events) const;
   void Report(const std::vector<std::string>& keys);
 
-  EventLoop& loop_;
+  Scheduler& scheduler_;
   Store& store_;
   Options options_;
   Handlers handlers_;
@@ -81,11 +82,11 @@
   ChangeRelay* relay_ = nullptr;
   Freshness listing_ = Freshness::kMayBeStale;
   TimePoint listing_began_;
-  bool is_first_watch_ = true;
+  bool is_short_watch_ = true;  // the next one
   TimePoint confirmed_as_of_;
   Millis retry_;
-  bool is_answering_ = false;
-  TimePoint answering_since_;
+  // Since when neither the store nor a watcher tells anything.
+  std::optional<TimePoint> lost_since_ = TimePoint();
 };
 
 }  // namespace mangohold
