--- a/tests/system/direct_way_test.cc
+++ b/tests/system/direct_way_test.cc
@@ -144,11 +144,13 @@
 
 // The machine of one backend server stands still in mid-stream, while streams
 // of the other one go on. There are more callers than it has slots.
-TEST(DirectWay, AStuckStreamGoesOnElsewhereWithinTheSameAnswer) {
+// One of two backend servers stands still, as `manner` says, while streams of
+// the other one go on: each of its streams goes on there, whole.
+void ExpectStuckStreamsToGoOn(Manner manner) {
   constexpr int kCallers = 12;
   DirectSite site({.backends = 2});
   site.Start();
-  site.backend(0).SetManner(Manner::kStickStream);
+  site.backend(0).SetManner(manner);
   site.backend(1).SetManner(Manner::kStream);
   std::atomic<bool> is_over = false;
   std::mutex mutex;
@@ -184,6 +186,15 @@
             std::string::npos);
 }
 
+TEST(DirectWay, AStuckStreamGoesOnElsewhereWithinTheSameAnswer) {
+  ExpectStuckStreamsToGoOn(Manner::kStickStream);
+}
+
+// Its machine stops before the first answer has begun.
+TEST(DirectWay, AStuckStreamThatHasNotBegunGoesElsewhere) {
+  ExpectStuckStreamsToGoOn(Manner::kHang);
+}
+
 TEST(DirectWay, AStreamThatCannotGoOnNeverLooksComplete) {
   DirectSite site({});
   site.Start();
