Log how old the view of an attempt is, not how old its settings are

The new lines took a peer's confirmation, which covers the deployment alone, for a bound on how long a departure can have been unknown, and for the age of an attempt's view. Both now go by what this entry follows itself.

--- a/src/caller/entry_control.cc
+++ b/src/caller/entry_control.cc
@@ -96,7 +96,7 @@
 void EntryControl::OnDeparture(const DepartureNews& news) {
   const DepartureWay way = watchers_.source().empty() ? DepartureWay::kStore
                                                       : DepartureWay::kWatcher;
-  const Duration lag = BootNow() - confirmed_as_of_ + news.kept;
+  const Duration lag = BootNow() - follower_.confirmed_as_of() + news.kept;
   counters_.CountDeparture(way);
   counters_.Record(Timing::kDeparture, lag);
   Log(LogLevel::kInfo, "backend_departed",
@@ -109,10 +109,15 @@
        {"kept_ms", ToMillis(news.kept)}});
 }
 
-void EntryControl::OnConfirmed(TimePoint as_of) {
+void EntryControl::OnPeerConfirmed(TimePoint as_of) {
   contact_.OnAnswered(as_of);
   confirmed_as_of_ = std::max(confirmed_as_of_, as_of);
-  handlers_.on_confirmed(confirmed_as_of_);
+  handlers_.on_deployment_confirmed(confirmed_as_of_);
+}
+
+void EntryControl::OnConfirmed(TimePoint as_of) {
+  OnPeerConfirmed(as_of);
+  handlers_.on_all_confirmed(follower_.confirmed_as_of());
 }
 
 void EntryControl::Tick() {
--- a/src/caller/entry_control.h
+++ b/src/caller/entry_control.h
@@ -36,7 +36,10 @@
   };
   struct Handlers {
     std::function<void(FleetViewPtr)> on_view;
-    std::function<void(TimePoint as_of)> on_confirmed;
+    // What the store held before `as_of` is known: the deployment alone if a
+    // peer says so, everything if this entry follows the store itself.
+    std::function<void(TimePoint as_of)> on_deployment_confirmed;
+    std::function<void(TimePoint as_of)> on_all_confirmed;
   };
 
   EntryControl(EventLoop& loop, Store& store, HttpClient& http, Options options,
@@ -45,7 +48,7 @@
   absl::Status Start();
   // What the traffic side hears from peers.
   void SetAlive(std::vector<Member> alive);
-  void OnPeerConfirmed(TimePoint as_of) { OnConfirmed(as_of); }
+  void OnPeerConfirmed(TimePoint as_of);
   void FetchDeployment(const Member& peer);
   // Says that it isn't ready and leaves the list of addresses.
   void BeginLeaving();
--- a/src/caller/forward_context.h
+++ b/src/caller/forward_context.h
@@ -23,8 +23,11 @@
   SharedBudget::Options budget;
   FleetViewPtr view;
   std::map<ServiceName, SharedBudget> budgets;
-  // Every change acknowledged before is known here, by `BootNow`.
+  // Every change of the deployment acknowledged before is known here, by
+  // `BootNow`.
   TimePoint confirmed_as_of;
+  // The same for every change of all that the view holds.
+  TimePoint view_as_of;
   // Requests with a key are refused while the confirmation is older.
   Duration confirmation_limit;
   // Asks for the dispatcher's decisions soon.
--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -181,7 +181,7 @@
        {"backend", backend_.id.value()},
        {"send", policy_.sends()},
        {"revision", sent_by_.number()},
-       {"confirmed_ms_ago", ToMillis(now - context_.confirmed_as_of)},
+       {"view_ms_ago", ToMillis(now - context_.view_as_of)},
        {"ms", ToMillis(now - job_.message.arrived)}});
 }
 
--- a/src/caller/forward_server.cc
+++ b/src/caller/forward_server.cc
@@ -35,6 +35,7 @@
                .pool = BackendPool(loop.io(), counters),
                .budget = options_.budget,
                .confirmed_as_of = TimePoint{},
+               .view_as_of = TimePoint{},
                .confirmation_limit = options_.confirmation_limit,
                .request_decisions = [this] { RequestDecisions(); }},
       random_(options_.dispatcher.seed) {
--- a/src/caller/forward_server.h
+++ b/src/caller/forward_server.h
@@ -48,6 +48,8 @@
   absl::Status Start();
   void SetView(FleetViewPtr view);
   void Confirm(TimePoint as_of);
+  // The view holds every change acknowledged before `as_of`.
+  void ConfirmView(TimePoint as_of) { context_.view_as_of = as_of; }
   // Answers ask callers to connect elsewhere from now on.
   void BeginLeaving() { is_leaving_ = true; }
   // New requests are refused; those in progress go on.
--- a/src/direct_entry_main.cc
+++ b/src/direct_entry_main.cc
@@ -96,9 +96,13 @@
              traffic.Post(
                  [&server, view = std::move(view)] { server.SetView(view); });
            },
-       .on_confirmed =
+       .on_deployment_confirmed =
            [&](TimePoint as_of) {
              traffic.Post([&server, as_of] { server.Confirm(as_of); });
+           },
+       .on_all_confirmed =
+           [&](TimePoint as_of) {
+             traffic.Post([&server, as_of] { server.ConfirmView(as_of); });
            }},
       counters);
   to_control = &entry;
--- a/src/store/store_follower.h
+++ b/src/store/store_follower.h
@@ -57,6 +57,8 @@
   // some were forgotten, or if this process may be behind.
   std::optional<RelayedEvents> Tell(Revision after) const;
   const StoreReplica& replica() const { return replica_; }
+  // Every change acknowledged before is known.
+  TimePoint confirmed_as_of() const { return confirmed_as_of_; }
 
  private:
   void List(Freshness freshness);
