Test with real programs that a cut-off watcher holds no removal back

Four entries, three of which follow the store through the fourth, each with a link of its own to the store; the watcher's is cut and a backend server's entry removed.

--- a/tests/direct_site.cc
+++ b/tests/direct_site.cc
@@ -175,6 +175,10 @@
     backends_.push_back(std::make_unique<BackendStandin>(
         Ip(100 + i) + ":9000", "i-" + std::to_string(i)));
   }
+  for (int i = 0; options_.has_store_links && i < options_.entries; ++i) {
+    store_links_.push_back(
+        std::make_unique<Relay>(StoreAddress(i), Endpoint(Ip(1) + ":7000")));
+  }
   entries_.resize(static_cast<std::size_t>(options_.entries));
 }
 
@@ -235,6 +239,10 @@
                                              .dump());
 }
 
+Endpoint DirectSite::StoreAddress(int entry) const {
+  return Endpoint(Ip(options_.has_store_links ? 200 + entry : 1) + ":7000");
+}
+
 void DirectSite::StartEntry(int index) {
   const std::string ip = Ip(10 + index);
   const std::string name = "entry-" + std::to_string(index);
@@ -242,7 +250,7 @@
   std::ofstream(file) << Json{
       {"instance", name},
       {"zone", "north"},
-      {"platform_url", "http://" + Ip(1) + ":7000"},
+      {"platform_url", "http://" + StoreAddress(index).value()},
       {"caller_address", ip + ":8080"},
       {"ready_address", ip + ":8081"},
       {"directory_address", ip + ":8082"},
--- a/tests/direct_site.h
+++ b/tests/direct_site.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "harness.h"
+#include "relay.h"
 #include "standins/kv_store.h"
 #include "standins/raw_http.h"
 
@@ -77,6 +78,8 @@
     int revocation_ms = 5'000;
     double grace_s = 8;
     int most_direct_followers = 12;
+    // Each entry reaches the store by a link of its own, which tests can cut.
+    bool has_store_links = false;
   };
 
   explicit DirectSite(Options options);
@@ -93,6 +96,7 @@
   standin::KvStore& store() { return *store_; }
   BackendStandin& backend(int index) { return *backends_[index]; }
   Process& entry(int index) { return *entries_[index]; }
+  Relay& store_link(int entry) { return *store_links_[entry]; }
   Endpoint CallerAddress(int entry) const;
   bool IsReady(int entry) const;
   std::string Directory(int entry) const;
@@ -106,11 +110,13 @@
 
  private:
   std::string Ip(int last) const;
+  Endpoint StoreAddress(int entry) const;
 
   Options options_;
   std::string directory_;
   std::string net_;
   std::unique_ptr<standin::KvStore> store_;
+  std::vector<std::unique_ptr<Relay>> store_links_;
   std::vector<std::unique_ptr<BackendStandin>> backends_;
   std::vector<std::unique_ptr<Process>> entries_;
 };
--- a/tests/system/direct_way_test.cc
+++ b/tests/system/direct_way_test.cc
@@ -295,8 +295,6 @@
   }));
 }
 
-// One of four entries follows the store for the others. When it stands still
-// the others go on.
 // The store comes back from an older copy, twice, while one entry can't reach
 // it and three follow it through their zone's watcher.
 TEST(DirectWay, AStoreThatComesBackFromAnOlderCopyTakesNothingBack) {
@@ -360,29 +358,41 @@
   }
 }
 
+// Through whom an entry follows the store; empty: by itself.
+std::string SourceOf(const DirectSite& site, int entry) {
+  const std::string log = site.Log(entry);
+  const std::string mark = "store_followed\",\"through\":\"";
+  const std::size_t at = log.rfind(mark);
+  if (at == std::string::npos) return {};
+  const std::size_t begin = at + mark.size();
+  return log.substr(begin, log.find('"', begin) - begin);
+}
+
+// Waits until all entries but one follow that one, and tells which it is; -1 if
+// it doesn't come to that.
+int WatcherOf(const DirectSite& site, int entries) {
+  int watcher = -1;
+  WaitFor([&] {
+    std::map<std::string, int> followers;
+    for (int i = 0; i < entries; ++i) ++followers[SourceOf(site, i)];
+    for (const auto& [source, count] : followers) {
+      if (!source.empty() && count == entries - 1) {
+        watcher = source.back() - '0';
+      }
+    }
+    return watcher >= 0;
+  });
+  return watcher;
+}
+
+// One of four entries follows the store for the others. When it stands still
+// the others go on.
 TEST(DirectWay, EntriesFollowTheStoreThroughTheirZonesWatchers) {
   constexpr int kEntries = 4;
   DirectSite site({.entries = kEntries, .most_direct_followers = 1});
   site.Start();
-  const auto source_of = [&](int entry) {
-    const std::string log = site.Log(entry);
-    const std::string mark = "\"through\":\"";
-    const std::size_t at = log.rfind(mark);
-    if (at == std::string::npos) return std::string();
-    const std::size_t begin = at + mark.size();
-    return log.substr(begin, log.find('"', begin) - begin);
-  };
-  // Three entries follow one of them.
-  std::string watcher;
-  ASSERT_TRUE(WaitFor([&] {
-    std::map<std::string, int> followers;
-    for (int i = 0; i < kEntries; ++i) ++followers[source_of(i)];
-    for (const auto& [source, count] : followers) {
-      if (!source.empty() && count == kEntries - 1) watcher = source;
-    }
-    return !watcher.empty();
-  }));
-  const int watching = watcher.back() - '0';
+  const int watching = WatcherOf(site, kEntries);
+  ASSERT_GE(watching, 0);
   std::vector<int> others;
   for (int i = 0; i < kEntries; ++i) {
     if (i != watching) others.push_back(i);
@@ -408,6 +418,37 @@
   }));
 }
 
+// Guards against a removal that was held back at entries which the store
+// served, since the one that they followed it through was refused.
+TEST(DirectWay, ARemovalIsNotHeldBackWhenTheWatcherIsCutOff) {
+  constexpr int kEntries = 4;
+  DirectSite site({.entries = kEntries,
+                   .backends = 2,
+                   .most_direct_followers = 1,
+                   .has_store_links = true});
+  site.Start();
+  const int watching = WatcherOf(site, kEntries);
+  ASSERT_GE(watching, 0);
+  // Right after their start entries can't tell whether the store was away.
+  std::this_thread::sleep_for(milliseconds(2'500));
+  site.store_link(watching).Cut();
+  site.store().Remove("servers/" + site.backend(0).id());
+  for (int i = 0; i < kEntries; ++i) {
+    if (i == watching) continue;
+    EXPECT_TRUE(WaitFor([&] {
+      return site.Log(i).find("backend_departed") != std::string::npos;
+    })) << "entry "
+        << i;
+    EXPECT_EQ(site.Log(i).find("backend_kept"), std::string::npos);
+    const int before = site.backend(0).runs_in_all();
+    for (int call = 0; call < 10; ++call) {
+      const std::string id = std::to_string(i) + "-" + std::to_string(call);
+      EXPECT_EQ(site.Call("GET", "/again/x", id, "", "k", i).status, 200);
+    }
+    EXPECT_EQ(site.backend(0).runs_in_all(), before);
+  }
+}
+
 TEST(DirectWay, ADrainingBackendServerGetsNothingNew) {
   DirectSite site({.backends = 2});
   site.Start();
