Compare loads in a module of their own

The dispatcher had four jobs; what a backend server's load costs is now routing/load_cost, plain numbers in and one out, with tests that name the load patterns.

--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -6,18 +6,13 @@
 #include <utility>
 
 #include "core/log.h"
+#include "routing/load_cost.h"
 
 namespace mangohold {
 namespace {
 
 // Weight of the newest value in smoothed ones.
 constexpr double kSmoothing = 0.2;
-// Cost of a backend server that fails all its requests, in loads.
-constexpr double kFailureCost = 8.0;
-// Cost of a group whose passes take twice as long as another's, in loads.
-constexpr double kSlownessCost = 2.0;
-// A token step in requests that write, where their figures aren't published.
-constexpr double kUnknownStep = 10;
 // Room of a backend server that is open but costly, in requests.
 constexpr double kLeastRoom = 0.05;
 // A refused caller is asked to come back between these times.
@@ -316,35 +311,19 @@
   return tokens;
 }
 
-// All ranks of a group wait for the slowest one's part of a pass: the steps,
-// and in each of them the requests that write. A rank that takes longer for
-// both costs as much as so many more requests would at the usual pace.
-double Dispatcher::PacedCost(double requests, double pace,
-                             const EngineFigures& engine) {
-  if (pace <= 1) return requests;
-  const double step = engine.per_sequence_ms > 0
-                          ? engine.step_ms / engine.per_sequence_ms
-                          : kUnknownStep;
-  return pace * (step + requests) - step;
-}
-
-// For model engines the load is what a rank adds to the pass of its group:
-// requests that write, and prompt tokens that wait to be read. For others it is
-// the expected wait in units of one request.
 double Dispatcher::CostOf(const Backend& backend, const Query& query,
                           double least_gap, TimePoint now) const {
-  double cost = RequestsAt(backend, now);
   const ServiceSpec* spec = SpecOf(query.service);
-  if (spec != nullptr && spec->engine) {
-    const double usual = std::max(1.0, spec->engine->usual_prompt_tokens);
-    cost += UnreadAt(backend, now) / usual;
-    cost = PacedCost(cost, backend.record.pace, *spec->engine);
-    cost += kSlownessCost * SlownessOf(backend, least_gap, now);
-  } else if (backend.service_seconds > 0) {
-    cost = (cost + 1) * backend.service_seconds * 20;
-  }
-  if (backend.record.zone != options_.zone) cost += options_.zone_penalty;
-  return cost + kFailureCost * backend.ejection.failure_share();
+  const bool is_engine = spec != nullptr && spec->engine;
+  const BackendLoad load = {.requests = RequestsAt(backend, now),
+                            .unread_tokens = UnreadAt(backend, now),
+                            .pace = backend.record.pace,
+                            .slowness = SlownessOf(backend, least_gap, now),
+                            .service_seconds = backend.service_seconds,
+                            .failure_share = backend.ejection.failure_share()};
+  const double penalty =
+      backend.record.zone == options_.zone ? 0 : options_.zone_penalty;
+  return LoadCost(load, is_engine ? &*spec->engine : nullptr) + penalty;
 }
 
 // What all entries together may send to one backend server in a second keeps to
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -204,8 +204,6 @@
   bool IsOpen(const Backend& backend, const Query& query, TimePoint now);
   int RequestsAt(const Backend& backend, TimePoint now) const;
   int UnreadAt(const Backend& backend, TimePoint now) const;
-  static double PacedCost(double requests, double pace,
-                          const EngineFigures& engine);
   double CostOf(const Backend& backend, const Query& query, double least_gap,
                 TimePoint now) const;
   void SetParts(Backend& backend) const;
--- /dev/null
+++ b/tests/unit/load_cost_test.cc
@@ -0,0 +1,43 @@
+// Each test names the load pattern that it compares.
+#include "routing/load_cost.h"
+
+#include <gtest/gtest.h>
+
+namespace mangohold {
+namespace {
+
+const EngineFigures kEngine = {
+    .step_ms = 6, .per_sequence_ms = 1, .usual_prompt_tokens = 800};
+
+TEST(LoadCost, AnUnreadPromptCountsAsMuchAsARequestThatWrites) {
+  EXPECT_DOUBLE_EQ(LoadCost({.requests = 3}, &kEngine), 3);
+  EXPECT_DOUBLE_EQ(LoadCost({.requests = 2, .unread_tokens = 800}, &kEngine),
+                   3);
+}
+
+// A pass is 6 + 2 requests long at the usual pace; twice as slow, it is as long
+// as one of 10 requests at the usual pace.
+TEST(LoadCost, ASlowRankCostsWhatItAddsToItsGroupsPass) {
+  EXPECT_DOUBLE_EQ(LoadCost({.requests = 2, .pace = 2}, &kEngine), 10);
+  EXPECT_DOUBLE_EQ(LoadCost({.requests = 2, .pace = 0.5}, &kEngine), 2);
+}
+
+TEST(LoadCost, ASlowGroupCostsMoreThanAFastOne) {
+  EXPECT_GT(LoadCost({.requests = 2, .slowness = 1}, &kEngine),
+            LoadCost({.requests = 3}, &kEngine));
+}
+
+TEST(LoadCost, AServiceCostsTheTimeThatItsQueueTakes) {
+  EXPECT_DOUBLE_EQ(LoadCost({.requests = 2}, nullptr), 2)
+      << "nothing is known of its time";
+  EXPECT_LT(LoadCost({.requests = 2, .service_seconds = 0.01}, nullptr),
+            LoadCost({.requests = 0, .service_seconds = 0.1}, nullptr));
+}
+
+TEST(LoadCost, AServerThatFailsIsTheLastChoice) {
+  EXPECT_GT(LoadCost({.failure_share = 1}, &kEngine),
+            LoadCost({.requests = 7}, &kEngine));
+}
+
+}  // namespace
+}  // namespace mangohold
--- a/tests/virtual_store.h
+++ b/tests/virtual_store.h
@@ -3,7 +3,10 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
+#include <map>
 #include <memory>
+#include <ranges>
 #include <string>
 #include <utility>
 #include <vector>
@@ -41,7 +44,7 @@
       }
     }
     std::vector<StoreItem> out;
-    for (auto& [key, item] : items) out.push_back(item);
+    std::ranges::copy(items | std::views::values, std::back_inserter(out));
     return out;
   }
   std::vector<StoreEvent> EventsAfter(Revision after) const {
