Ask a store that doesn't answer seldom where others are there to tell

Cause: entries now leave a watcher that lost the store at once, so that in an outage all of them call the store themselves each 0.4 s, 99 of them 250 times a second, where they used to begin 2.6 s later.

Change: a follower whose zone has a watcher, and that serves nobody, waits up to 1 s between tries; watchers and small fleets go on with 0.4 s.

Test: StoreFollowerTest.InAnOutageFallbackCallsAreFew (at most 13 calls in 10 s, where one that serves makes 24 or more).

--- a/src/peer/zone_watchers.h
+++ b/src/peer/zone_watchers.h
@@ -40,6 +40,8 @@
   bool IsWatcher() const { return is_watcher_; }
   // True if it answers others, as the watcher or standing by.
   bool IsServing() const { return is_watcher_ || is_standby_; }
+  // True if this entry follows the store through others, where they can tell.
+  bool HasWatchers() const { return !watchers_.empty(); }
   // The watcher to ask; nothing if the store is to be asked.
   std::optional<Member> Choose(TimePoint now) const;
   void OnFailed(const InstanceId& watcher, TimePoint now);
@@ -67,6 +69,7 @@
   void SetAlive(const std::vector<Member>& alive) { choice_.SetAlive(alive); }
 
   bool Watch(Revision after, OnEvents on_events) override;
+  bool HasSources() const override { return choice_.HasWatchers(); }
   bool IsServing() const override { return choice_.IsServing(); }
 
   // The watcher that was asked last; empty: the store itself.
--- a/src/store/change_relay.h
+++ b/src/store/change_relay.h
@@ -33,6 +33,8 @@
   // Asks another entry for the changes after `after`. False if none is to be
   // asked, so that the store is.
   virtual bool Watch(Revision after, OnEvents on_events) = 0;
+  // True while another entry is there to be asked, if it can tell.
+  virtual bool HasSources() const = 0;
   // True while others may follow the store through this entry.
   virtual bool IsServing() const = 0;
 };
--- a/src/store/store_follower.cc
+++ b/src/store/store_follower.cc
@@ -174,6 +174,12 @@
   return is_failing || now - confirmed_as_of_ > options_.most_told_age;
 }
 
+Millis StoreFollower::LongestRetry() const {
+  const bool is_fallback =
+      relay_ != nullptr && relay_->HasSources() && !relay_->IsServing();
+  return is_fallback ? options_.longest_fallback_retry : options_.longest_retry;
+}
+
 void StoreFollower::OnAnswer() {
   retry_ = options_.first_retry;
   if (!std::exchange(lost_since_, std::nullopt)) return;
@@ -181,7 +187,7 @@
 }
 
 void StoreFollower::OnFailure(const absl::Status& status) {
-  retry_ = std::min(options_.longest_retry, retry_ * 2);
+  retry_ = std::min(LongestRetry(), retry_ * 2);
   is_short_watch_ = true;
   if (lost_since_) return;
   lost_since_ = scheduler_.Now();
--- a/src/store/store_follower.h
+++ b/src/store/store_follower.h
@@ -39,6 +39,9 @@
     Millis batch{200};
     Millis first_retry{100};
     Millis longest_retry{400};
+    // The same where only this process depends on it, as others are there to be
+    // asked: in an outage, calls would grow with the fleet.
+    Millis longest_fallback_retry{1'000};
     // Keys that others of this system write for themselves: they are neither
     // reported nor passed on.
     std::vector<std::string> ignored_prefixes;
@@ -70,6 +73,7 @@
   void OnEvents(const absl::StatusOr<StoreEvents>& events, TimePoint sent,
                 Millis wait);
   bool IsBehind() const;
+  Millis LongestRetry() const;
   void OnAnswer();
   void OnFailure(const absl::Status& status);
   StoreEvents WithoutIgnored(const StoreEvents& events) const;
--- a/tests/unit/departures_at_scale_test.cc
+++ b/tests/unit/departures_at_scale_test.cc
@@ -95,6 +95,7 @@
     });
     return true;
   }
+  bool HasSources() const override { return choice_.HasWatchers(); }
   bool IsServing() const override { return choice_.IsServing(); }
   bool is_dead() const { return is_dead_; }
 
--- a/tests/unit/store_follower_test.cc
+++ b/tests/unit/store_follower_test.cc
@@ -12,13 +12,19 @@
 using std::chrono::seconds;
 using testing::Treatment;
 
-// Nobody is to be asked, and others may ask.
-class ServingRelay : public ChangeRelay {
+// Nobody can tell anything; others may ask, or not.
+class EmptyRelay : public ChangeRelay {
  public:
+  explicit EmptyRelay(bool is_serving) : is_serving_(is_serving) {}
+
   bool Watch(Revision /*after*/, OnEvents /*on_events*/) override {
     return false;
   }
-  bool IsServing() const override { return true; }
+  bool HasSources() const override { return !is_serving_; }
+  bool IsServing() const override { return is_serving_; }
+
+ private:
+  bool is_serving_;
 };
 
 class StoreFollowerTest : public ::testing::Test {
@@ -39,7 +45,7 @@
   testing::VirtualScheduler scheduler_;
   testing::VirtualStore store_{scheduler_};
   testing::VirtualStoreCalls calls_{store_};
-  ServingRelay relay_;
+  EmptyRelay relay_{true};
   StoreFollower follower_{scheduler_,
                           calls_,
                           {},
@@ -74,6 +80,26 @@
   EXPECT_FALSE(Tells());
 }
 
+// An outage of the store: whoever serves others tries on often, the others
+// seldom, so that calls don't grow with the fleet.
+TEST_F(StoreFollowerTest, InAnOutageFallbackCallsAreFew) {
+  EmptyRelay others(false);
+  testing::VirtualStoreCalls calls(store_);
+  StoreFollower fallback(scheduler_, calls, {},
+                         {.on_changed = [](const auto& /*keys*/) {},
+                          .on_confirmed = [](TimePoint /*as_of*/) {}});
+  fallback.SetRelay(others);
+  fallback.Start();
+  RunFor(seconds(5));
+  const int before = calls.calls();
+  const int serving_before = calls_.calls();
+  calls.SetTreatment(Treatment::kRefused);
+  calls_.SetTreatment(Treatment::kRefused);
+  RunFor(seconds(10));
+  EXPECT_LE(calls.calls() - before, 13);
+  EXPECT_GE(calls_.calls() - serving_before, 24);
+}
+
 // A watch may be cut at any time; that alone says nothing of the store.
 TEST_F(StoreFollowerTest, GoesOnTellingThroughACutWatch) {
   calls_.CutWatches();
--- a/tests/virtual_store.h
+++ b/tests/virtual_store.h
@@ -94,6 +94,7 @@
     }
   }
   Treatment treatment() const { return treatment_; }
+  int calls() const { return calls_; }
   // Cuts the watches in progress; later calls are served as before.
   void CutWatches() {
     for (const auto& watch : std::exchange(watches_, {})) Fail(watch, kDelay);
@@ -102,6 +103,7 @@
   void List(const std::string& /*prefix*/, const std::string& /*after*/,
             Freshness /*freshness*/,
             Callback<absl::StatusOr<StorePage>> on_page) override {
+    ++calls_;
     if (treatment_ != Treatment::kServed) {
       const Millis delay = treatment_ == Treatment::kSilent ? kTimeout : kDelay;
       return After(delay, [on_page] { on_page(Refusal()); });
@@ -112,6 +114,7 @@
   }
   void Watch(const std::string& /*prefix*/, Revision after, Millis wait,
              Callback<absl::StatusOr<StoreEvents>> on_events) override {
+    ++calls_;
     const auto call = std::make_shared<WatchCall>(
         WatchCall{.after = after, .on_events = std::move(on_events)});
     if (treatment_ == Treatment::kRefused) return Fail(call, kDelay);
@@ -175,6 +178,7 @@
 
   VirtualStore& store_;
   Treatment treatment_ = Treatment::kServed;
+  int calls_ = 0;
   std::vector<WatchPtr> watches_;
 };
 
