Ask the store before orders go over agents' heads

Cause: a leader whose machine stood still during a hold took all agents for silent when it woke, read the engines itself, took their reports for statuses of its own term, and armed six of twelve ranks directly. Its successor had undone the switch and was releasing the hold. Agents refuse an older term; engines know of none. Class: authority judged by the absence of objections.

Change: a leader acts for silent agents only within 0.4 s of having asked the store, linearizably, whether its term is the newest; that is asked again right before each order, and a newer term ends its leading. With the store away nobody acts for them.

Ruled out: a void version prepared at every undo (NeedsVoid).

--- a/src/group/group_leader.cc
+++ b/src/group/group_leader.cc
@@ -17,6 +17,9 @@
 constexpr Millis kPacing{10};
 // Agents answer a new leader within this time, if they can.
 constexpr Millis kTimeToAnswer{300};
+// A leader gives orders over agents' heads for this long after it asked the
+// store whether it still leads. It asks more often.
+constexpr Millis kConfirmationAge{400};
 
 bool Contains(const std::vector<int>& ranks, int rank) {
   return std::ranges::find(ranks, rank) != ranks.end();
@@ -204,6 +207,13 @@
   }
 }
 
+// Agents refuse a leader that was succeeded; engines don't know of terms. One
+// whose machine has stood still, or that is cut off from the others, takes all
+// agents for silent, and doesn't know of its successor.
+bool GroupLeader::MayOverrule() const {
+  return confirmed_as_of_ && BootNow() - *confirmed_as_of_ <= kConfirmationAge;
+}
+
 // Only what ends a hold is ordered over an agent's head; a preparation waits
 // for the agent's return.
 void GroupLeader::GiveDirectly(const Endpoint& engine,
@@ -212,7 +222,12 @@
                           command.order == OrderKind::kArm ||
                           command.order == OrderKind::kGo;
   if (!is_allowed) return;
-  means_.remote.Order(engine, command, options_.term,
+  const auto may_give = [weak = weak_from_this(),
+                         is_direct = command.is_direct] {
+    const auto self = weak.lock();
+    return self != nullptr && (is_direct || self->MayOverrule());
+  };
+  means_.remote.Order(engine, command, options_.term, may_give,
                       [weak = weak_from_this(), engine, rank = command.rank] {
                         const auto self = weak.lock();
                         if (self != nullptr) self->OnOrderGiven(engine, rank);
@@ -250,6 +265,19 @@
   const TimePoint now = BootNow();
   const RankReport* own = means_.rank.report();
   if (own == nullptr || !MayBeHeld() || now - began_ < kTimeToAnswer) return;
+  if (switch_.SilentRanks(now).empty()) return SeekSilentRanks();
+  handlers_.confirm_term([weak = weak_from_this(), now] {
+    const auto self = weak.lock();
+    if (self == nullptr) return;
+    self->confirmed_as_of_ = now;
+    self->SeekSilentRanks();
+  });
+}
+
+void GroupLeader::SeekSilentRanks() {
+  const TimePoint now = BootNow();
+  const RankReport* own = means_.rank.report();
+  if (own == nullptr) return;
   means_.remote.Seek(switch_.SilentRanks(now), own->group, means_.agents, now);
 }
 
@@ -260,7 +288,7 @@
   const TimePoint now = BootNow();
   const bool is_needed = means_.remote.Find(report.rank) != nullptr ||
                          Contains(switch_.SilentRanks(now), report.rank);
-  if (!is_needed) return;
+  if (!is_needed || !MayOverrule()) return;
   means_.remote.OnFound(report.rank, engine);
   switch_.OnStatus({.term = options_.term, .report = report}, now);
   Advance();
--- a/src/group/group_leader.h
+++ b/src/group/group_leader.h
@@ -52,6 +52,9 @@
     std::function<void(const Endpoint& to, const std::string& bytes)> send;
     // A command to the leader's own rank.
     std::function<void(const RankCommand& command)> on_own_command;
+    // Asks the store whether the leader's term is the newest, and calls
+    // `on_confirmed` if it is.
+    std::function<void(std::function<void()> on_confirmed)> confirm_term;
   };
 
   // `rank` of the means is in a group.
@@ -87,6 +90,8 @@
   bool MayBeHeld() const;
   void Give(const RankCommand& command);
   void GiveDirectly(const Endpoint& engine, const RankCommand& command);
+  bool MayOverrule() const;
+  void SeekSilentRanks();
   void OnOrderGiven(const Endpoint& engine, int rank);
   void OnRemoteReport(const RankReport& report, const Endpoint& engine);
   void Plan();
@@ -97,6 +102,8 @@
   Means means_;
   Handlers handlers_;
   TimePoint began_;
+  // When the store was asked that last confirmed the term.
+  std::optional<TimePoint> confirmed_as_of_;
   MapSwitch switch_;
   MapPlanning planning_;
   DemandKeeper keeper_;
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -333,31 +333,51 @@
 void RankAgent::Challenge() {
   if (!rank_.report()) return;
   is_challenging_ = true;
-  const auto on_page =
-      [this, key = LeaderKey()](const absl::StatusOr<StorePage>& page) {
-        is_challenging_ = false;
-        if (!page.ok()) {
-          return Log(LogLevel::kWarning, "term_unread",
-                     {{"error", MessageOf(page.status())}});
-        }
-        Revision revision;
-        bool is_own = false;
-        for (const StoreItem& item : page->items) {
-          if (item.key != key) continue;
-          revision = item.revision;
-          is_own = item.value == options_.self.id.value();
-        }
-        const LeaderTerm term(revision.packed());
-        const bool knew_term = std::exchange(knows_term_, true);
-        // This agent's own term in the copy from which the store came back
-        // names no other leader.
-        const bool is_of_copy = is_own && knew_term;
-        if (term > term_ && !is_of_copy) return FollowTerm(term, Endpoint());
-        if (knew_term) TakeOver(revision);
-      };
+  ReadTerm([this](const absl::StatusOr<StoredTerm>& stored) {
+    is_challenging_ = false;
+    if (!stored.ok()) return;
+    const LeaderTerm term(stored->revision.packed());
+    const bool knew_term = std::exchange(knows_term_, true);
+    // This agent's own term in the copy from which the store came back names no
+    // other leader.
+    const bool is_of_copy = stored->is_own && knew_term;
+    if (term > term_ && !is_of_copy) return FollowTerm(term, Endpoint());
+    if (knew_term) TakeOver(stored->revision);
+  });
+}
+
+void RankAgent::ReadTerm(
+    std::function<void(const absl::StatusOr<StoredTerm>&)> on_term) {
+  const auto on_page = [this, key = LeaderKey(), on_term = std::move(on_term)](
+                           const absl::StatusOr<StorePage>& page) {
+    if (!page.ok()) {
+      Log(LogLevel::kWarning, "term_unread",
+          {{"error", MessageOf(page.status())}});
+      return on_term(page.status());
+    }
+    StoredTerm stored;
+    for (const StoreItem& item : page->items) {
+      if (item.key != key) continue;
+      stored = {.revision = item.revision,
+                .is_own = item.value == options_.self.id.value()};
+    }
+    on_term(stored);
+  };
   store_.List(LeaderKey(), "", Freshness::kLinearizable, on_page);
 }
 
+// A leader that learns of a newer term is none any more.
+void RankAgent::ConfirmTerm(std::function<void()> on_confirmed) {
+  if (!rank_.report()) return;
+  ReadTerm([this, asked_for = term_, on_confirmed = std::move(on_confirmed)](
+               const absl::StatusOr<StoredTerm>& stored) {
+    if (!stored.ok()) return;
+    const LeaderTerm term(stored->revision.packed());
+    if (term > term_) return FollowTerm(term, Endpoint());
+    if (term == term_ && asked_for == term_ && leadership_) on_confirmed();
+  });
+}
+
 void RankAgent::TakeOver(Revision expected) {
   if (!rank_.report()) return;
   is_challenging_ = true;
@@ -403,6 +423,10 @@
                 jobs_.push_back({.command = command, .term = term});
                 // Not at once: this may be called from inside a status.
                 loop_.Post([this] { RunNextJob(); });
+              },
+          .confirm_term =
+              [this](std::function<void()> on_confirmed) {
+                ConfirmTerm(std::move(on_confirmed));
               }});
   leadership_->Begin();
 }
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -53,6 +53,11 @@
   absl::Status Start();
 
  private:
+  // The group's newest term, as the store has it.
+  struct StoredTerm {
+    Revision revision;    // 0: none yet
+    bool is_own = false;  // it names this agent
+  };
   struct Job {
     RankCommand command;
     LeaderTerm term;
@@ -85,6 +90,8 @@
   void WatchLeader();
   Duration Patience() const;
   void Challenge();
+  void ReadTerm(std::function<void(const absl::StatusOr<StoredTerm>&)> on_term);
+  void ConfirmTerm(std::function<void()> on_confirmed);
   void TakeOver(Revision expected);
   void Lead(LeaderTerm term);
   void FollowTerm(LeaderTerm term, const Endpoint& leader);
--- a/src/group/remote_ranks.cc
+++ b/src/group/remote_ranks.cc
@@ -55,16 +55,18 @@
 }
 
 void RemoteRanks::Order(const Endpoint& engine, const RankCommand& command,
-                        LeaderTerm term, std::function<void()> on_done) {
-  engine_.Report(engine, [this, engine, command, term,
-                          on_done = std::move(on_done)](const auto& report) {
-    const bool is_void = !on_report_ || !report.ok() ||
-                         report->epoch != command.epoch ||
-                         report->rank != command.rank;
-    if (is_void) return;
-    GiveOrder(engine_, engine, *report, command, term,
-              [on_done](OrderFate /*fate*/) { on_done(); });
-  });
+                        LeaderTerm term, std::function<bool()> may_give,
+                        std::function<void()> on_done) {
+  engine_.Report(
+      engine, [this, engine, command, term, may_give = std::move(may_give),
+               on_done = std::move(on_done)](const auto& report) {
+        const bool is_void = !on_report_ || !report.ok() ||
+                             report->epoch != command.epoch ||
+                             report->rank != command.rank || !may_give();
+        if (is_void) return;
+        GiveOrder(engine_, engine, *report, command, term,
+                  [on_done](OrderFate /*fate*/) { on_done(); });
+      });
 }
 
 const Endpoint* RemoteRanks::Find(int rank) const {
--- a/src/group/remote_ranks.h
+++ b/src/group/remote_ranks.h
@@ -42,10 +42,12 @@
             const AgentDirectory& agents, TimePoint now);
   // Reads the report of one engine.
   void Read(const Endpoint& engine);
-  // Gives the order if the engine is still that rank in that epoch, and calls
-  // `on_done` once it was answered or given up.
+  // Gives the order if the engine is still that rank in that epoch and
+  // `may_give` says so right before, and calls `on_done` once it was answered
+  // or given up.
   void Order(const Endpoint& engine, const RankCommand& command,
-             LeaderTerm term, std::function<void()> on_done);
+             LeaderTerm term, std::function<bool()> may_give,
+             std::function<void()> on_done);
 
   // Where a rank without its agent was found; null: nowhere.
   const Endpoint* Find(int rank) const;
--- a/tests/standins/rank_group.cc
+++ b/tests/standins/rank_group.cc
@@ -66,6 +66,24 @@
   ranks_[rank].is_reachable = is_reachable;
 }
 
+void RankGroup::SetLate(const std::string& operation, int percent,
+                        std::chrono::milliseconds lateness) {
+  const std::lock_guard lock(mutex_);
+  late_[operation] = {.percent = percent, .by = lateness};
+}
+
+RankGroup::Lateness RankGroup::LatenessOf(const std::string& operation) const {
+  const auto it = late_.find(operation);
+  if (it != late_.end()) return it->second;
+  return {.percent = options_.late_percent, .by = options_.lateness};
+}
+
+int RankGroup::orders(const std::string& operation) const {
+  const std::lock_guard lock(mutex_);
+  const auto it = orders_.find(operation);
+  return it == orders_.end() ? 0 : it->second;
+}
+
 std::uint64_t RankGroup::map(int rank) const {
   const std::lock_guard lock(mutex_);
   return ranks_[rank].map;
@@ -197,8 +215,9 @@
   return Json{{"step", pass_}, {"epoch", epoch_}, {"counts", counts}}.dump();
 }
 
-asio::awaitable<void> RankGroup::CarryLate(int rank, Json order) {
-  co_await Sleep(options_.lateness);
+asio::awaitable<void> RankGroup::CarryLate(int rank, Json order,
+                                           std::chrono::milliseconds lateness) {
+  co_await Sleep(lateness);
   const std::lock_guard lock(mutex_);
   Carry(ranks_[rank], order);
 }
@@ -219,8 +238,12 @@
       body = PickedOf(rank, !request.QueryValue("lists").empty());
     } else if (request.path == "/mangohold/order") {
       const Json order = Json::parse(request.body);
-      if (static_cast<int>(random_.Below(100)) < options_.late_percent) {
-        asio::co_spawn(io_, CarryLate(rank, order), asio::detached);
+      const auto operation = order.at("operation").get<std::string>();
+      const Lateness lateness = LatenessOf(operation);
+      ++orders_[operation];
+      if (static_cast<int>(random_.Below(100)) < lateness.percent) {
+        asio::co_spawn(io_, CarryLate(rank, order, lateness.by),
+                       asio::detached);
         has_answer = false;
       } else {
         status = Carry(ranks_[rank], order);
--- a/tests/standins/rank_group.h
+++ b/tests/standins/rank_group.h
@@ -41,6 +41,13 @@
   // The rank's engine answers nothing, as if its machine stood still.
   void SetReachable(int rank, bool is_reachable);
 
+  // From now on, of 100 orders of this kind so many get no answer and are
+  // carried out `lateness` later.
+  void SetLate(const std::string& operation, int percent,
+               std::chrono::milliseconds lateness);
+  // Orders of this kind that have arrived.
+  int orders(const std::string& operation) const;
+
   // All engines start again, with the map dealt out at the start.
   void FormAnew();
 
@@ -54,6 +61,10 @@
 
  private:
   using Map = std::vector<std::vector<int>>;  // experts by rank
+  struct Lateness {
+    int percent = 0;
+    std::chrono::milliseconds by{0};
+  };
   struct Rank {
     std::uint64_t map = 0;
     Map experts;
@@ -70,7 +81,9 @@
   asio::awaitable<void> Handle(int rank, HttpRequest request,
                                Connection& connection);
   asio::awaitable<void> RunPasses();
-  asio::awaitable<void> CarryLate(int rank, nlohmann::json order);
+  asio::awaitable<void> CarryLate(int rank, nlohmann::json order,
+                                  std::chrono::milliseconds lateness);
+  Lateness LatenessOf(const std::string& operation) const;
   void DealOut();
   void BeginPass();
   int Carry(Rank& rank, const nlohmann::json& order);
@@ -85,6 +98,8 @@
   std::uint64_t epoch_ = 1;
   std::uint64_t pass_ = 1;
   int split_passes_ = 0;
+  std::map<std::string, Lateness> late_;  // by operation
+  std::map<std::string, int> orders_;     // by operation
   asio::io_context io_;
   std::thread thread_;
 };
--- a/tests/system/rank_agent_test.cc
+++ b/tests/system/rank_agent_test.cc
@@ -2,6 +2,7 @@
 // ranks report to a new map in use, with leaders that die and stand still.
 #include <gtest/gtest.h>
 
+#include <asio.hpp>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -16,8 +17,11 @@
 namespace {
 
 using Json = nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 constexpr int kRanks = 4;
+constexpr std::uint16_t kPeerPort = 8083;
 // Two of the popular experts are on rank 0 at the start.
 const std::vector<double> kUneven = {0.4, 0.05, 0.05, 0.05,
                                      0.3, 0.05, 0.05, 0.05};
@@ -73,13 +77,14 @@
   void StartAgent(int rank) {
     const std::string name = "agent-" + std::to_string(rank);
     const std::string file = directory_ + "/" + name + ".jsonc";
-    std::ofstream(file) << Json{{"instance", name},
-                                {"zone", "north"},
-                                {"service", "model"},
-                                {"platform_url", "http://" + Ip(1) + ":7000"},
-                                {"backend_address", EngineAddress(rank)},
-                                {"peer_address", Ip(50 + rank) + ":8083"},
-                                {"metrics_address", Ip(50 + rank) + ":8084"}};
+    std::ofstream(file) << Json{
+        {"instance", name},
+        {"zone", "north"},
+        {"service", "model"},
+        {"platform_url", "http://" + Ip(1) + ":7000"},
+        {"backend_address", EngineAddress(rank)},
+        {"peer_address", Ip(50 + rank) + ":" + std::to_string(kPeerPort)},
+        {"metrics_address", Ip(50 + rank) + ":8084"}};
     agents_[rank] = std::make_unique<Process>(
         std::vector<std::string>{
             std::string(MANGOHOLD_BINARY_DIR) + "/mangohold-rank-agent",
@@ -90,11 +95,29 @@
   standin::RankGroup& group() { return *group_; }
   Process& agent(int rank) { return *agents_[rank]; }
 
+  // Fills the queue of datagrams that the agent hasn't read, so that later ones
+  // are lost, as for a machine that stands still.
+  void FillInbox(int rank) const {
+    constexpr int kDatagrams = 2'000;
+    asio::io_context io;
+    asio::ip::udp::socket socket(io, asio::ip::udp::v4());
+    const asio::ip::udp::endpoint to(asio::ip::make_address(Ip(50 + rank)),
+                                     kPeerPort);
+    const std::string junk(1'000, 'x');
+    for (int i = 0; i < kDatagrams; ++i) socket.send_to(asio::buffer(junk), to);
+  }
+
   // The rank whose agent began to lead last, by the term that it logged; -1:
   // none yet.
   int Leader() const { return NewestLeading().first; }
   std::uint64_t NewestTerm() const { return NewestLeading().second; }
 
+  bool HasStoppedLeading(int rank) const {
+    std::ifstream file(LogOf(rank));
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str().find("leading_ended") != std::string::npos;
+  }
   bool HasKeptDemand() const { return store_->Has("demand/g"); }
   bool IsEven() const { return group_->skew() < kNearlyEven; }
   standin::KvStore& store() { return *store_; }
@@ -216,5 +239,41 @@
   EXPECT_EQ(site.group().split_passes(), 0);
 }
 
+// Guards against a pass with two maps: a leader whose machine had stood still
+// took all agents for silent when it woke, and armed their ranks over their
+// heads, though a successor had undone the switch and was releasing the hold.
+TEST(RankAgent, ALeaderThatWakesUpDeposedArmsNobody) {
+  RankSite site(0);
+  ASSERT_TRUE(WaitFor([&] { return site.group().map(0) > 0; }));
+  ASSERT_TRUE(WaitFor([&] { return !site.group().holder().has_value(); }));
+  // The hold is in force at once, but the leader isn't told; its release comes
+  // seconds later.
+  site.group().SetLate("hold", 100, milliseconds(0));
+  site.group().SetLate("go", 100, seconds(5));
+  const int holds = site.group().orders("hold");
+  const int leader = site.Leader();
+  ASSERT_GE(leader, 0);
+  site.group().SetPopularity(kShifted);
+  while (site.group().orders("hold") == holds) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  site.agent(leader).Signal(SIGSTOP);
+  site.FillInbox(leader);
+  site.group().SetReachable(leader, false);
+  const int releases = site.group().orders("go");
+  ASSERT_TRUE(WaitFor([&] { return site.group().orders("go") > releases; }));
+  EXPECT_NE(site.Leader(), leader) << "the successor releases the hold";
+  // Longer than a leader takes an agent for alive.
+  std::this_thread::sleep_for(seconds(2));
+  const int arms = site.group().orders("arm");
+  site.group().SetReachable(leader, true);
+  site.agent(leader).Signal(SIGCONT);
+  ASSERT_TRUE(WaitFor([&] { return site.HasStoppedLeading(leader); }));
+  EXPECT_EQ(site.group().orders("arm"), arms);
+  const std::uint64_t passes = site.group().passes();
+  ASSERT_TRUE(WaitFor([&] { return site.group().passes() > passes + 20; }));
+  EXPECT_EQ(site.group().split_passes(), 0);
+}
+
 }  // namespace
 }  // namespace mangohold::testing
