Log what each decision on a retry is based on

An incident of repeats beyond the budget can't be traced: nothing tells the state of the budget when a retry is granted, nor how long the retry then waits before it is sent. retry_decided and granted_ms_ago tell it. No decision changes.

--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -180,6 +180,8 @@
       {{"request", job_.fields.id.value()},
        {"backend", backend_.id.value()},
        {"send", policy_.sends()},
+       {"granted_ms_ago",
+        retry_granted_at_ ? ToMillis(now - *retry_granted_at_) : 0},
        {"revision", sent_by_.number()},
        {"view_ms_ago", ToMillis(now - context_.view_as_of)},
        {"ms", ToMillis(now - job_.message.arrived)}});
@@ -301,7 +303,7 @@
   const bool is_failure = status_ >= 500;
   EndAttempt(is_failure ? JudgeFailure() : Dispatcher::Result::kServed);
   if (is_failure && policy_.OnFailed() == DirectPolicy::Next::kSendAgain &&
-      context_.BudgetOf(job_.service).TryRetry(BootNow())) {
+      TakeRetry(BootNow())) {
     retry_reason_ = Reason::kBackendFailed;
     tried_.push_back(backend_.id);
     return Submit();
@@ -358,11 +360,27 @@
   OnAttemptFailed(policy_.OnFailed(), Reason::kBackendFailed);
 }
 
+// Takes one retry from the budget; false if it is exhausted.
+bool ForwardRun::TakeRetry(TimePoint now) {
+  SharedRetryBudget& budget = context_.BudgetOf(job_.service);
+  const SharedRetryBudget::State before = budget.StateAt(now);
+  const bool is_granted = budget.TryRetry(now);
+  if (is_granted) retry_granted_at_ = now;
+  Log(LogLevel::kInfo, "retry_decided",
+      {{"request", job_.fields.id.value()},
+       {"service", job_.service.value()},
+       {"granted", static_cast<int>(is_granted)},
+       {"limit", static_cast<int>(before.limit)},
+       {"used", static_cast<int>(before.used)},
+       {"requests", before.requests},
+       {"entries", before.entries}});
+  return is_granted;
+}
+
 void ForwardRun::OnAttemptFailed(DirectPolicy::Next next, Reason reason) {
   const TimePoint now = BootNow();
   const bool sends_again = next == DirectPolicy::Next::kSendAgain &&
-                           now < deadline_ &&
-                           context_.BudgetOf(job_.service).TryRetry(now);
+                           now < deadline_ && TakeRetry(now);
   Log(LogLevel::kInfo, "attempt_failed",
       {{"request", job_.fields.id.value()},
        {"backend", backend_.id.value()},
--- a/src/caller/forward_run.h
+++ b/src/caller/forward_run.h
@@ -63,6 +63,7 @@
   void Deliver();
   // The attempt came to nothing.
   void OnAttemptFailed(DirectPolicy::Next next, Reason reason);
+  bool TakeRetry(TimePoint now);
   void EndAttempt(Dispatcher::Result result);
   bool IsStuck(TimePoint now) const;
   void LeaveStuckBackend();
@@ -80,6 +81,7 @@
   TimePoint deadline_;
   AttemptNumber attempt_;
   std::optional<Reason> retry_reason_;  // of the attempt before; absent: none
+  std::optional<TimePoint> retry_granted_at_;  // the last one
   BackendRecord backend_;  // of the attempt in progress, or the last one
   BackendConnection::Ptr connection_;
   std::vector<InstanceId> tried_;
--- a/src/routing/shared_retry_budget.h
+++ b/src/routing/shared_retry_budget.h
@@ -25,16 +25,21 @@
         requests_(options.window),
         retries_(options.window) {}
 
+  // What a decision is based on, for the log.
+  struct State {
+    double limit = 0;  // retries allowed in the window that ends now
+    double used = 0;   // of these
+    int requests = 0;  // in the window
+    int entries = 1;
+  };
+
   // Sets the number of entries that may be running, including this one.
   void SetEntries(int entries) { entries_ = entries; }
   void OnRequest(TimePoint now) { requests_.Add(now); }
   // True if one more retry is within the budget.
   bool CanRetry(TimePoint now) const {
-    const double bound =
-        options_.ratio * static_cast<double>(requests_.Count(now)) +
-        options_.slack / entries_;
-    const auto used = static_cast<double>(retries_.Count(now));
-    return used + 1 <= bound * (1 - options_.safety_margin);
+    const State state = StateAt(now);
+    return state.used + 1 <= state.limit;
   }
   // Takes one retry from the budget. Returns false if the budget is exhausted.
   bool TryRetry(TimePoint now) {
@@ -43,6 +48,15 @@
     return true;
   }
 
+  State StateAt(TimePoint now) const {
+    const auto requests = static_cast<int>(requests_.Count(now));
+    const double bound = options_.ratio * requests + options_.slack / entries_;
+    return {.limit = bound * (1 - options_.safety_margin),
+            .used = static_cast<double>(retries_.Count(now)),
+            .requests = requests,
+            .entries = entries_};
+  }
+
  private:
   Options options_;
   int entries_ = 1;
