Keep retries within the bound of all entries through restarts and waits

Cause: each entry kept a sliding window of its own retries, and a process that starts again has an empty one. In one window it made its predecessor's retries and its own. Two more ways to the same excess: a retry was charged when it was granted, and sent seconds later beside those granted since; and an entry whose list is empty took the whole slack. Class: a limit whose proof needs a memory that a restart deletes.

Retries that wait count as saved up until they are sent, and come back if they aren't. Without a count of the entries there is no part of the slack. A send of which no byte was written takes no retry. The tokens and the retries denied are metrics.

--- a/src/caller/forward_context.h
+++ b/src/caller/forward_context.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "backend/backend_pool.h"
@@ -33,15 +34,15 @@
   // Asks for the dispatcher's decisions soon.
   std::function<void()> request_decisions;
   AttemptNumber last_attempt;
-  // The entries that may be sending to backend servers.
-  int entries = 1;
+  // Number of entries that may be sending to backend servers; absent: unknown.
+  std::optional<int> entries;
 
   bool IsConfirmed(TimePoint now) const {
     return now - confirmed_as_of <= confirmation_limit;
   }
-  SharedRetryBudget& BudgetOf(const ServiceName& service) {
+  SharedRetryBudget& BudgetOf(const ServiceName& service, TimePoint now) {
     const auto it = budgets.try_emplace(service, budget).first;
-    it->second.SetEntries(entries);
+    it->second.SetEntries(entries, now);
     return it->second;
   }
 };
--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -58,7 +58,8 @@
 
 void ForwardRun::Start() {
   context_.counters.Count(Event::kRequests);
-  context_.BudgetOf(job_.service).OnRequest(BootNow());
+  const TimePoint now = BootNow();
+  context_.BudgetOf(job_.service, now).OnRequest(now);
   caller_->SetListener({.on_gone =
                             [weak = weak_from_this()] {
                               const auto self = weak.lock();
@@ -162,6 +163,7 @@
   sent_at_ = now;
   sent_by_ = context_.view->revision;
   LogSend(now);
+  CountArrival(now);
   status_ = 0;
   body_.clear();
   is_relaying_ = false;
@@ -180,8 +182,7 @@
       {{"request", job_.fields.id.value()},
        {"backend", backend_.id.value()},
        {"send", policy_.sends()},
-       {"granted_ms_ago",
-        retry_granted_at_ ? ToMillis(now - *retry_granted_at_) : 0},
+       {"granted_ms_ago", reserved_at_ ? ToMillis(now - *reserved_at_) : 0},
        {"revision", sent_by_.number()},
        {"view_ms_ago", ToMillis(now - context_.view_as_of)},
        {"ms", ToMillis(now - job_.message.arrived)}});
@@ -303,7 +304,7 @@
   const bool is_failure = status_ >= 500;
   EndAttempt(is_failure ? JudgeFailure() : Dispatcher::Result::kServed);
   if (is_failure && policy_.OnFailed() == DirectPolicy::Next::kSendAgain &&
-      TakeRetry(BootNow())) {
+      ReserveRetry(BootNow())) {
     retry_reason_ = Reason::kBackendFailed;
     tried_.push_back(backend_.id);
     return Submit();
@@ -348,6 +349,7 @@
   if (phase_ != Phase::kSent) return;
   connection_ = nullptr;
   events_.DropPartial();
+  if (failure == ExchangeFailure::kNotSent) UncountArrival(BootNow());
   if (failure == ExchangeFailure::kNotSent && !IsStillWanted()) {
     EndAttempt(Dispatcher::Result::kCancelled);
     return OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendLeaving);
@@ -360,27 +362,48 @@
   OnAttemptFailed(policy_.OnFailed(), Reason::kBackendFailed);
 }
 
-// Takes one retry from the budget; false if it is exhausted.
-bool ForwardRun::TakeRetry(TimePoint now) {
-  SharedRetryBudget& budget = context_.BudgetOf(job_.service);
+// Reserves one retry of the budget, unless one is reserved already or none is
+// needed, since no backend server has received the request. Returns false if
+// the budget is exhausted.
+bool ForwardRun::ReserveRetry(TimePoint now) {
+  if (arrivals_ == 0 || reserved_at_) return true;
+  SharedRetryBudget& budget = context_.BudgetOf(job_.service, now);
   const SharedRetryBudget::State before = budget.StateAt(now);
-  const bool is_granted = budget.TryRetry(now);
-  if (is_granted) retry_granted_at_ = now;
+  const bool is_granted = budget.TryReserve(now);
+  if (is_granted) reserved_at_ = now;
+  if (!is_granted) context_.counters.Count(Event::kRetriesDenied);
   Log(LogLevel::kInfo, "retry_decided",
       {{"request", job_.fields.id.value()},
        {"service", job_.service.value()},
        {"granted", static_cast<int>(is_granted)},
-       {"limit", static_cast<int>(before.limit)},
-       {"used", static_cast<int>(before.used)},
+       {"tokens", static_cast<int>(before.tokens)},
+       {"reserved", before.reserved},
+       {"capacity", static_cast<int>(before.capacity)},
        {"requests", before.requests},
-       {"entries", before.entries}});
+       {"entries", before.entries.value_or(0)}});
   return is_granted;
 }
 
+// The request is about to be written to a connection. All but the first time it
+// takes a retry of the budget.
+void ForwardRun::CountArrival(TimePoint now) {
+  ++arrivals_;
+  if (!reserved_at_) return;
+  context_.BudgetOf(job_.service, now).OnSent();
+  reserved_at_.reset();
+}
+
+// No byte was written after all, so that the retry is still to be sent.
+void ForwardRun::UncountArrival(TimePoint now) {
+  if (--arrivals_ == 0) return;
+  context_.BudgetOf(job_.service, now).OnNotSent(now);
+  reserved_at_ = now;
+}
+
 void ForwardRun::OnAttemptFailed(DirectPolicy::Next next, Reason reason) {
   const TimePoint now = BootNow();
   const bool sends_again = next == DirectPolicy::Next::kSendAgain &&
-                           now < deadline_ && TakeRetry(now);
+                           now < deadline_ && ReserveRetry(now);
   Log(LogLevel::kInfo, "attempt_failed",
       {{"request", job_.fields.id.value()},
        {"backend", backend_.id.value()},
@@ -419,7 +442,7 @@
   }
   return policy_.MayReplaceAttempt() &&
          context_.dispatcher.IsStuck(attempt_, last_event_at_, now) &&
-         context_.BudgetOf(job_.service).CanRetry(now);
+         context_.BudgetOf(job_.service, now).CanRetry(now);
 }
 
 void ForwardRun::LeaveStuckBackend() {
@@ -466,7 +489,11 @@
 
 void ForwardRun::Finish(Outcome outcome, Reason reason, int status) {
   phase_ = Phase::kFinished;
-  const Duration latency = BootNow() - job_.message.arrived;
+  const TimePoint now = BootNow();
+  if (std::exchange(reserved_at_, std::nullopt)) {
+    context_.BudgetOf(job_.service, now).Release(now);
+  }
+  const Duration latency = now - job_.message.arrived;
   context_.counters.CountOutcome(outcome);
   context_.counters.Record(Timing::kRequest, latency);
   Log(LogLevel::kInfo, "request_ended",
--- a/src/caller/forward_run.h
+++ b/src/caller/forward_run.h
@@ -63,7 +63,9 @@
   void Deliver();
   // The attempt came to nothing.
   void OnAttemptFailed(DirectPolicy::Next next, Reason reason);
-  bool TakeRetry(TimePoint now);
+  bool ReserveRetry(TimePoint now);
+  void CountArrival(TimePoint now);
+  void UncountArrival(TimePoint now);
   void EndAttempt(Dispatcher::Result result);
   bool IsStuck(TimePoint now) const;
   void LeaveStuckBackend();
@@ -81,7 +83,9 @@
   TimePoint deadline_;
   AttemptNumber attempt_;
   std::optional<Reason> retry_reason_;  // of the attempt before; absent: none
-  std::optional<TimePoint> retry_granted_at_;  // the last one
+  // When the retry was reserved that is to be sent next; absent: none is.
+  std::optional<TimePoint> reserved_at_;
+  int arrivals_ = 0;       // sends that a backend server may have received
   BackendRecord backend_;  // of the attempt in progress, or the last one
   BackendConnection::Ptr connection_;
   std::vector<InstanceId> tried_;
--- a/src/caller/forward_server.cc
+++ b/src/caller/forward_server.cc
@@ -224,6 +224,7 @@
   }
   context_.dispatcher.SetBackends(context_.view->backends);
   gossip_.SetListed(context_.view->entries);
+  UpdateEntries(BootNow());
   RequestDecisions();
 }
 
@@ -239,9 +240,7 @@
   for (const auto& outgoing : gossip_.NextRound(state, now)) {
     socket_.Send(outgoing.to, EncodeGossip(outgoing.message));
   }
-  const std::vector<InstanceId> known = gossip_.PossibleSenders();
-  context_.entries = static_cast<int>(known.size());
-  context_.dispatcher.SetEntries(options_.self.id, known);
+  UpdateEntries(now);
   const std::vector<Member> alive = gossip_.AlivePeers(now);
   if (std::ranges::equal(alive, alive_, {}, &Member::id)) return;
   alive_.clear();
@@ -250,6 +249,19 @@
   handlers_.on_alive(alive);
 }
 
+// Divides what all entries share by those that are known by now.
+void ForwardServer::UpdateEntries(TimePoint now) {
+  context_.entries = gossip_.SenderCount(now);
+  context_.dispatcher.SetEntries(options_.self.id, gossip_.PossibleSenders());
+  if (context_.view == nullptr || context_.view->routes == nullptr) return;
+  double tokens = 0;
+  for (const ServiceSpec& service :
+       context_.view->routes->deployment().services) {
+    tokens += context_.BudgetOf(service.name, now).StateAt(now).tokens;
+  }
+  context_.counters.Set(Gauge::kRetryTokens, static_cast<std::int64_t>(tokens));
+}
+
 void ForwardServer::OnDatagram(std::string_view data) {
   const auto message = DecodeGossip(data);
   if (!message) return context_.counters.Count(Event::kDatagramsDropped);
@@ -273,6 +285,11 @@
   }
 }
 
+void ForwardServer::ConfirmView(TimePoint as_of) {
+  context_.view_as_of = as_of;
+  gossip_.ConfirmList(as_of);
+}
+
 void ForwardServer::Confirm(TimePoint as_of) {
   context_.confirmed_as_of = std::max(context_.confirmed_as_of, as_of);
 }
--- a/src/caller/forward_server.h
+++ b/src/caller/forward_server.h
@@ -49,7 +49,7 @@
   void SetView(FleetViewPtr view);
   void Confirm(TimePoint as_of);
   // The view holds every change acknowledged before `as_of`.
-  void ConfirmView(TimePoint as_of) { context_.view_as_of = as_of; }
+  void ConfirmView(TimePoint as_of);
   // Answers ask callers to connect elsewhere from now on.
   void BeginLeaving() { is_leaving_ = true; }
   // New requests are refused; those in progress go on.
@@ -67,6 +67,7 @@
   std::vector<ZoneName> ZonesOf(const Route& route) const;
   void OnDatagram(std::string_view data);
   void Gossip();
+  void UpdateEntries(TimePoint now);
   void RequestDecisions();
   void CarryOutDecisions();
   void Tick();
--- a/src/core/counters.cc
+++ b/src/core/counters.cc
@@ -37,11 +37,13 @@
                    "orders",
                    "map_switches",
                    "datagrams_dropped",
-                   "sent_to_leaving"};
+                   "sent_to_leaving",
+                   "retries_denied"};
 
 constexpr std::array<std::string_view, static_cast<int>(Gauge::kCount)>
     kGaugeNames = {"in_flight",      "queued",        "admission_limit",
-                   "backends_known", "backends_open", "kept_answer_bytes"};
+                   "backends_known", "backends_open", "kept_answer_bytes",
+                   "retry_tokens"};
 
 constexpr std::array<std::string_view, static_cast<int>(DepartureWay::kCount)>
     kWayNames = {"store", "watcher", "answer"};
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -37,6 +37,7 @@
   kMapSwitches,
   kDatagramsDropped,
   kSentToLeaving,
+  kRetriesDenied,  // by the budget
   kCount
 };
 
@@ -48,6 +49,7 @@
   kBackendsKnown,
   kBackendsOpen,
   kKeptAnswerBytes,
+  kRetryTokens,  // retries that may be made at once, of all services
   kCount
 };
 
--- a/src/peer/entry_gossip.cc
+++ b/src/peer/entry_gossip.cc
@@ -95,14 +95,23 @@
 
 void EntryGossip::SetListed(const std::vector<Member>& entries) {
   for (auto& [id, peer] : peers_) peer.is_listed = false;
+  is_self_listed_ = false;
   for (const Member& entry : entries) {
-    if (entry.id == options_.self.id) continue;
+    if (entry.id == options_.self.id) {
+      is_self_listed_ = true;
+      continue;
+    }
     Peer& peer = peers_[entry.id];
     peer.member = entry;
     peer.is_listed = true;
   }
 }
 
+void EntryGossip::ConfirmList(TimePoint as_of) {
+  if (!is_self_listed_) return;
+  self_listed_as_of_ = std::max(self_listed_as_of_.value_or(as_of), as_of);
+}
+
 std::vector<EntryGossip::OutgoingMessage> EntryGossip::NextRound(
     const LocalState& state, TimePoint now) {
   RemoveExpiredPeers(now);
@@ -332,4 +341,11 @@
   return known;
 }
 
+std::optional<int> EntryGossip::SenderCount(TimePoint now) const {
+  const bool is_counted = self_listed_as_of_ &&
+                          now - *self_listed_as_of_ <= options_.self_retention;
+  if (!is_counted) return std::nullopt;
+  return static_cast<int>(peers_.size()) + 1;
+}
+
 }  // namespace mangohold
--- a/src/peer/entry_gossip.h
+++ b/src/peer/entry_gossip.h
@@ -85,6 +85,10 @@
     // A peer that is neither listed nor heard may still be sending to backend
     // servers for this long.
     Duration peer_retention = std::chrono::seconds(60);
+    // This entry counts on being among its peers' possible senders for this
+    // long after it was last listed. Shorter than `peer_retention`, because
+    // peers may have seen it listed earlier than it did.
+    Duration self_retention = std::chrono::seconds(30);
     // Upper bound on the relative drift between the clocks of two machines.
     double max_clock_drift = 0.01;
   };
@@ -119,6 +123,8 @@
 
   // Sets the entries that the store lists.
   void SetListed(const std::vector<Member>& entries);
+  // The list that was set last is known to have held at `as_of`.
+  void ConfirmList(TimePoint as_of);
   // Returns the messages of the next round.
   std::vector<OutgoingMessage> NextRound(const LocalState& state,
                                          TimePoint now);
@@ -130,6 +136,9 @@
   // Entries that may be sending to backend servers, including this one and
   // peers that disappeared less than `peer_retention` ago.
   std::vector<InstanceId> PossibleSenders() const;
+  // Number of these. Absent if it can't be told, or if the others may count
+  // without this entry, because it hasn't been listed for `self_retention`.
+  std::optional<int> SenderCount(TimePoint now) const;
 
  private:
   struct Peer {
@@ -166,6 +175,8 @@
                       std::vector<OutgoingMessage>& round);
 
   Options options_;
+  bool is_self_listed_ = false;
+  std::optional<TimePoint> self_listed_as_of_;
   std::map<InstanceId, Peer> peers_;
   std::map<ZoneName, ZoneStatus> zones_;  // all but the own zone
   // Position in the rotation over the peers of the own zone and of other zones.
--- a/tests/direct_site.h
+++ b/tests/direct_site.h
@@ -101,6 +101,8 @@
   bool IsReady(int entry) const;
   std::string Directory(int entry) const;
   std::string Metrics(int entry) const;
+  // Retries that the entry may make at once.
+  int RetryTokens(int entry) const;
   // Everything that the entries have logged.
   std::string Log(int entry) const;
 
--- a/tests/unit/entry_gossip_test.cc
+++ b/tests/unit/entry_gossip_test.cc
@@ -92,6 +92,28 @@
   }
 }
 
+// Guards against an entry that takes the whole of what all entries share,
+// because its list of them is empty or old.
+TEST(EntryGossip, SendersAreCountedOnlyWhileThisEntryIsListed) {
+  EntryGossip gossip({.self = Entry("a")});
+  TimePoint now = TimePoint() + seconds(100);
+  EXPECT_FALSE(gossip.SenderCount(now));
+  gossip.SetListed({});
+  gossip.ConfirmList(now);
+  EXPECT_FALSE(gossip.SenderCount(now));
+  gossip.SetListed({Entry("a"), Entry("b"), Entry("c")});
+  EXPECT_FALSE(gossip.SenderCount(now));
+  gossip.ConfirmList(now);
+  EXPECT_EQ(gossip.SenderCount(now), 3);
+  // All leases lapse: those known before still count, for a while.
+  now += seconds(10);
+  gossip.SetListed({});
+  gossip.ConfirmList(now);
+  EXPECT_EQ(gossip.SenderCount(now), 3);
+  now += seconds(21);
+  EXPECT_FALSE(gossip.SenderCount(now));
+}
+
 TEST(EntryGossip, AFirstMessageConfirmsNothing) {
   EntryGossip gossip({.self = Entry("a")});
   const TimePoint now = TimePoint() + seconds(5);
