Tell prompts apart that crash engines, and refuse them

What callers saw: a part of some prompts crashes each engine that begins to answer it.

Cause: nothing learns from a crash. Each request with the part goes to the next engine, and its own repeat as well. Class: a fault of the input that is handled as a fault of the machine, so that retries and failover spread it.

Change: routing/poison_detector weighs, over the crashes of engines, the parts of requests whose answer had not gone on, cleared by each answer that goes on anywhere. A broken connection counts as a crash only if the engine refuses another one, which is asked at once. Entries tell each other at once, so that the verdict holds everywhere and survives restarts. Only the part is blocked, never the route, the key or the first part; a trial ends a wrong verdict. 503 prompt_crashes_backends if nothing ran, else 502.

--- a/src/caller/dialect.h
+++ b/src/caller/dialect.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/clock.h"
 #include "core/ids.h"
@@ -19,6 +20,8 @@
   std::optional<int> prompt_tokens;
   std::optional<int> most_answer_tokens;
   std::optional<int> hinted_answer_tokens;
+  // The parts of the prompt that other requests may share, in order.
+  std::vector<PromptPart> shared_parts;
   std::string last_event_id;  // empty: from the beginning
 };
 
--- a/src/caller/forward_context.h
+++ b/src/caller/forward_context.h
@@ -11,6 +11,7 @@
 #include "config/fleet_view.h"
 #include "core/counters.h"
 #include "routing/dispatcher.h"
+#include "routing/poison_detector.h"
 #include "routing/shared_retry_budget.h"
 
 namespace mangohold {
@@ -21,6 +22,7 @@
   const Dialect& dialect;
   Dispatcher dispatcher;
   BackendPool pool;
+  PoisonDetector poison;
   SharedRetryBudget::Options budget;
   FleetViewPtr view;
   std::map<ServiceName, SharedRetryBudget> budgets;
@@ -33,6 +35,8 @@
   Duration confirmation_limit;
   // Asks for the dispatcher's decisions soon.
   std::function<void()> request_decisions;
+  // The connection of a request broke: asks whether the backend server is gone.
+  std::function<void(const BackendRecord&)> check_backend;
   AttemptNumber last_attempt;
   // Number of entries that may be sending to backend servers; absent: unknown.
   std::optional<int> entries;
--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -112,7 +112,27 @@
   return tokens / std::max(1, engine.steps_per_pass);
 }
 
+// Refuses the request if a part of its prompt crashes backend servers. Holds it
+// back while that is open. Returns true if it may be sent now.
+bool ForwardRun::IsSendable(TimePoint now) {
+  const auto& parts = job_.fields.shared_parts;
+  switch (context_.poison.Judge(parts, now)) {
+    case PoisonDetector::Verdict::kPass:
+      return true;
+    case PoisonDetector::Verdict::kHold:
+      phase_ = Phase::kHeld;
+      return false;
+    case PoisonDetector::Verdict::kBlock:
+      GiveUp(policy_.GiveUpOutcome(), Reason::kPromptCrashesBackends,
+             std::chrono::duration_cast<Millis>(
+                 context_.poison.BlockedFor(parts, now)));
+      return false;
+  }
+  return true;
+}
+
 void ForwardRun::Submit() {
+  if (!IsSendable(BootNow())) return;
   phase_ = Phase::kWaiting;
   attempt_ = context_.last_attempt = context_.last_attempt.Next();
   context_.dispatcher.Submit(
@@ -139,6 +159,9 @@
   }
   phase_ = Phase::kSent;
   backend_ = *decision.backend;
+  if (!IsSendable(BootNow())) {
+    return EndAttempt(Dispatcher::Result::kCancelled);
+  }
   // Checked right before the send: the process may have been suspended since
   // the request was read.
   if (job_.workspace != nullptr && !context_.IsConfirmed(BootNow())) {
@@ -164,6 +187,9 @@
   sent_by_ = context_.view->revision;
   LogSend(now);
   CountArrival(now);
+  context_.poison.OnSent(job_.fields.shared_parts, now);
+  events_before_ = events_.events();
+  has_progress_ = false;
   status_ = 0;
   body_.clear();
   is_relaying_ = false;
@@ -286,6 +312,34 @@
   }
   caller_->WriteStream(data);
   if (caller_->is_congested()) connection_->Pause();
+  if (events_.events() - events_before_ > 1) NoteProgress(now);
+}
+
+// The backend server has gone on after the begin of its answer, so that the
+// prompt doesn't crash it.
+void ForwardRun::NoteProgress(TimePoint now) {
+  if (std::exchange(has_progress_, true)) return;
+  context_.poison.OnAnswered(backend_.id, job_.fields.shared_parts, sent_at_,
+                             now);
+}
+
+// A backend server that had left anyway hasn't crashed.
+void ForwardRun::OnConnectionBroken(TimePoint now) {
+  if (!context_.dispatcher.IsListed(backend_.id)) return;
+  const std::vector<PromptPart> candidates =
+      has_progress_ ? std::vector<PromptPart>() : job_.fields.shared_parts;
+  context_.poison.OnBroken(backend_.id, candidates, now);
+  if (!candidates.empty()) context_.check_backend(backend_);
+  std::string parts;
+  for (const PromptPart part : candidates) {
+    parts += std::to_string(part.value()) + ' ';
+  }
+  Log(LogLevel::kInfo, "backend_connection_broken",
+      {{"request", job_.fields.id.value()},
+       {"backend", backend_.id.value()},
+       {"sent_ms_ago", ToMillis(now - sent_at_)},
+       {"events", events_.events() - events_before_},
+       {"candidates", parts}});
 }
 
 void ForwardRun::OnBackendEnd() {
@@ -302,6 +356,7 @@
     return OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendRefused);
   }
   const bool is_failure = status_ >= 500;
+  if (IsSuccess(status_)) NoteProgress(BootNow());
   EndAttempt(is_failure ? JudgeFailure() : Dispatcher::Result::kServed);
   if (is_failure && policy_.OnFailed() == DirectPolicy::Next::kSendAgain &&
       ReserveRetry(BootNow())) {
@@ -349,15 +404,18 @@
   if (phase_ != Phase::kSent) return;
   connection_ = nullptr;
   events_.DropPartial();
-  if (failure == ExchangeFailure::kNotSent) UncountArrival(BootNow());
+  const TimePoint now = BootNow();
+  if (failure == ExchangeFailure::kNotSent) UncountArrival(now);
   if (failure == ExchangeFailure::kNotSent && !IsStillWanted()) {
     EndAttempt(Dispatcher::Result::kCancelled);
     return OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendLeaving);
   }
   if (failure == ExchangeFailure::kNotSent) {
+    context_.poison.OnGone(backend_.id, now);
     EndAttempt(Dispatcher::Result::kUnreachable);
     return OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendUnreachable);
   }
+  OnConnectionBroken(now);
   EndAttempt(Dispatcher::Result::kFailed);
   OnAttemptFailed(policy_.OnFailed(), Reason::kBackendFailed);
 }
@@ -426,6 +484,8 @@
 void ForwardRun::OnTick(TimePoint now) {
   if (phase_ == Phase::kFinished) return;
   if (now < deadline_) {
+    if (phase_ == Phase::kHeld) return Submit();
+    if (phase_ == Phase::kWaiting) return RefuseIfBlocked(now);
     if (IsStuck(now)) LeaveStuckBackend();
     return;
   }
@@ -435,6 +495,16 @@
          Reason::kDeadlineExceeded, Millis(0));
 }
 
+// What has become known while the request was waiting counts at once.
+void ForwardRun::RefuseIfBlocked(TimePoint now) {
+  const bool is_blocked =
+      context_.poison.Judge(job_.fields.shared_parts, now) ==
+      PoisonDetector::Verdict::kBlock;
+  if (!is_blocked) return;
+  context_.dispatcher.Withdraw(attempt_);
+  IsSendable(now);
+}
+
 // An attempt that can't be replaced stays, since its answer may still come.
 bool ForwardRun::IsStuck(TimePoint now) const {
   if (phase_ != Phase::kSent || job_.route->kind != RouteKind::kStream) {
--- a/src/caller/forward_run.h
+++ b/src/caller/forward_run.h
@@ -47,9 +47,18 @@
   void OnBackendFailure(ExchangeFailure failure) override;
 
  private:
-  enum class Phase { kWaiting, kSent, kFinished };
+  enum class Phase {
+    kHeld,     // until it is known whether its prompt crashed a backend server
+    kWaiting,  // for a backend server
+    kSent,
+    kFinished
+  };
 
   void Submit();
+  bool IsSendable(TimePoint now);
+  void RefuseIfBlocked(TimePoint now);
+  void OnConnectionBroken(TimePoint now);
+  void NoteProgress(TimePoint now);
   void Send(const BackendRecord& backend);
   void LogSend(TimePoint now) const;
   void TakeNotice(TimePoint now);
@@ -94,6 +103,8 @@
   TimePoint sent_at_;
   Revision sent_by_;  // the view by which the backend server was chosen
   std::optional<TimePoint> last_event_at_;  // of this attempt
+  int events_before_ = 0;                   // events of earlier attempts
+  bool has_progress_ = false;  // the answer went on after its begin
   // The answer in progress.
   int status_ = 0;
   HttpFields answer_fields_;
--- a/src/caller/forward_server.cc
+++ b/src/caller/forward_server.cc
@@ -17,6 +17,11 @@
 constexpr Millis kRefusalRetry{500};
 // A peer's word counts if it is newer than this entry's own by so much.
 constexpr Millis kConfirmationGain{1'000};
+// News of prompts that crash backend servers goes into each round of gossip
+// for this long, and later into one of so many rounds, for entries that start.
+constexpr Millis kPoisonNews{3'000};
+constexpr int kRoundsOfPoisonReport = 7;
+constexpr Millis kCheckTimeout{500};
 
 }  // namespace
 
@@ -29,15 +34,19 @@
       acceptor_(loop.io()),
       socket_(loop.io(), counters),
       gossip_({.self = options_.self}),
-      context_{.counters = counters,
-               .dialect = dialect,
-               .dispatcher = Dispatcher(options_.dispatcher),
-               .pool = BackendPool(loop.io(), counters),
-               .budget = options_.budget,
-               .confirmed_as_of = TimePoint{},
-               .view_as_of = TimePoint{},
-               .confirmation_limit = options_.confirmation_limit,
-               .request_decisions = [this] { RequestDecisions(); }},
+      context_{
+          .counters = counters,
+          .dialect = dialect,
+          .dispatcher = Dispatcher(options_.dispatcher),
+          .pool = BackendPool(loop.io(), counters),
+          .poison = PoisonDetector({.self = options_.self.id}),
+          .budget = options_.budget,
+          .confirmed_as_of = TimePoint{},
+          .view_as_of = TimePoint{},
+          .confirmation_limit = options_.confirmation_limit,
+          .request_decisions = [this] { RequestDecisions(); },
+          .check_backend =
+              [this](const BackendRecord& backend) { CheckBackend(backend); }},
       random_(options_.dispatcher.seed) {
   host_ = {
       .on_request =
@@ -216,15 +225,27 @@
   });
 }
 
+// Tells of the backend servers that `before` lists and the view in force
+// doesn't.
+void ForwardServer::ReportGoneBackends(const FleetView& before, TimePoint now) {
+  for (const BackendRecord& backend : before.backends) {
+    if (!context_.dispatcher.IsListed(backend.id)) {
+      context_.poison.OnGone(backend.id, now);
+    }
+  }
+}
+
 void ForwardServer::SetView(FleetViewPtr view) {
-  context_.view = std::move(view);
+  const FleetViewPtr before = std::exchange(context_.view, std::move(view));
   if (context_.view->routes != nullptr) {
     context_.dispatcher.SetServices(
         context_.view->routes->deployment().services);
   }
   context_.dispatcher.SetBackends(context_.view->backends);
   gossip_.SetListed(context_.view->entries);
-  UpdateEntries(BootNow());
+  const TimePoint now = BootNow();
+  if (before != nullptr) ReportGoneBackends(*before, now);
+  UpdateEntries(now);
   RequestDecisions();
 }
 
@@ -237,7 +258,10 @@
                                              : context_.view->version(),
       .confirmed_as_of = context_.confirmed_as_of,
       .shares = context_.dispatcher.OwnShares()};
-  for (const auto& outgoing : gossip_.NextRound(state, now)) {
+  const PoisonReport poison =
+      IsPoisonReportDue(now) ? context_.poison.Report(now) : PoisonReport();
+  for (auto& outgoing : gossip_.NextRound(state, now)) {
+    outgoing.message.poison = poison;
     socket_.Send(outgoing.to, EncodeGossip(outgoing.message));
   }
   UpdateEntries(now);
@@ -249,10 +273,46 @@
   handlers_.on_alive(alive);
 }
 
+void ForwardServer::CheckBackend(const BackendRecord& backend) {
+  if (!checked_backends_.insert(backend.id).second) return;
+  const TimePoint begin = BootNow();
+  ProbeConnection(loop_.io(), backend.address, kCheckTimeout,
+                  [this, id = backend.id, begin](ProbeResult result) {
+                    OnChecked(id, result, begin);
+                  });
+}
+
+// A crash is told to the other entries at once, before the next request with
+// the same part reaches one of them.
+void ForwardServer::OnChecked(const InstanceId& backend, ProbeResult result,
+                              TimePoint begin) {
+  checked_backends_.erase(backend);
+  const TimePoint now = BootNow();
+  if (result == ProbeResult::kAccepted) {
+    context_.poison.OnAnswered(backend, {}, begin, now);
+  }
+  if (result != ProbeResult::kRefused) return;
+  context_.poison.OnGone(backend, now);
+  Gossip();
+}
+
+bool ForwardServer::IsPoisonReportDue(TimePoint now) {
+  const int blocked = context_.poison.blocked(now);
+  context_.counters.Set(Gauge::kPromptPartsBlocked, blocked);
+  if (std::exchange(blocked_parts_, blocked) != blocked) {
+    Log(LogLevel::kWarning, "prompt_parts_blocked", {{"count", blocked}});
+  }
+  const auto changed_at = context_.poison.changed_at();
+  return ++gossip_rounds_ % kRoundsOfPoisonReport == 0 ||
+         (changed_at && now - *changed_at < kPoisonNews);
+}
+
 // Divides what all entries share by those that are known by now.
 void ForwardServer::UpdateEntries(TimePoint now) {
   context_.entries = gossip_.SenderCount(now);
-  context_.dispatcher.SetEntries(options_.self.id, gossip_.PossibleSenders());
+  const std::vector<InstanceId> senders = gossip_.PossibleSenders();
+  context_.dispatcher.SetEntries(options_.self.id, senders);
+  context_.poison.SetEntries(senders);
   if (context_.view == nullptr || context_.view->routes == nullptr) return;
   double tokens = 0;
   for (const ServiceSpec& service :
@@ -268,6 +328,7 @@
   const TimePoint now = BootNow();
   const auto news = gossip_.OnMessage(*message, now);
   context_.dispatcher.OnPeerShares(message->sender.id, message->shares, now);
+  context_.poison.OnReport(message->poison, now);
   for (const auto& zone : news.zones) {
     context_.dispatcher.OnPeerShares(InstanceId("zone " + zone.name.value()),
                                      zone.shares, zone.as_of);
--- a/src/caller/forward_server.h
+++ b/src/caller/forward_server.h
@@ -6,9 +6,11 @@
 #include <asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include "absl/status/status.h"
+#include "backend/connect_probe.h"
 #include "caller/caller_connection.h"
 #include "caller/forward_context.h"
 #include "caller/forward_run.h"
@@ -68,6 +70,11 @@
   void OnDatagram(std::string_view data);
   void Gossip();
   void UpdateEntries(TimePoint now);
+  void ReportGoneBackends(const FleetView& before, TimePoint now);
+  bool IsPoisonReportDue(TimePoint now);
+  void CheckBackend(const BackendRecord& backend);
+  void OnChecked(const InstanceId& backend, ProbeResult result,
+                 TimePoint begin);
   void RequestDecisions();
   void CarryOutDecisions();
   void Tick();
@@ -89,6 +96,9 @@
   bool is_leaving_ = false;
   bool is_closed_ = false;
   int ticks_ = 0;
+  int gossip_rounds_ = 0;
+  std::set<InstanceId> checked_backends_;  // of which the result is due
+  int blocked_parts_ = 0;                  // as last logged
 };
 
 }  // namespace mangohold
--- a/src/core/counters.cc
+++ b/src/core/counters.cc
@@ -41,8 +41,13 @@
                    "retries_denied"};
 
 constexpr std::array<std::string_view, static_cast<int>(Gauge::kCount)>
-    kGaugeNames = {"in_flight",      "queued",        "admission_limit",
-                   "backends_known", "backends_open", "kept_answer_bytes",
+    kGaugeNames = {"in_flight",
+                   "queued",
+                   "admission_limit",
+                   "backends_known",
+                   "backends_open",
+                   "kept_answer_bytes",
+                   "prompt_parts_blocked",
                    "retry_tokens"};
 
 constexpr std::array<std::string_view, static_cast<int>(DepartureWay::kCount)>
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -49,6 +49,7 @@
   kBackendsKnown,
   kBackendsOpen,
   kKeptAnswerBytes,
+  kPromptPartsBlocked,
   kRetryTokens,  // retries that may be made at once, of all services
   kCount
 };
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -54,6 +54,9 @@
 // A group of ranks that make each pass together.
 using GroupName = Id<struct GroupNameTag>;
 
+// A part of a prompt, which requests may share.
+using PromptPart = Number<struct PromptPartTag>;
+
 // Counts how often the platform's store came back from an older copy.
 using StoreEra = Number<struct StoreEraTag>;
 
--- a/src/core/outcome.cc
+++ b/src/core/outcome.cc
@@ -46,6 +46,7 @@
     {Reason::kUnknownRoute, "unknown_route", 404},
     {Reason::kUnknownKey, "unknown_key", 401},
     {Reason::kEntryLeaving, "entry_leaving", 503},
+    {Reason::kPromptCrashesBackends, "prompt_crashes_backends", 503},
 });
 static_assert(kReasons.size() == static_cast<std::size_t>(Reason::kCount));
 
--- a/src/core/outcome.h
+++ b/src/core/outcome.h
@@ -48,6 +48,7 @@
   kUnknownRoute,
   kUnknownKey,
   kEntryLeaving,
+  kPromptCrashesBackends,
   kCount
 };
 
--- a/src/peer/entry_gossip.cc
+++ b/src/peer/entry_gossip.cc
@@ -39,6 +39,33 @@
   return shares;
 }
 
+Json FromPoisonReport(const PoisonReport& report) {
+  Json crashes = Json::array();
+  for (const PoisonReport::Crash& crash : report.crashes) {
+    crashes.push_back({crash.backend, crash.age_us, crash.candidates});
+  }
+  Json cleared = Json::array();
+  for (const PoisonReport::Cleared& part : report.cleared) {
+    cleared.push_back({part.part, part.age_us});
+  }
+  return {{"crashes", std::move(crashes)}, {"cleared", std::move(cleared)}};
+}
+
+PoisonReport ToPoisonReport(const Json& json) {
+  PoisonReport report;
+  for (const Json& crash : json.at("crashes")) {
+    report.crashes.push_back(
+        {.backend = crash.at(0).get<InstanceId>(),
+         .age_us = crash.at(1).get<std::int64_t>(),
+         .candidates = crash.at(2).get<std::vector<PromptPart>>()});
+  }
+  for (const Json& part : json.at("cleared")) {
+    report.cleared.push_back({.part = part.at(0).get<PromptPart>(),
+                              .age_us = part.at(1).get<std::int64_t>()});
+  }
+  return report;
+}
+
 }  // namespace
 
 std::string EncodeGossip(const GossipMessage& message) {
@@ -47,15 +74,18 @@
     zones.push_back(
         {zone.zone, zone.age_us, zone.alive, FromShares(zone.shares)});
   }
-  const Json json = {{"from", EncodeMember(message.sender)},
-                     {"leaving", message.is_leaving},
-                     {"mark", message.timestamp_us},
-                     {"returned", message.echoed_timestamp_us},
-                     {"held", message.echo_delay_us},
-                     {"deployment", message.deployment},
-                     {"age", message.confirmed_age_us},
-                     {"shares", FromShares(message.shares)},
-                     {"zones", std::move(zones)}};
+  Json json = {{"from", EncodeMember(message.sender)},
+               {"leaving", message.is_leaving},
+               {"mark", message.timestamp_us},
+               {"returned", message.echoed_timestamp_us},
+               {"held", message.echo_delay_us},
+               {"deployment", message.deployment},
+               {"age", message.confirmed_age_us},
+               {"shares", FromShares(message.shares)},
+               {"zones", std::move(zones)}};
+  if (!message.poison.empty()) {
+    json["poison"] = FromPoisonReport(message.poison);
+  }
   std::string bytes;
   Json::to_cbor(json, bytes);
   return bytes;
@@ -75,6 +105,9 @@
         .deployment = json.at("deployment").get<DeploymentVersion>(),
         .confirmed_age_us = json.at("age").get<std::int64_t>()};
     message.shares = ToShares(json.at("shares"));
+    if (const auto poison = json.find("poison"); poison != json.end()) {
+      message.poison = ToPoisonReport(*poison);
+    }
     for (const Json& zone : json.at("zones")) {
       message.zones.push_back(
           {.zone = zone.at(0).get<ZoneName>(),
--- a/src/peer/entry_gossip.h
+++ b/src/peer/entry_gossip.h
@@ -29,6 +29,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "routing/dispatcher.h"
+#include "routing/poison_detector.h"
 #include "store/member.h"
 
 namespace mangohold {
@@ -56,6 +57,8 @@
   std::int64_t confirmed_age_us = 0;
   std::vector<BackendShare> shares;
   std::vector<ZoneDigest> zones;
+  // What is known of prompts that crash backend servers.
+  PoisonReport poison;
 };
 
 std::string EncodeGossip(const GossipMessage& message);
--- a/tests/direct_site.cc
+++ b/tests/direct_site.cc
@@ -229,9 +229,27 @@
 }
 
 void DirectSite::ListBackend(int index, const std::string& state) {
+  ListBackendAt(index, backends_[index]->address(), state);
+}
+
+std::unique_ptr<Relay> DirectSite::PutRelayBefore(int backend) {
+  const std::string address = Ip(150 + backend) + ":9000";
+  auto relay = std::make_unique<Relay>(Endpoint(address),
+                                       Endpoint(backends_[backend]->address()));
+  ListBackendAt(backend, address, "ready");
+  for (int i = 0; i < options_.entries; ++i) {
+    WaitFor([&] {
+      return Log(i).find("\"address\":\"" + address) != std::string::npos;
+    });
+  }
+  return relay;
+}
+
+void DirectSite::ListBackendAt(int index, const std::string& address,
+                               const std::string& state) {
   const BackendStandin& backend = *backends_[index];
   store_->Put("servers/" + backend.id(), Json{{"service", "s"},
-                                              {"address", backend.address()},
+                                              {"address", address},
                                               {"zone", "north"},
                                               {"slots", 8},
                                               {"state", state},
--- a/tests/direct_site.h
+++ b/tests/direct_site.h
@@ -92,6 +92,9 @@
   // /again/ (idempotent) and /stream/ (resumable).
   void PutDeployment(int version, const std::vector<std::string>& keys = {"k"});
   void ListBackend(int index, const std::string& state = "ready");
+  // Lists a relay's address as the backend server's, and waits until each entry
+  // knows it.
+  std::unique_ptr<Relay> PutRelayBefore(int backend);
 
   standin::KvStore& store() { return *store_; }
   BackendStandin& backend(int index) { return *backends_[index]; }
@@ -111,6 +114,8 @@
                     const std::string& key = "k", int entry = 0) const;
 
  private:
+  void ListBackendAt(int index, const std::string& address,
+                     const std::string& state);
   std::string Ip(int last) const;
   Endpoint StoreAddress(int entry) const;
 
--- a/tests/system/direct_way_test.cc
+++ b/tests/system/direct_way_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <array>
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -142,6 +143,48 @@
   }
 }
 
+// Guards against a prompt that crashes one backend server after the other: the
+// request isn't sent again, those with the same part are refused by all
+// entries, and those with its other parts go on.
+TEST(DirectWay, APromptThatCrashesABackendServerReachesNoOther) {
+  DirectSite site({.entries = 2, .backends = 2});
+  site.Start();
+  std::array<std::unique_ptr<Relay>, 2> links = {site.PutRelayBefore(0),
+                                                 site.PutRelayBefore(1)};
+  for (int i = 0; i < 2; ++i) site.backend(i).SetManner(Manner::kHang);
+  const auto call = [&site](const std::string& id, const std::string& parts,
+                            int entry) {
+    return Send(site.CallerAddress(entry), "POST", "/stream/x", "b",
+                {{"Host", "h.example"},
+                 {"X-Mangohold-Request-Id", id},
+                 {"X-Mangohold-Deadline-Ms", "3000"},
+                 {"X-Mangohold-Prefix-Hash", parts},
+                 {"Authorization", "Bearer k"}});
+  };
+  HttpResponse crashed;
+  std::thread caller([&] { crashed = call("p", "aa:9,bad:9,p:1", 0); });
+  const auto runs = [&site](int i) { return site.backend(i).runs_in_all(); };
+  WaitFor([&] { return runs(0) + runs(1) == 1; });
+  const int first = runs(0) == 1 ? 0 : 1;
+  site.backend(1 - first).SetManner(Manner::kStream);
+  links[first].reset();  // refuses connections from now on
+  caller.join();
+  EXPECT_EQ(crashed.status, 502);
+  for (int entry = 0; entry < 2; ++entry) {
+    const std::string id = "q" + std::to_string(entry);
+    HttpResponse refused;
+    WaitFor([&] {
+      refused = call(id, "bb:9,bad:9," + id + ":1", entry);
+      return refused.status == 503;
+    });
+    EXPECT_NE(FieldValue(refused.fields, "Retry-After"), "");
+    EXPECT_EQ(call("s" + id, "bb:9," + id + ":1", entry).body, AllEvents());
+  }
+  EXPECT_FALSE(site.backend(1 - first).runs().contains("p"));
+  EXPECT_FALSE(site.backend(1 - first).runs().contains("q0"));
+  EXPECT_FALSE(site.backend(1 - first).runs().contains("q1"));
+}
+
 // The machine of one backend server stands still in mid-stream, while streams
 // of the other one go on. There are more callers than it has slots.
 // One of two backend servers stands still, as `manner` says, while streams of
