Take a stream that ends inside an event for broken off

What callers saw: a stream without length and chunks, whose connection ends in good order inside an event, came as whole, with half an event at its end.

Cause: an orderly close is the end of such an answer, and what was left of an event was written as its last bytes.

Change: on a streaming route, an answer that ends inside an event counts as broken off: it is resumed elsewhere, or ends with a reset.

DirectWay.AStreamThatEndsInsideAnEventGoesOnElsewhere failed before with the half event in the answer of five of six calls, and passes now; so does the same stream with a whole end.

--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -344,6 +344,13 @@
 
 void ForwardRun::OnBackendEnd() {
   if (phase_ != Phase::kSent) return;
+  // A stream that ends inside an event has been broken off.
+  const bool is_broken = job_.route->kind == RouteKind::kStream &&
+                         is_relaying_ && events_.is_inside_event();
+  if (is_broken) {
+    connection_->Cancel();
+    return OnBackendFailure(ExchangeFailure::kBroken);
+  }
   const auto connection = std::exchange(connection_, nullptr);
   context_.pool.Release(backend_.id, connection, BootNow());
   OnWholeAnswer();
--- a/src/routing/event_splitter.h
+++ b/src/routing/event_splitter.h
@@ -19,6 +19,8 @@
   std::string Feed(std::string_view data);
   // The stream ended normally: returns the remaining bytes.
   std::string Finish();
+  // True if the bytes so far end inside an event.
+  bool is_inside_event() const { return !partial_.empty(); }
   // The stream broke off: discards the bytes of an incomplete event.
   void DropPartial() { partial_.clear(); }
 
--- a/tests/direct_site.cc
+++ b/tests/direct_site.cc
@@ -118,6 +118,11 @@
       co_await connection.Send(Head(200, id, "Connection: close\r\n") + body);
       connection.Finish();
       break;
+    case Manner::kEndlessStream:
+    case Manner::kEndInsideEvent:
+      co_await SendEndlessStream(std::move(request), connection,
+                                 manner == Manner::kEndInsideEvent);
+      break;
     case Manner::kHang:
       if (co_await connection.IsClosedWithin(milliseconds(20'000))) {
         ++cancelled_;
@@ -126,6 +131,27 @@
   }
 }
 
+asio::awaitable<void> BackendStandin::SendEndlessStream(
+    HttpRequest request, standin::Connection& connection,
+    bool ends_inside_event) {
+  constexpr int kEvents = 10;
+  constexpr int kBroken = 5;
+  const std::string last(request.Field("Last-Event-Id"));
+  std::string events;
+  for (int event = last.empty() ? 1 : std::stoi(last) + 1; event <= kEvents;
+       ++event) {
+    const std::string text = Event(event);
+    const bool is_end = ends_inside_event && event == kBroken;
+    events += is_end ? text.substr(0, text.size() / 2) : text;
+    if (is_end) break;
+  }
+  co_await connection.Send(Head(200, std::string(request.Field(kId)),
+                                "Content-Type: text/event-stream\r\n"
+                                "Connection: close\r\n") +
+                           events);
+  connection.Finish();
+}
+
 asio::awaitable<void> BackendStandin::Stream(HttpRequest request,
                                              standin::Connection& connection,
                                              Manner manner) {
--- a/tests/direct_site.h
+++ b/tests/direct_site.h
@@ -20,20 +20,22 @@
 
 // What a backend server stand-in does with its next requests.
 enum class Manner {
-  kAnswer,       // 200 with the request's id and body
-  kStream,       // ten events, 20 ms apart
-  kBreakStream,  // four events and half of the fifth, then a reset
-  kStickStream,  // four events, and nothing more
-  kReject,       // 503, not run
-  kQuiet,        // 503, not run, and nothing more for half a minute
-  kLeave,        // 200, and it is leaving
-  kMisdirected,  // 421, another instance
-  kError,        // 500 of its own
-  kDropLate,     // runs the request and drops the connection
-  kCutAnswer,    // half of the body that it announced
-  kExtraAnswer,  // a second answer, to nobody, behind the first
-  kEndless,      // no length; the answer ends with its connection
-  kHang          // no answer at all
+  kAnswer,          // 200 with the request's id and body
+  kStream,          // ten events, 20 ms apart
+  kBreakStream,     // four events and half of the fifth, then a reset
+  kStickStream,     // four events, and nothing more
+  kReject,          // 503, not run
+  kQuiet,           // 503, not run, and nothing more for half a minute
+  kLeave,           // 200, and it is leaving
+  kMisdirected,     // 421, another instance
+  kError,           // 500 of its own
+  kDropLate,        // runs the request and drops the connection
+  kCutAnswer,       // half of the body that it announced
+  kExtraAnswer,     // a second answer, to nobody, behind the first
+  kEndless,         // no length; the answer ends with its connection
+  kEndlessStream,   // the same with ten events
+  kEndInsideEvent,  // the same with four events and half of the fifth
+  kHang             // no answer at all
 };
 
 class BackendStandin {
@@ -56,6 +58,9 @@
  private:
   asio::awaitable<void> Handle(HttpRequest request,
                                standin::Connection& connection);
+  asio::awaitable<void> SendEndlessStream(HttpRequest request,
+                                          standin::Connection& connection,
+                                          bool ends_inside_event);
   asio::awaitable<void> Stream(HttpRequest request,
                                standin::Connection& connection, Manner manner);
 
--- a/tests/system/direct_way_test.cc
+++ b/tests/system/direct_way_test.cc
@@ -143,6 +143,30 @@
   }
 }
 
+TEST(DirectWay, AStreamThatEndsWithItsConnectionIsWhole) {
+  DirectSite site({});
+  site.Start();
+  site.backend(0).SetManner(Manner::kEndlessStream);
+  const HttpResponse response = site.Call("POST", "/stream/x", "id", "b");
+  EXPECT_EQ(response.result, HttpResult::kComplete);
+  EXPECT_EQ(response.body, AllEvents());
+}
+
+// Guards against half an event that is passed on as the end of a whole stream,
+// where the connection ended in good order.
+TEST(DirectWay, AStreamThatEndsInsideAnEventGoesOnElsewhere) {
+  DirectSite site({.backends = 2});
+  site.Start();
+  site.backend(0).SetManner(Manner::kEndInsideEvent);
+  site.backend(1).SetManner(Manner::kStream);
+  for (int i = 0; i < 6; ++i) {
+    const HttpResponse response = site.Call("POST", "/stream/x", "id", "b");
+    EXPECT_EQ(response.result, HttpResult::kComplete);
+    EXPECT_EQ(response.body, AllEvents());
+  }
+  EXPECT_GT(site.backend(0).runs_in_all(), 0);
+}
+
 // Guards against a prompt that crashes one backend server after the other: the
 // request isn't sent again, those with the same part are refused by all
 // entries, and those with its other parts go on.
