Never take an earlier refusal for the answer to the next attempt

What callers saw: 503, not run, for requests that an engine had run or was running (REFUSED), and orders that ran twice (TWICE), on real processes.

Cause: a request that an engine had refused went to the same engine again, on the connection used last, under the same id. A second copy of the refusal, late on that connection, was taken for the answer to the repeat, which ran.

Evidence: two stand-ins that do so.

Change: a connection doesn't carry a request that it has carried before. Work that may run once isn't offered again to an engine that refused it, and is refused at once when all have. For such work an answer without an id is no promise.

DirectWay.ARefusalWrittenOnceMoreIsNoAnswerToTheNextAttempt failed before; its stand-ins now write the copy on any connection.

--- a/src/backend/backend_connection.cc
+++ b/src/backend/backend_connection.cc
@@ -1,5 +1,6 @@
 #include "backend/backend_connection.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <charconv>
@@ -20,6 +21,7 @@
 // connection that the server is about to close.
 constexpr Millis kIdleTimeoutMargin{600};
 constexpr int kFirstFinalStatus = 200;
+constexpr std::size_t kMaxCarried = 16;
 
 // The "timeout" of the Keep-Alive field less the margin, or the default if the
 // field states none.
@@ -48,6 +50,8 @@
 
 void BackendConnection::Send(Exchange exchange) {
   exchange_ = std::move(exchange);
+  carried_.push_back(exchange_.id);
+  if (carried_.size() > kMaxCarried) carried_.pop_front();
   may_have_sent_ = false;
   has_sent_request_ = false;
   is_paused_ = false;
@@ -218,6 +222,10 @@
   Read();
 }
 
+bool BackendConnection::HasCarried(const RequestId& id) const {
+  return std::ranges::find(carried_, id) != carried_.end();
+}
+
 bool BackendConnection::IsReusable(TimePoint now) const {
   return phase_ == Phase::kIdle && now - idle_since_ < idle_timeout_;
 }
--- a/src/backend/backend_connection.h
+++ b/src/backend/backend_connection.h
@@ -4,6 +4,7 @@
 
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -48,6 +49,7 @@
  public:
   using Ptr = std::shared_ptr<BackendConnection>;
   struct Exchange {
+    RequestId id;
     std::string request;   // in HTTP/1.1 wire format
     bool is_head = false;  // a HEAD request: responses have no body
     std::shared_ptr<BackendListener> listener;
@@ -69,6 +71,9 @@
   // True if the connection can take another request at `now`.
   bool IsReusable(TimePoint now) const;
   bool is_open() const { return phase_ != Phase::kClosed; }
+  // True if the request was sent on this connection recently. A late copy of
+  // its earlier response couldn't be told from the response to a repeat.
+  bool HasCarried(const RequestId& id) const;
 
  private:
   enum class Phase { kNew, kConnecting, kBusy, kIdle, kClosed };
@@ -103,6 +108,7 @@
   bool keeps_alive_ = true;
   TimePoint idle_since_;
   Millis idle_timeout_{0};
+  std::deque<RequestId> carried_;  // the latest ones
 };
 
 }  // namespace mangohold
--- a/src/backend/backend_pool.cc
+++ b/src/backend/backend_pool.cc
@@ -1,5 +1,7 @@
 #include "backend/backend_pool.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace mangohold {
@@ -8,14 +10,29 @@
 // reach their idle timeout and are closed.
 BackendConnection::Ptr BackendPool::Acquire(const InstanceId& id,
                                             const Endpoint& endpoint,
+                                            const RequestId& request,
                                             int max_open, TimePoint now) {
   auto& server = servers_[id];
   if (server == nullptr) server = std::make_shared<Server>();
-  while (!server->idle.empty()) {
-    auto connection = std::move(server->idle.back());
-    server->idle.pop_back();
-    if (connection->IsReusable(now)) return connection;
+  auto& idle = server->idle;
+  std::erase_if(idle, [now](const BackendConnection::Ptr& connection) {
+    if (connection->IsReusable(now)) return false;
     connection->Cancel();
+    return true;
+  });
+  const auto usable =
+      std::find_if(idle.rbegin(), idle.rend(),
+                   [&request](const BackendConnection::Ptr& connection) {
+                     return !connection->HasCarried(request);
+                   });
+  if (usable != idle.rend()) {
+    auto connection = std::move(*usable);
+    idle.erase(std::next(usable).base());
+    return connection;
+  }
+  if (server->open >= max_open && !idle.empty()) {
+    idle.front()->Cancel();
+    idle.erase(idle.begin());
   }
   if (server->open >= max_open) return nullptr;
   ++server->open;
--- a/src/backend/backend_pool.h
+++ b/src/backend/backend_pool.h
@@ -18,10 +18,12 @@
   BackendPool(asio::io_context& io, Counters& counters)
       : io_(io), counters_(counters) {}
 
-  // Returns a connection for one request: an idle one, or else a new one. Null
-  // if `max_open` connections to the backend server are open already.
+  // Returns a connection for one request: an idle one that hasn't carried it
+  // before, or else a new one. Null if `max_open` connections to the backend
+  // server are in use already.
   BackendConnection::Ptr Acquire(const InstanceId& id, const Endpoint& endpoint,
-                                 int max_open, TimePoint now);
+                                 const RequestId& request, int max_open,
+                                 TimePoint now);
   // Returns a connection to the pool when its request has ended. Closes it if
   // it can't be reused.
   void Release(const InstanceId& id, const BackendConnection::Ptr& connection,
--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -147,6 +147,7 @@
        .target_start = job_.message.arrived + job_.route->target_latency,
        .expected_events = has_begun_ ? 0 : ExpectedEvents(),
        .tried = tried_,
+       .waits_for_new_backends = job_.route->IsRepeatable(),
        .zones = job_.zones});
   context_.request_decisions();
 }
@@ -175,7 +176,7 @@
 void ForwardRun::Send(const BackendRecord& backend) {
   const TimePoint now = BootNow();
   connection_ = context_.pool.Acquire(
-      backend.id, backend.address,
+      backend.id, backend.address, job_.fields.id,
       context_.dispatcher.MaxConnections(backend.id), now);
   if (connection_ == nullptr) {
     EndAttempt(Dispatcher::Result::kUnreachable);
@@ -198,7 +199,8 @@
   std::string request = RequestText(job_.message.method, job_.message.target,
                                     FieldsFor(backend, now));
   request.append(job_.message.body);
-  connection_->Send({.request = std::move(request),
+  connection_->Send({.id = job_.fields.id,
+                     .request = std::move(request),
                      .is_head = job_.message.method == "HEAD",
                      .listener = shared_from_this()});
 }
@@ -356,8 +358,15 @@
   OnWholeAnswer();
 }
 
+// An answer that doesn't say to which request it belongs promises nothing for
+// work that must run once at most.
+bool ForwardRun::IsCertainlyNotRun() const {
+  return answer_.is_certainly_not_run &&
+         (answer_.id || job_.route->IsRepeatable());
+}
+
 void ForwardRun::OnWholeAnswer() {
-  if (answer_.is_certainly_not_run) {
+  if (IsCertainlyNotRun()) {
     EndAttempt(answer_.is_other_instance ? Dispatcher::Result::kAddressReused
                                          : Dispatcher::Result::kRejected);
     return OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendRefused);
@@ -477,8 +486,11 @@
        {"sends_again", static_cast<int>(sends_again)}});
   if (!sends_again) return GiveUp(policy_.GiveUpOutcome(), reason, Millis(250));
   retry_reason_ = reason;
-  // One that only refused may be asked again.
-  if (reason != Reason::kBackendRefused) tried_.push_back(backend_.id);
+  // One that only refused may be asked again, but not for work that must run
+  // once at most.
+  const bool may_ask_again =
+      reason == Reason::kBackendRefused && job_.route->IsRepeatable();
+  if (!may_ask_again) tried_.push_back(backend_.id);
   if (has_begun_) context_.counters.Count(Event::kStreamsResumed);
   Submit();
 }
--- a/src/caller/forward_run.h
+++ b/src/caller/forward_run.h
@@ -67,6 +67,7 @@
   double ExpectedEvents() const;
   int Priority() const;
   void Relay(std::string_view data);
+  bool IsCertainlyNotRun() const;
   void OnWholeAnswer();
   Dispatcher::Result JudgeFailure();
   void Deliver();
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -26,6 +26,8 @@
 constexpr double kMinDurationFraction = 0.8;
 // Retry hint for a request whose service is too slow to finish it in time.
 constexpr Millis kSlowServiceRetryAfter{1'000};
+// Retry hint for a request that may be sent to no backend again.
+constexpr Millis kAllTriedRetryAfter{250};
 // Assumed service time while no backend of a service has served a request.
 constexpr double kDefaultServiceSeconds = 1.0;
 // Expected wait for a service without backends to get one.
@@ -122,6 +124,11 @@
           Refuse(query, Reason::kDeadlineUnreachable, kSlowServiceRetryAfter));
       continue;
     }
+    if (!query.waits_for_new_backends && HasTriedAll(query)) {
+      decisions.push_back(
+          Refuse(query, Reason::kBackendRefused, kAllTriedRetryAfter));
+      continue;
+    }
     // A request may overtake earlier ones that are waiting for other backends.
     if (Backend* backend = Choose(query, now)) {
       decisions.push_back(Send(query, *backend, now));
@@ -369,6 +376,14 @@
   return it == services_.end() ? nullptr : &it->second;
 }
 
+bool Dispatcher::HasTriedAll(const Query& query) const {
+  const auto group = by_service_.find(query.service);
+  return group != by_service_.end() && !query.tried.empty() &&
+         std::ranges::all_of(group->second, [&](const InstanceId& id) {
+           return std::ranges::find(query.tried, id) != query.tried.end();
+         });
+}
+
 bool Dispatcher::HasBackends(const ServiceName& service) const {
   return by_service_.contains(service);
 }
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -80,6 +80,8 @@
     double expected_events = 0;
     // Backends that the request has tried already.
     std::vector<InstanceId> tried;
+    // Whether it waits for further backends to be listed once it has tried all.
+    bool waits_for_new_backends = true;
     // Zones in which the request may run; empty: any.
     std::vector<ZoneName> zones;
   };
@@ -223,6 +225,8 @@
   void UpdateAllQuotas();
   const ServiceSpec* SpecOf(const ServiceName& service) const;
   bool HasBackends(const ServiceName& service) const;
+  // True if the request has tried all backends of its service.
+  bool HasTriedAll(const Query& query) const;
   // When the first of the service's backends ends its backoff; absent unless
   // all that aren't leaving are in backoff.
   std::optional<TimePoint> EarliestBackoffEnd(const ServiceName& service,
--- a/tests/direct_site.cc
+++ b/tests/direct_site.cc
@@ -71,8 +71,10 @@
   {
     const std::lock_guard lock(mutex_);
     last_request_ = request;
+    const bool is_refused_first =
+        manner == Manner::kRepeatRefusal && !arrivals_.contains(id);
     const bool runs = manner != Manner::kReject && manner != Manner::kQuiet &&
-                      manner != Manner::kMisdirected;
+                      manner != Manner::kMisdirected && !is_refused_first;
     if (runs) ++runs_[id];
   }
   const std::string body = id + ":" + request.body;
@@ -89,6 +91,9 @@
       co_await connection.Send(
           Whole(503, id, "", "X-Mangohold-Not-Executed: 1\r\n"));
       break;
+    case Manner::kRepeatRefusal:
+      co_await RefuseOnceMore(id, body, connection);
+      break;
     case Manner::kQuiet:
       co_await connection.Send(Whole(
           503, id, "", "X-Mangohold-Not-Executed: 1\r\nRetry-After: 30\r\n"));
@@ -131,6 +136,19 @@
   }
 }
 
+asio::awaitable<void> BackendStandin::RefuseOnceMore(
+    const std::string& id, const std::string& body,
+    standin::Connection& connection) {
+  const int arrival = ++arrivals_[id];
+  if (arrival <= 2) {
+    co_await connection.Send(
+        Whole(503, id, "", "X-Mangohold-Not-Executed: 1\r\n"));
+  }
+  if (arrival == 1) co_return;
+  co_await standin::Sleep(milliseconds(5));
+  co_await connection.Send(Whole(200, id, body));
+}
+
 asio::awaitable<void> BackendStandin::SendEndlessStream(
     HttpRequest request, standin::Connection& connection,
     bool ends_inside_event) {
--- a/tests/direct_site.h
+++ b/tests/direct_site.h
@@ -20,11 +20,14 @@
 
 // What a backend server stand-in does with its next requests.
 enum class Manner {
-  kAnswer,          // 200 with the request's id and body
-  kStream,          // ten events, 20 ms apart
-  kBreakStream,     // four events and half of the fifth, then a reset
-  kStickStream,     // four events, and nothing more
-  kReject,          // 503, not run
+  kAnswer,       // 200 with the request's id and body
+  kStream,       // ten events, 20 ms apart
+  kBreakStream,  // four events and half of the fifth, then a reset
+  kStickStream,  // four events, and nothing more
+  kReject,       // 503, not run
+  // 503, not run; when the same request comes again, the same 503 once more
+  // before it runs.
+  kRepeatRefusal,
   kQuiet,           // 503, not run, and nothing more for half a minute
   kLeave,           // 200, and it is leaving
   kMisdirected,     // 421, another instance
@@ -58,6 +61,9 @@
  private:
   asio::awaitable<void> Handle(HttpRequest request,
                                standin::Connection& connection);
+  asio::awaitable<void> RefuseOnceMore(const std::string& id,
+                                       const std::string& body,
+                                       standin::Connection& connection);
   asio::awaitable<void> SendEndlessStream(HttpRequest request,
                                           standin::Connection& connection,
                                           bool ends_inside_event);
@@ -70,6 +76,7 @@
   std::atomic<int> cancelled_ = 0;
   mutable std::mutex mutex_;
   std::map<std::string, int> runs_;
+  std::map<std::string, int> arrivals_;  // by request, at `kRepeatRefusal`
   HttpRequest last_request_;
   asio::io_context io_;
   std::thread thread_;
--- a/tests/system/direct_way_test.cc
+++ b/tests/system/direct_way_test.cc
@@ -143,6 +143,30 @@
   }
 }
 
+// Guards against a second copy of a refusal that is taken for the answer to
+// the same request's next attempt: the request runs, while its caller hears
+// that it hasn't (REFUSED), or runs elsewhere as well (TWICE).
+TEST(DirectWay, ARefusalWrittenOnceMoreIsNoAnswerToTheNextAttempt) {
+  constexpr int kRequests = 40;
+  DirectSite site({.backends = 2});
+  site.Start();
+  for (int i = 0; i < 2; ++i) site.backend(i).SetManner(Manner::kRepeatRefusal);
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string id = "once" + std::to_string(i);
+    const int status = site.Call("POST", "/once/x", id, "b").status;
+    const auto first = site.backend(0).runs();
+    const auto second = site.backend(1).runs();
+    const int runs = (first.contains(id) ? first.at(id) : 0) +
+                     (second.contains(id) ? second.at(id) : 0);
+    EXPECT_LE(runs, 1) << id;
+    EXPECT_TRUE(status != 503 || runs == 0) << id;
+  }
+  for (int i = 0; i < kRequests / 8; ++i) {
+    const std::string id = "again" + std::to_string(i);
+    EXPECT_EQ(site.Call("GET", "/again/x", id).status, 200) << id;
+  }
+}
+
 TEST(DirectWay, AStreamThatEndsWithItsConnectionIsWhole) {
   DirectSite site({});
   site.Start();
--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -144,6 +144,25 @@
   EXPECT_FALSE(decisions.contains(plain));
 }
 
+// Guards against a request that waits out its time although every backend has
+// refused it already.
+TEST_F(DispatcherTest, RequestThatAllBackendsRefusedIsRefusedAtOnce) {
+  for (const bool waits : {false, true}) {
+    last_ = last_.Next();
+    dispatcher_.Submit({.number = last_,
+                        .service = kDesk,
+                        .start_deadline = now_ + seconds(2),
+                        .tried = {InstanceId("d0"), InstanceId("d1")},
+                        .waits_for_new_backends = waits});
+    const auto decisions = Decide();
+    ASSERT_EQ(decisions.contains(last_), !waits);
+    if (waits) continue;
+    EXPECT_FALSE(decisions.at(last_).backend);
+    EXPECT_EQ(decisions.at(last_).reason, Reason::kBackendRefused);
+    EXPECT_GT(decisions.at(last_).retry_after, milliseconds(0));
+  }
+}
+
 TEST_F(DispatcherTest, FullServiceDoesNotBlockAnother) {
   FillGroup();
   Submit(kModel, 0);
