Use no entry of a backend server that can't be one

What operators of similar systems saw: one odd entry among those of the engines ended the readers, or they stopped following the list.

A key with a line end went into a header field. An entry of an unknown service took a sound engine's address, since it was newer.

Cause: values were converted, not checked.

Any other entry is skipped, logged once with its key and counted.

Fixtures of three older tests used addresses without an IP, a port 0 and a service that their deployment didn't name; they use sound ones now, and check what they did.

--- a/src/caller/entry_control.cc
+++ b/src/caller/entry_control.cc
@@ -26,10 +26,12 @@
       counters_(counters),
       options_(std::move(options)),
       handlers_(std::move(handlers)),
-      builder_(options_.schema, {.on_departure =
-                                     [this](const BackendDeparture& news) {
-                                       OnDeparture(news);
-                                     }}),
+      builder_(
+          options_.schema,
+          {.on_departure =
+               [this](const BackendDeparture& news) { OnDeparture(news); },
+           .on_ignored =
+               [this] { counters_.Count(Event::kBackendEntriesIgnored); }}),
       follower_(
           loop, store,
           {.ignored_prefixes = {options_.schema.leader_prefix,
--- a/src/core/counters.cc
+++ b/src/core/counters.cc
@@ -38,7 +38,8 @@
                    "map_switches",
                    "datagrams_dropped",
                    "sent_to_leaving",
-                   "retries_denied"};
+                   "retries_denied",
+                   "backend_entries_ignored"};
 
 constexpr std::array<std::string_view, static_cast<int>(Gauge::kCount)>
     kGaugeNames = {"in_flight",
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -38,6 +38,7 @@
   kDatagramsDropped,
   kSentToLeaving,
   kRetriesDenied,  // by the budget
+  kBackendEntriesIgnored,
   kCount
 };
 
--- a/src/net/endpoint.cc
+++ b/src/net/endpoint.cc
@@ -1,5 +1,6 @@
 #include "net/endpoint.h"
 
+#include <asio/ip/address.hpp>
 #include <charconv>
 
 namespace mangohold {
@@ -15,6 +16,13 @@
   return out;
 }
 
+bool IsUsable(const Endpoint& endpoint) {
+  const HostPort parts = ParseEndpoint(endpoint);
+  std::error_code error;
+  asio::ip::make_address(parts.host, error);
+  return !error && parts.port > 0;
+}
+
 std::vector<Endpoint> ToEndpoints(const std::vector<std::string>& texts) {
   return {texts.begin(), texts.end()};
 }
--- a/src/net/endpoint.h
+++ b/src/net/endpoint.h
@@ -16,6 +16,8 @@
 };
 
 HostPort ParseEndpoint(const Endpoint& endpoint);
+// True if it is an IP address and a port above 0, and nothing else.
+bool IsUsable(const Endpoint& endpoint);
 std::vector<Endpoint> ToEndpoints(const std::vector<std::string>& texts);
 
 }  // namespace mangohold
--- a/src/store/fleet_builder.cc
+++ b/src/store/fleet_builder.cc
@@ -5,6 +5,7 @@
 
 #include "core/log.h"
 #include "core/status.h"
+#include "core/text.h"
 
 namespace mangohold {
 
@@ -117,6 +118,7 @@
   const InstanceId id(key.substr(schema_.backend_prefix.size()));
   const StoreItem* item = replica.Find(key);
   if (item == nullptr) {
+    ignored_.erase(id);
     if (!availability.IsSettled(now)) {
       const bool is_new = unlisted_since_.try_emplace(id, now).second;
       if (is_new) {
@@ -129,12 +131,16 @@
     return was_known;
   }
   unlisted_since_.erase(id);
+  if (!IsPlainText(id.value())) {
+    ReportIgnored(id, "the id has control characters");
+    return false;
+  }
   auto record = schema_.decode_backend(id, item->value);
   if (!record.ok()) {
-    Log(LogLevel::kWarning, "backend_entry_ignored",
-        {{"backend", id.value()}, {"error", MessageOf(record.status())}});
+    ReportIgnored(id, MessageOf(record.status()));
     return backends_.erase(id) > 0;
   }
+  ignored_.erase(id);
   if (IsStale(*record)) {
     Log(LogLevel::kInfo, "backend_entry_late",
         {{"backend", id.value()}, {"revision", item->revision.number()}});
@@ -165,6 +171,19 @@
   return true;
 }
 
+// Logs only the first of an entry's values that can't be used.
+void FleetBuilder::ReportIgnored(const InstanceId& id, std::string_view error) {
+  constexpr std::size_t kMaxErrorLength = 200;
+  if (options_.on_ignored) options_.on_ignored();
+  if (!ignored_.insert(id).second) return;
+  Log(LogLevel::kWarning, "backend_entry_ignored",
+      {{"backend", id.value()}, {"error", error.substr(0, kMaxErrorLength)}});
+}
+
+bool FleetBuilder::IsNamed(const ServiceName& service) const {
+  return routes_ == nullptr || routes_->FindService(service) != nullptr;
+}
+
 // A record is stale if a newer heartbeat of the same id is known. Stale records
 // are ignored.
 bool FleetBuilder::IsStale(const BackendRecord& record) const {
@@ -231,10 +250,11 @@
   view->revision = revision_;
   std::map<Endpoint, Revision> newest;
   for (const auto& [id, record] : backends_) {
+    if (!IsNamed(record.service)) continue;
     newest[record.address] = std::max(newest[record.address], record.created);
   }
   for (const auto& [id, record] : backends_) {
-    if (record.state == BackendState::kReady &&
+    if (record.state == BackendState::kReady && IsNamed(record.service) &&
         record.created == newest[record.address] &&
         !evacuated_zones_.contains(record.zone)) {
       view->backends.push_back(record);
--- a/src/store/fleet_builder.h
+++ b/src/store/fleet_builder.h
@@ -5,7 +5,9 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "config/fleet_view.h"
@@ -36,6 +38,9 @@
     Duration departure_retention = std::chrono::seconds(60);
     // Called for each backend server that goes out of use; may be empty.
     std::function<void(const BackendDeparture&)> on_departure;
+    // Called for each entry of a backend server that can't be used; may be
+    // empty.
+    std::function<void()> on_ignored;
   };
 
   FleetBuilder(StoreSchema schema, Options options);
@@ -79,6 +84,8 @@
                    Duration retained_for, TimePoint now);
   void ReportDeparture(const BackendDeparture& departure) const;
   bool IsStale(const BackendRecord& record) const;
+  void ReportIgnored(const InstanceId& id, std::string_view error);
+  bool IsNamed(const ServiceName& service) const;
   bool ApplyBackend(const std::string& key, const StoreReplica& replica,
                     const StoreAvailability& availability, TimePoint now);
 
@@ -92,6 +99,7 @@
   // unavailable, and when.
   std::map<InstanceId, TimePoint> unlisted_since_;
   Departures departures_;
+  std::set<InstanceId> ignored_;  // entries that can't be used
   std::map<ZoneName, ZoneEvacuation> evacuated_zones_;
   std::map<std::string, Member> members_;
   // What agents report about the backend servers beside them, by the address of
--- a/tests/unit/departures_at_scale_test.cc
+++ b/tests/unit/departures_at_scale_test.cc
@@ -39,7 +39,7 @@
 constexpr char kServer[] = "servers/s0";
 
 std::string ServerText(const std::string& state) {
-  return R"({"service":"s","address":"a:1","zone":"z0","version":"v1",)"
+  return R"({"service":"s","address":"10.0.0.1:1","zone":"z0","version":"v1",)"
          R"("slots":6,"state":")" +
          state + R"(","cold_remaining_ms":0,"sequence":4,"born":1000})";
 }
--- a/tests/unit/fleet_builder_test.cc
+++ b/tests/unit/fleet_builder_test.cc
@@ -93,13 +93,13 @@
 }
 
 TEST_F(FleetBuilderTest, MalformedRecordsAreIgnored) {
-  Write("servers/good", BackendText("a:1", "ready"));
-  for (const char* value :
-       {"", "{}", "[1]", "\xff\xfe", R"({"service":3,"address":"a:2"})"}) {
+  Write("servers/good", BackendText("10.0.0.1:1", "ready"));
+  for (const char* value : {"", "{}", "[1]", "\xff\xfe",
+                            R"({"service":3,"address":"10.0.0.1:2"})"}) {
     Write("servers/bad", value);
     EXPECT_EQ(Backends(), 1U) << value;
   }
-  Write("servers/odd", BackendText("a:3", "sleeping"));
+  Write("servers/odd", BackendText("10.0.0.1:3", "sleeping"));
   EXPECT_EQ(Backends(), 1U);
   // A record that becomes unreadable is removed as well.
   Write("servers/good", "{");
@@ -107,9 +107,9 @@
 }
 
 TEST_F(FleetBuilderTest, DrainingServersAndEvacuatedZonesAreNotUsed) {
-  Write("servers/a", BackendText("a:1", "ready"));
-  Write("servers/b", BackendText("b:1", "ready", "south"));
-  Write("servers/a", BackendText("a:1", "draining"));
+  Write("servers/a", BackendText("10.0.0.1:1", "ready"));
+  Write("servers/b", BackendText("10.0.0.2:1", "ready", "south"));
+  Write("servers/a", BackendText("10.0.0.1:1", "draining"));
   EXPECT_EQ(Backends(), 1U);
   Write("op/evacuate/south", "{}");
   EXPECT_EQ(Backends(), 0U);
@@ -118,14 +118,14 @@
 }
 
 TEST_F(FleetBuilderTest, ADeletedKeyRemovesAServerAtOnceWhileSettled) {
-  Write("servers/a", BackendText("a:1", "ready"));
+  Write("servers/a", BackendText("10.0.0.1:1", "ready"));
   Remove("servers/a");
   EXPECT_EQ(Backends(), 0U);
 }
 
 TEST_F(FleetBuilderTest, ServersWhoseKeysExpiredInAnOutageAreRetained) {
-  Write("servers/a", BackendText("a:1", "ready"));
-  Write("servers/b", BackendText("b:1", "ready"));
+  Write("servers/a", BackendText("10.0.0.1:1", "ready"));
+  Write("servers/b", BackendText("10.0.0.2:1", "ready"));
   availability_ = StoreAvailability();
   availability_.OnAnswered(now_);
   Remove("servers/a");
@@ -133,7 +133,7 @@
   EXPECT_EQ(Backends(), 2U);
   now_ += milliseconds(1'500);
   availability_.OnAnswered(now_);
-  Write("servers/a", BackendText("a:1", "ready"));
+  Write("servers/a", BackendText("10.0.0.1:1", "ready"));
   EXPECT_FALSE(builder_.OnTimer(replica_.revision(), availability_, now_));
   now_ += seconds(1);
   availability_.OnAnswered(now_);
@@ -143,10 +143,10 @@
 }
 
 TEST_F(FleetBuilderTest, AnAgentReportsTheSlowdownOfItsBackendServer) {
-  Write("servers/a", BackendText("a:1", "ready"));
+  Write("servers/a", BackendText("10.0.0.1:1", "ready"));
   const Member agent = {.id = InstanceId("agent"),
                         .role = MemberRole::kAgent,
-                        .backend = Endpoint("a:1"),
+                        .backend = Endpoint("10.0.0.1:1"),
                         .group = GroupName("g"),
                         .slowdown = 2.5};
   Write("members/agent", EncodeMember(agent));
@@ -157,16 +157,16 @@
 }
 
 TEST_F(FleetBuilderTest, TheNewestRecordOfAnAddressIsUsed) {
-  Write("servers/old", BackendText("a:1", "ready"));
-  Write("servers/new", BackendText("a:1", "ready"));
+  Write("servers/old", BackendText("10.0.0.1:1", "ready"));
+  Write("servers/new", BackendText("10.0.0.1:1", "ready"));
   // A late heartbeat of the old server doesn't make its record the newest.
-  Write("servers/old", BackendText("a:1", "ready"));
+  Write("servers/old", BackendText("10.0.0.1:1", "ready"));
   ASSERT_EQ(Backends(), 1U);
   EXPECT_EQ(builder_.View()->backends[0].id, InstanceId("new"));
 }
 
 std::string HeartbeatText(const char* state, int started_ms, int heartbeat) {
-  return R"({"service":"s","address":"a:1","zone":"north","version":"v1",)"
+  return R"({"service":"s","address":"10.0.0.1:1","zone":"north","version":"v1",)"
          R"("slots":12,"state":")" +
          std::string(state) + R"(","cold_remaining_ms":0,"sequence":)" +
          std::to_string(heartbeat) + R"(,"born":)" +
--- a/tests/unit/store_eras_test.cc
+++ b/tests/unit/store_eras_test.cc
@@ -26,12 +26,12 @@
 
 std::string DeploymentText(int version) {
   return R"({"version":)" + std::to_string(version) +
-         R"(,"routes":[],"services":[],"limits":{"max_header_bytes":100,
+         R"(,"routes":[],"services":[{"name":"s"}],"limits":{"max_header_bytes":100,
          "max_body_bytes":200,"header_timeout_ms":300,"idle_timeout_ms":400}})";
 }
 
 std::string BackendText(int index, const char* state) {
-  return R"({"service":"s","address":"a:)" + std::to_string(index) +
+  return R"({"service":"s","address":"10.0.0.1:8)" + std::to_string(index) +
          R"(","zone":")" + (index % 2 == 0 ? "even" : "odd") +
          R"(","version":"v1","slots":12,"state":")" + state +
          R"(","cold_remaining_ms":0,"sequence":4,"born":)" +
