Reject messages that are nested too deeply to decode

What could be seen: one datagram of CBOR arrays, nested 100,000 deep, to an internal port ends the process (SIGSEGV).

Cause: the library's CBOR decoder recurses for each level, and every decoder of messages from peers used it on whatever came. Times beyond any clock were multiplied as they were.

Change: one function decodes CBOR for the gossip of entries, the relay of changes, the messages of ranks and the exchange of settings. Times in gossip are bounded.

--- a/src/group/rank_messages.cc
+++ b/src/group/rank_messages.cc
@@ -1,5 +1,6 @@
 #include "group/rank_messages.h"
 
+#include "core/cbor.h"
 #include "core/json_types.h"
 
 // Reports are encoded with all fields, commands only with the fields that their
@@ -216,7 +217,7 @@
 
 std::optional<RankMessage> DecodeRankMessage(std::string_view bytes) {
   try {
-    return ToMessage(Json::from_cbor(bytes.begin(), bytes.end()));
+    return ToMessage(ParseCbor(bytes));
   } catch (const Json::exception&) {
     return std::nullopt;
   }
--- a/src/peer/entry_gossip.cc
+++ b/src/peer/entry_gossip.cc
@@ -5,6 +5,7 @@
 #include <ranges>
 #include <utility>
 
+#include "core/cbor.h"
 #include "core/json_types.h"
 #include "core/stable_hash.h"
 #include "peer/delegates.h"
@@ -21,6 +22,13 @@
       .count();
 }
 
+// A time of a peer's clock, or a time span, in microseconds. Others than a
+// clock can tell are bounded.
+std::int64_t ToMicros(const Json& json) {
+  constexpr std::int64_t kMaxMicros = 1'000'000'000'000'000;  // 31 years
+  return std::clamp<std::int64_t>(json.get<std::int64_t>(), 0, kMaxMicros);
+}
+
 Json FromShares(const std::vector<BackendShare>& shares) {
   Json json = Json::array();
   for (const BackendShare& share : shares) {
@@ -56,12 +64,12 @@
   for (const Json& crash : json.at("crashes")) {
     report.crashes.push_back(
         {.backend = crash.at(0).get<InstanceId>(),
-         .age_us = crash.at(1).get<std::int64_t>(),
+         .age_us = ToMicros(crash.at(1)),
          .candidates = crash.at(2).get<std::vector<PromptPart>>()});
   }
   for (const Json& part : json.at("cleared")) {
-    report.cleared.push_back({.part = part.at(0).get<PromptPart>(),
-                              .age_us = part.at(1).get<std::int64_t>()});
+    report.cleared.push_back(
+        {.part = part.at(0).get<PromptPart>(), .age_us = ToMicros(part.at(1))});
   }
   return report;
 }
@@ -93,17 +101,17 @@
 
 std::optional<GossipMessage> DecodeGossip(std::string_view bytes) {
   try {
-    const Json json = Json::from_cbor(bytes.begin(), bytes.end());
+    const Json json = ParseCbor(bytes);
     const auto sender = DecodeMember(json.at("from").get<std::string>());
     if (!sender) return std::nullopt;
     GossipMessage message{
         .sender = *sender,
         .is_leaving = json.at("leaving").get<bool>(),
-        .timestamp_us = json.at("mark").get<std::int64_t>(),
-        .echoed_timestamp_us = json.at("returned").get<std::int64_t>(),
-        .echo_delay_us = json.at("held").get<std::int64_t>(),
+        .timestamp_us = ToMicros(json.at("mark")),
+        .echoed_timestamp_us = ToMicros(json.at("returned")),
+        .echo_delay_us = ToMicros(json.at("held")),
         .deployment = json.at("deployment").get<DeploymentVersion>(),
-        .confirmed_age_us = json.at("age").get<std::int64_t>()};
+        .confirmed_age_us = ToMicros(json.at("age"))};
     message.shares = ToShares(json.at("shares"));
     if (const auto poison = json.find("poison"); poison != json.end()) {
       message.poison = ToPoisonReport(*poison);
@@ -111,7 +119,7 @@
     for (const Json& zone : json.at("zones")) {
       message.zones.push_back(
           {.zone = zone.at(0).get<ZoneName>(),
-           .age_us = zone.at(1).get<std::int64_t>(),
+           .age_us = ToMicros(zone.at(1)),
            .alive = zone.at(2).get<std::vector<InstanceId>>(),
            .shares = ToShares(zone.at(3))});
     }
--- a/src/spread/sync_message.cc
+++ b/src/spread/sync_message.cc
@@ -1,5 +1,6 @@
 #include "spread/sync_message.h"
 
+#include "core/cbor.h"
 #include "platform/instance_json.h"
 
 namespace mangohold {
@@ -27,7 +28,7 @@
 template <typename Message>
 absl::StatusOr<Message> FromCbor(std::string_view bytes) {
   try {
-    return nlohmann::json::from_cbor(bytes).template get<Message>();
+    return ParseCbor(bytes).template get<Message>();
   } catch (const nlohmann::json::exception& error) {
     return absl::InvalidArgumentError(error.what());
   }
--- a/src/store/change_relay.cc
+++ b/src/store/change_relay.cc
@@ -1,5 +1,6 @@
 #include "store/change_relay.h"
 
+#include "core/cbor.h"
 #include "core/json_types.h"
 
 namespace mangohold {
@@ -49,7 +50,7 @@
 
 absl::StatusOr<RelayedEvents> DecodeRelayed(std::string_view bytes) {
   try {
-    const Json json = Json::from_cbor(bytes.begin(), bytes.end());
+    const Json json = ParseCbor(bytes);
     RelayedEvents relayed{.events = {.revision = json.at("at").get<Revision>()},
                           .age = ToDuration(json.at("age")),
                           .held = ToDuration(json.at("held"))};
