--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -26,7 +26,8 @@
   for (const auto& [name, value] : changed) members[name] = value;
   std::string text;
   for (const auto& [name, value] : members) {
-    text += (text.empty() ? "{\"" : ",\"") + name + "\":" + value;
+    text.append(text.empty() ? "{\"" : ",\"");
+    text.append(name).append("\":").append(value);
   }
   return text + "}";
 }
