Keep a verdict on a prompt through a large outage

Two gaps found on reading the diff. When more engines crash at once than crashes are kept, the evidence behind a verdict was forgotten first: now crashes that block nothing go first. And an engine that still accepts a connection for a moment while it ends was taken for alive: it is asked again 50 ms later. The first has a test, AVerdictOutlastsALossOfManyEngines; the second is by reading alone. A function that logged under the name of a question is split.

--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -114,7 +114,7 @@
 
 // Refuses the request if a part of its prompt crashes backend servers. Holds it
 // back while that is open. Returns true if it may be sent now.
-bool ForwardRun::IsSendable(TimePoint now) {
+bool ForwardRun::PassesPromptCheck(TimePoint now) {
   const auto& parts = job_.fields.shared_parts;
   switch (context_.poison.Judge(parts, now)) {
     case PoisonDetector::Verdict::kPass:
@@ -132,7 +132,7 @@
 }
 
 void ForwardRun::Submit() {
-  if (!IsSendable(BootNow())) return;
+  if (!PassesPromptCheck(BootNow())) return;
   phase_ = Phase::kWaiting;
   attempt_ = context_.last_attempt = context_.last_attempt.Next();
   context_.dispatcher.Submit(
@@ -160,7 +160,7 @@
   }
   phase_ = Phase::kSent;
   backend_ = *decision.backend;
-  if (!IsSendable(BootNow())) {
+  if (!PassesPromptCheck(BootNow())) {
     return EndAttempt(Dispatcher::Result::kCancelled);
   }
   // Checked right before the send: the process may have been suspended since
@@ -521,7 +521,7 @@
       PoisonDetector::Verdict::kBlock;
   if (!is_blocked) return;
   context_.dispatcher.Withdraw(attempt_);
-  IsSendable(now);
+  PassesPromptCheck(now);
 }
 
 // An attempt that can't be replaced stays, since its answer may still come.
--- a/src/caller/forward_run.h
+++ b/src/caller/forward_run.h
@@ -55,7 +55,7 @@
   };
 
   void Submit();
-  bool IsSendable(TimePoint now);
+  bool PassesPromptCheck(TimePoint now);
   void RefuseIfBlocked(TimePoint now);
   void OnConnectionBroken(TimePoint now);
   void NoteProgress(TimePoint now);
--- a/src/caller/forward_server.cc
+++ b/src/caller/forward_server.cc
@@ -21,7 +21,10 @@
 // for this long, and later into one of so many rounds, for entries that start.
 constexpr Millis kPoisonNews{3'000};
 constexpr int kRoundsOfPoisonReport = 7;
-constexpr Millis kCheckTimeout{500};
+// A backend server that crashes may accept connections for a moment still.
+constexpr int kProbes = 2;
+constexpr Millis kProbeInterval{50};
+constexpr Millis kProbeTimeout{400};
 
 }  // namespace
 
@@ -258,8 +261,8 @@
                                              : context_.view->version(),
       .confirmed_as_of = context_.confirmed_as_of,
       .shares = context_.dispatcher.OwnShares()};
-  const PoisonReport poison =
-      IsPoisonReportDue(now) ? context_.poison.Report(now) : PoisonReport();
+  TrackBlockedParts(now);
+  const PoisonReport poison = NextPoisonReport(now);
   for (auto& outgoing : gossip_.NextRound(state, now)) {
     outgoing.message.poison = poison;
     socket_.Send(outgoing.to, EncodeGossip(outgoing.message));
@@ -274,37 +277,50 @@
 }
 
 void ForwardServer::CheckBackend(const BackendRecord& backend) {
-  if (!checked_backends_.insert(backend.id).second) return;
+  if (checked_backends_.insert(backend.id).second) Probe(backend, kProbes);
+}
+
+void ForwardServer::Probe(const BackendRecord& backend, int probes_left) {
   const TimePoint begin = BootNow();
-  ProbeConnection(loop_.io(), backend.address, kCheckTimeout,
-                  [this, id = backend.id, begin](ProbeResult result) {
-                    OnChecked(id, result, begin);
+  ProbeConnection(loop_.io(), backend.address, kProbeTimeout,
+                  [this, backend, begin, probes_left](ProbeResult result) {
+                    OnProbed(backend, result, begin, probes_left - 1);
                   });
 }
 
 // A crash is told to the other entries at once, before the next request with
 // the same part reaches one of them.
-void ForwardServer::OnChecked(const InstanceId& backend, ProbeResult result,
-                              TimePoint begin) {
-  checked_backends_.erase(backend);
+void ForwardServer::OnProbed(const BackendRecord& backend, ProbeResult result,
+                             TimePoint begin, int probes_left) {
+  if (result == ProbeResult::kAccepted && probes_left > 0) {
+    return loop_.After(kProbeInterval, [this, backend, probes_left] {
+      Probe(backend, probes_left);
+    });
+  }
+  checked_backends_.erase(backend.id);
   const TimePoint now = BootNow();
   if (result == ProbeResult::kAccepted) {
-    context_.poison.OnAnswered(backend, {}, begin, now);
+    context_.poison.OnAnswered(backend.id, {}, begin, now);
   }
   if (result != ProbeResult::kRefused) return;
-  context_.poison.OnGone(backend, now);
+  context_.poison.OnGone(backend.id, now);
   Gossip();
 }
 
-bool ForwardServer::IsPoisonReportDue(TimePoint now) {
+void ForwardServer::TrackBlockedParts(TimePoint now) {
   const int blocked = context_.poison.blocked(now);
   context_.counters.Set(Gauge::kPromptPartsBlocked, blocked);
   if (std::exchange(blocked_parts_, blocked) != blocked) {
     Log(LogLevel::kWarning, "prompt_parts_blocked", {{"count", blocked}});
   }
+}
+
+// What the next round of gossip tells of prompts that crash backend servers.
+PoisonReport ForwardServer::NextPoisonReport(TimePoint now) {
   const auto changed_at = context_.poison.changed_at();
-  return ++gossip_rounds_ % kRoundsOfPoisonReport == 0 ||
-         (changed_at && now - *changed_at < kPoisonNews);
+  const bool is_news = changed_at && now - *changed_at < kPoisonNews;
+  const bool is_turn = ++gossip_rounds_ % kRoundsOfPoisonReport == 0;
+  return is_news || is_turn ? context_.poison.Report(now) : PoisonReport();
 }
 
 // Divides what all entries share by those that are known by now.
--- a/src/caller/forward_server.h
+++ b/src/caller/forward_server.h
@@ -71,10 +71,12 @@
   void Gossip();
   void UpdateEntries(TimePoint now);
   void ReportGoneBackends(const FleetView& before, TimePoint now);
-  bool IsPoisonReportDue(TimePoint now);
+  void TrackBlockedParts(TimePoint now);
+  PoisonReport NextPoisonReport(TimePoint now);
   void CheckBackend(const BackendRecord& backend);
-  void OnChecked(const InstanceId& backend, ProbeResult result,
-                 TimePoint begin);
+  void Probe(const BackendRecord& backend, int probes_left);
+  void OnProbed(const BackendRecord& backend, ProbeResult result,
+                TimePoint begin, int probes_left);
   void RequestDecisions();
   void CarryOutDecisions();
   void Tick();
--- a/src/peer/entry_gossip.cc
+++ b/src/peer/entry_gossip.cc
@@ -24,7 +24,7 @@
 
 // A time of a peer's clock, or a time span, in microseconds. Others than a
 // clock can tell are bounded.
-std::int64_t ToMicros(const Json& json) {
+std::int64_t ReadMicros(const Json& json) {
   constexpr std::int64_t kMaxMicros = 1'000'000'000'000'000;  // 31 years
   return std::clamp<std::int64_t>(json.get<std::int64_t>(), 0, kMaxMicros);
 }
@@ -64,12 +64,12 @@
   for (const Json& crash : json.at("crashes")) {
     report.crashes.push_back(
         {.backend = crash.at(0).get<InstanceId>(),
-         .age_us = ToMicros(crash.at(1)),
+         .age_us = ReadMicros(crash.at(1)),
          .candidates = crash.at(2).get<std::vector<PromptPart>>()});
   }
   for (const Json& part : json.at("cleared")) {
-    report.cleared.push_back(
-        {.part = part.at(0).get<PromptPart>(), .age_us = ToMicros(part.at(1))});
+    report.cleared.push_back({.part = part.at(0).get<PromptPart>(),
+                              .age_us = ReadMicros(part.at(1))});
   }
   return report;
 }
@@ -107,11 +107,11 @@
     GossipMessage message{
         .sender = *sender,
         .is_leaving = json.at("leaving").get<bool>(),
-        .timestamp_us = ToMicros(json.at("mark")),
-        .echoed_timestamp_us = ToMicros(json.at("returned")),
-        .echo_delay_us = ToMicros(json.at("held")),
+        .timestamp_us = ReadMicros(json.at("mark")),
+        .echoed_timestamp_us = ReadMicros(json.at("returned")),
+        .echo_delay_us = ReadMicros(json.at("held")),
         .deployment = json.at("deployment").get<DeploymentVersion>(),
-        .confirmed_age_us = ToMicros(json.at("age"))};
+        .confirmed_age_us = ReadMicros(json.at("age"))};
     message.shares = ToShares(json.at("shares"));
     if (const auto poison = json.find("poison"); poison != json.end()) {
       message.poison = ToPoisonReport(*poison);
@@ -119,7 +119,7 @@
     for (const Json& zone : json.at("zones")) {
       message.zones.push_back(
           {.zone = zone.at(0).get<ZoneName>(),
-           .age_us = ToMicros(zone.at(1)),
+           .age_us = ReadMicros(zone.at(1)),
            .alive = zone.at(2).get<std::vector<InstanceId>>(),
            .shares = ToShares(zone.at(3))});
     }
--- a/src/routing/poison_detector.cc
+++ b/src/routing/poison_detector.cc
@@ -188,11 +188,26 @@
     known->at = std::min(known->at, at);
     return *known;
   }
-  if (crashes_.size() >= options_.max_crashes) crashes_.pop_front();
+  MakeRoom();
   crashes_.push_back({.backend = backend, .at = at});
   return crashes_.back();
 }
 
+// Forgets the oldest crash that blocks no part, so that a loss of many engines
+// doesn't end a verdict.
+void PoisonDetector::MakeRoom() {
+  if (crashes_.size() < options_.max_crashes) return;
+  const auto oldest = std::ranges::find_if(
+      crashes_, [this](const Crash& crash) { return !IsBlocking(crash); });
+  crashes_.erase(oldest == crashes_.end() ? crashes_.begin() : oldest);
+}
+
+bool PoisonDetector::IsBlocking(const Crash& crash) const {
+  return std::ranges::any_of(crash.candidates, [this](PromptPart part) {
+    return BlockedUntil(part).has_value();
+  });
+}
+
 void PoisonDetector::AddCandidates(Crash& crash,
                                    const std::vector<PromptPart>& parts,
                                    std::size_t max) {
@@ -308,10 +323,7 @@
     const Duration age = now - crash.at;
     if (!crash.is_confirmed) return age > options_.confirmation_time;
     if (age > options_.retention) return true;
-    return age > kCrashRetention &&
-           std::ranges::none_of(crash.candidates, [this](PromptPart part) {
-             return BlockedUntil(part).has_value();
-           });
+    return age > kCrashRetention && !IsBlocking(crash);
   });
 }
 
--- a/src/routing/poison_detector.h
+++ b/src/routing/poison_detector.h
@@ -68,7 +68,7 @@
     int crashes_of_new_part = 1;
     // Upper bounds of what is kept.
     std::size_t max_crashes = 32;
-    std::size_t max_candidates = 64;  // of one crash
+    std::size_t max_candidates = 32;  // of one crash
     std::size_t max_cleared = 8'192;
     Duration retention = std::chrono::hours(2);
   };
@@ -124,6 +124,8 @@
   };
 
   Crash& CrashOf(const InstanceId& backend, TimePoint at);
+  void MakeRoom();
+  bool IsBlocking(const Crash& crash) const;
   static void AddCandidates(Crash& crash, const std::vector<PromptPart>& parts,
                             std::size_t max);
   bool IsCleared(PromptPart part, const Crash& crash) const;
--- a/tests/unit/poison_detector_test.cc
+++ b/tests/unit/poison_detector_test.cc
@@ -378,6 +378,23 @@
   EXPECT_EQ(std::ranges::count_if(indices, may_try), 9);
 }
 
+// Guards against a verdict that is forgotten for the crashes of a large outage.
+TEST(PoisonDetector, AVerdictOutlastsALossOfManyEngines) {
+  PoisonDetector detector({.self = Entry(0)});
+  TimePoint now = TimePoint() + seconds(100);
+  detector.OnBroken(InstanceId("a"), {kPoison}, now);
+  detector.OnGone(InstanceId("a"), now);
+  ASSERT_EQ(detector.Judge({kPoison}, now), Verdict::kBlock);
+  now += seconds(5);
+  for (std::uint64_t i = 0; i < 100; ++i) {
+    const InstanceId backend("x" + std::to_string(i));
+    detector.OnBroken(backend, {PromptPart(i)}, now);
+    detector.OnGone(backend, now);
+  }
+  EXPECT_EQ(detector.Judge({kPoison}, now), Verdict::kBlock);
+  EXPECT_EQ(detector.Judge({PromptPart(99)}, now), Verdict::kPass);
+}
+
 // A part that has been answered before needs more than one crash.
 TEST(PoisonDetector, AKnownPartIsBlockedByTwoCrashesInARow) {
   PoisonDetector detector({.self = Entry(0)});
@@ -418,7 +435,7 @@
   const PoisonReport kept = detector.Report(now);
   EXPECT_LE(kept.crashes.size(), 32U);
   for (const auto& crash : kept.crashes) {
-    EXPECT_LE(crash.candidates.size(), 64U);
+    EXPECT_LE(crash.candidates.size(), 32U);
     EXPECT_GE(crash.age_us, 0);
   }
   EXPECT_TRUE(kept.cleared.empty());
