--- a/src/core/text.h
+++ b/src/core/text.h
@@ -10,9 +10,8 @@
 // field and into a URL's host.
 inline bool IsPlainText(std::string_view text) {
   constexpr char kDelete = 0x7f;
-  return std::ranges::none_of(text, [](char c) {
-    return (c >= 0 && c < ' ') || c == kDelete;
-  });
+  return std::ranges::none_of(
+      text, [](char c) { return (c >= 0 && c < ' ') || c == kDelete; });
 }
 
 }  // namespace mangohold
