Let the product decide which records of backend servers it can use

The adapter's folder held bounds of slots, cold times and names, and refused entries by them. It holds names, formats and calls, and decides nothing.

CheckBackendRecord, beside the record it checks, has the bounds now; the adapter only reads numbers, those beyond a type's range as the end of that range. An id with control characters goes the same way as any other member.

--- a/src/store/backend_record.h
+++ b/src/store/backend_record.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 
+#include "absl/status/status.h"
 #include "core/clock.h"
 #include "core/ids.h"
 
@@ -44,4 +45,10 @@
   HeartbeatStamp stamp;
 };
 
+// Whether a record that somebody wrote can be one of a backend server: its id
+// and names are short and without control characters, its address is an IP
+// address with a port, its numbers are in range. Returns InvalidArgument with
+// the name of the first member that isn't.
+absl::Status CheckBackendRecord(const BackendRecord& record);
+
 }  // namespace mangohold
--- a/src/store/fleet_builder.cc
+++ b/src/store/fleet_builder.cc
@@ -5,7 +5,6 @@
 
 #include "core/log.h"
 #include "core/status.h"
-#include "core/text.h"
 
 namespace mangohold {
 
@@ -131,11 +130,11 @@
     return was_known;
   }
   unlisted_since_.erase(id);
-  if (!IsPlainText(id.value())) {
-    ReportIgnored(id, "the id has control characters");
-    return false;
-  }
   auto record = schema_.decode_backend(id, item->value);
+  if (record.ok()) {
+    const absl::Status check = CheckBackendRecord(*record);
+    if (!check.ok()) record = check;
+  }
   if (!record.ok()) {
     ReportIgnored(id, MessageOf(record.status()));
     return backends_.erase(id) > 0;
--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "platform/schema.h"
+#include "store/backend_record.h"
 #include "store/fleet_builder.h"
 #include "store/store_replica.h"
 
@@ -37,8 +38,13 @@
          std::string(static_cast<std::size_t>(depth), ']');
 }
 
+// A record that the adapter reads and the product takes for usable.
 absl::StatusOr<BackendRecord> Decode(const std::string& text) {
-  return platform::Schema().decode_backend(InstanceId("i"), text);
+  auto record = platform::Schema().decode_backend(InstanceId("i"), text);
+  if (!record.ok()) return record;
+  const absl::Status check = CheckBackendRecord(*record);
+  if (!check.ok()) return check;
+  return record;
 }
 
 TEST(OddEntries, ASoundEntryIsRead) {
