--- a/tests/direct_site.cc
+++ b/tests/direct_site.cc
@@ -11,6 +11,9 @@
 using Json = nlohmann::json;
 using std::chrono::milliseconds;
 
+// Events of a whole stream, and the one at which a broken one ends.
+constexpr int kEvents = 10;
+constexpr int kBroken = 5;
 constexpr char kId[] = "X-Mangohold-Request-Id";
 
 std::string Event(int id) {
@@ -33,6 +36,12 @@
 
 }  // namespace
 
+std::string AllEvents() {
+  std::string text;
+  for (int id = 1; id <= kEvents; ++id) text += Event(id);
+  return text;
+}
+
 BackendStandin::BackendStandin(const std::string& address, std::string id)
     : address_(address), id_(std::move(id)) {
   standin::Serve(io_, address,
@@ -152,8 +161,6 @@
 asio::awaitable<void> BackendStandin::SendEndlessStream(
     HttpRequest request, standin::Connection& connection,
     bool ends_inside_event) {
-  constexpr int kEvents = 10;
-  constexpr int kBroken = 5;
   const std::string last(request.Field("Last-Event-Id"));
   std::string events;
   for (int event = last.empty() ? 1 : std::stoi(last) + 1; event <= kEvents;
@@ -173,8 +180,6 @@
 asio::awaitable<void> BackendStandin::Stream(HttpRequest request,
                                              standin::Connection& connection,
                                              Manner manner) {
-  constexpr int kEvents = 10;
-  constexpr int kBroken = 5;
   const std::string id(request.Field(kId));
   const std::string last(request.Field("Last-Event-Id"));
   co_await connection.Send(Head(200, id,
--- a/tests/direct_site.h
+++ b/tests/direct_site.h
@@ -41,6 +41,9 @@
   kHang             // no answer at all
 };
 
+// The ten events of a whole stream.
+std::string AllEvents();
+
 class BackendStandin {
  public:
   BackendStandin(const std::string& address, std::string id);
