Split the retries and the prompt of a request from its course

RequestRetries and PromptWatch do that now, one job each; what is decided, logged and counted is the same.

--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -48,6 +48,8 @@
       job_(std::move(job)),
       policy_({.is_repeatable = job_.route->IsRepeatable(),
                .max_attempts = job_.route->max_attempts}),
+      retries_(context, job_.fields.id, job_.service),
+      prompt_(context, job_.fields.id, job_.fields.shared_parts),
       events_(job_.fields.last_event_id) {
   const Millis longest = job_.route->timeout.count() > 0
                              ? job_.route->timeout
@@ -58,8 +60,7 @@
 
 void ForwardRun::Start() {
   context_.counters.Count(Event::kRequests);
-  const TimePoint now = BootNow();
-  context_.BudgetOf(job_.service, now).OnRequest(now);
+  retries_.OnRequest(BootNow());
   caller_->SetListener({.on_gone =
                             [weak = weak_from_this()] {
                               const auto self = weak.lock();
@@ -115,8 +116,7 @@
 // Refuses the request if a part of its prompt crashes backend servers. Holds it
 // back while that is open. Returns true if it may be sent now.
 bool ForwardRun::PassesPromptCheck(TimePoint now) {
-  const auto& parts = job_.fields.shared_parts;
-  switch (context_.poison.Judge(parts, now)) {
+  switch (prompt_.Judge(now)) {
     case PoisonDetector::Verdict::kPass:
       return true;
     case PoisonDetector::Verdict::kHold:
@@ -124,8 +124,7 @@
       return false;
     case PoisonDetector::Verdict::kBlock:
       GiveUp(policy_.GiveUpOutcome(), Reason::kPromptCrashesBackends,
-             std::chrono::duration_cast<Millis>(
-                 context_.poison.BlockedFor(parts, now)));
+             prompt_.BlockedFor(now));
       return false;
   }
   return true;
@@ -187,10 +186,8 @@
   sent_at_ = now;
   sent_by_ = context_.view->revision;
   LogSend(now);
-  CountArrival(now);
-  context_.poison.OnSent(job_.fields.shared_parts, now);
-  events_before_ = events_.events();
-  has_progress_ = false;
+  retries_.OnSend(now);
+  prompt_.OnSend(backend, events_.events(), now);
   status_ = 0;
   body_.clear();
   is_relaying_ = false;
@@ -206,11 +203,12 @@
 }
 
 void ForwardRun::LogSend(TimePoint now) const {
+  const TimePoint granted_at = retries_.reserved_at().value_or(now);
   Log(LogLevel::kInfo, "attempt_sent",
       {{"request", job_.fields.id.value()},
        {"backend", backend_.id.value()},
        {"send", policy_.sends()},
-       {"granted_ms_ago", reserved_at_ ? ToMillis(now - *reserved_at_) : 0},
+       {"granted_ms_ago", ToMillis(now - granted_at)},
        {"revision", sent_by_.number()},
        {"view_ms_ago", ToMillis(now - context_.view_as_of)},
        {"ms", ToMillis(now - job_.message.arrived)}});
@@ -314,34 +312,7 @@
   }
   caller_->WriteStream(data);
   if (caller_->is_congested()) connection_->Pause();
-  if (events_.events() - events_before_ > 1) NoteProgress(now);
-}
-
-// The backend server has gone on after the begin of its answer, so that the
-// prompt doesn't crash it.
-void ForwardRun::NoteProgress(TimePoint now) {
-  if (std::exchange(has_progress_, true)) return;
-  context_.poison.OnAnswered(backend_.id, job_.fields.shared_parts, sent_at_,
-                             now);
-}
-
-// A backend server that had left anyway hasn't crashed.
-void ForwardRun::OnConnectionBroken(TimePoint now) {
-  if (!context_.dispatcher.IsListed(backend_.id)) return;
-  const std::vector<PromptPart> candidates =
-      has_progress_ ? std::vector<PromptPart>() : job_.fields.shared_parts;
-  context_.poison.OnBroken(backend_.id, candidates, now);
-  if (!candidates.empty()) context_.check_backend(backend_);
-  std::string parts;
-  for (const PromptPart part : candidates) {
-    parts += std::to_string(part.value()) + ' ';
-  }
-  Log(LogLevel::kInfo, "backend_connection_broken",
-      {{"request", job_.fields.id.value()},
-       {"backend", backend_.id.value()},
-       {"sent_ms_ago", ToMillis(now - sent_at_)},
-       {"events", events_.events() - events_before_},
-       {"candidates", parts}});
+  prompt_.OnEvents(events_.events(), now);
 }
 
 void ForwardRun::OnBackendEnd() {
@@ -372,10 +343,10 @@
     return OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendRefused);
   }
   const bool is_failure = status_ >= 500;
-  if (IsSuccess(status_)) NoteProgress(BootNow());
+  if (IsSuccess(status_)) prompt_.OnSuccess(BootNow());
   EndAttempt(is_failure ? JudgeFailure() : Dispatcher::Result::kServed);
   if (is_failure && policy_.OnFailed() == DirectPolicy::Next::kSendAgain &&
-      ReserveRetry(BootNow())) {
+      retries_.Reserve(BootNow())) {
     retry_reason_ = Reason::kBackendFailed;
     tried_.push_back(backend_.id);
     return Submit();
@@ -421,63 +392,25 @@
   connection_ = nullptr;
   events_.DropPartial();
   const TimePoint now = BootNow();
-  if (failure == ExchangeFailure::kNotSent) UncountArrival(now);
+  if (failure == ExchangeFailure::kNotSent) retries_.OnNotSent(now);
   if (failure == ExchangeFailure::kNotSent && !IsStillWanted()) {
     EndAttempt(Dispatcher::Result::kCancelled);
     return OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendLeaving);
   }
   if (failure == ExchangeFailure::kNotSent) {
-    context_.poison.OnGone(backend_.id, now);
+    prompt_.OnUnreachable(now);
     EndAttempt(Dispatcher::Result::kUnreachable);
     return OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendUnreachable);
   }
-  OnConnectionBroken(now);
+  prompt_.OnBroken(events_.events(), now);
   EndAttempt(Dispatcher::Result::kFailed);
   OnAttemptFailed(policy_.OnFailed(), Reason::kBackendFailed);
 }
 
-// Reserves one retry of the budget, unless one is reserved already or none is
-// needed, since no backend server has received the request. Returns false if
-// the budget is exhausted.
-bool ForwardRun::ReserveRetry(TimePoint now) {
-  if (arrivals_ == 0 || reserved_at_) return true;
-  SharedRetryBudget& budget = context_.BudgetOf(job_.service, now);
-  const SharedRetryBudget::State before = budget.StateAt(now);
-  const bool is_granted = budget.TryReserve(now);
-  if (is_granted) reserved_at_ = now;
-  if (!is_granted) context_.counters.Count(Event::kRetriesDenied);
-  Log(LogLevel::kInfo, "retry_decided",
-      {{"request", job_.fields.id.value()},
-       {"service", job_.service.value()},
-       {"granted", static_cast<int>(is_granted)},
-       {"tokens", static_cast<int>(before.tokens)},
-       {"reserved", before.reserved},
-       {"capacity", static_cast<int>(before.capacity)},
-       {"requests", before.requests},
-       {"entries", before.entries.value_or(0)}});
-  return is_granted;
-}
-
-// The request is about to be written to a connection. All but the first time it
-// takes a retry of the budget.
-void ForwardRun::CountArrival(TimePoint now) {
-  ++arrivals_;
-  if (!reserved_at_) return;
-  context_.BudgetOf(job_.service, now).OnSent();
-  reserved_at_.reset();
-}
-
-// No byte was written after all, so that the retry is still to be sent.
-void ForwardRun::UncountArrival(TimePoint now) {
-  if (--arrivals_ == 0) return;
-  context_.BudgetOf(job_.service, now).OnNotSent(now);
-  reserved_at_ = now;
-}
-
 void ForwardRun::OnAttemptFailed(DirectPolicy::Next next, Reason reason) {
   const TimePoint now = BootNow();
   const bool sends_again = next == DirectPolicy::Next::kSendAgain &&
-                           now < deadline_ && ReserveRetry(now);
+                           now < deadline_ && retries_.Reserve(now);
   Log(LogLevel::kInfo, "attempt_failed",
       {{"request", job_.fields.id.value()},
        {"backend", backend_.id.value()},
@@ -516,22 +449,19 @@
 
 // What has become known while the request was waiting counts at once.
 void ForwardRun::RefuseIfBlocked(TimePoint now) {
-  const bool is_blocked =
-      context_.poison.Judge(job_.fields.shared_parts, now) ==
-      PoisonDetector::Verdict::kBlock;
-  if (!is_blocked) return;
+  if (prompt_.Judge(now) != PoisonDetector::Verdict::kBlock) return;
   context_.dispatcher.Withdraw(attempt_);
   PassesPromptCheck(now);
 }
 
 // An attempt that can't be replaced stays, since its answer may still come.
-bool ForwardRun::IsStuck(TimePoint now) const {
+bool ForwardRun::IsStuck(TimePoint now) {
   if (phase_ != Phase::kSent || job_.route->kind != RouteKind::kStream) {
     return false;
   }
   return policy_.MayReplaceAttempt() &&
          context_.dispatcher.IsStuck(attempt_, last_event_at_, now) &&
-         context_.BudgetOf(job_.service, now).CanRetry(now);
+         retries_.CanReserve(now);
 }
 
 void ForwardRun::LeaveStuckBackend() {
@@ -579,9 +509,7 @@
 void ForwardRun::Finish(Outcome outcome, Reason reason, int status) {
   phase_ = Phase::kFinished;
   const TimePoint now = BootNow();
-  if (std::exchange(reserved_at_, std::nullopt)) {
-    context_.BudgetOf(job_.service, now).Release(now);
-  }
+  retries_.Release(now);
   const Duration latency = now - job_.message.arrived;
   context_.counters.CountOutcome(outcome);
   context_.counters.Record(Timing::kRequest, latency);
--- a/src/caller/forward_run.h
+++ b/src/caller/forward_run.h
@@ -9,6 +9,8 @@
 #include "backend/backend_connection.h"
 #include "caller/caller_connection.h"
 #include "caller/forward_context.h"
+#include "caller/prompt_watch.h"
+#include "caller/request_retries.h"
 #include "routing/direct_policy.h"
 #include "routing/event_splitter.h"
 
@@ -57,8 +59,6 @@
   void Submit();
   bool PassesPromptCheck(TimePoint now);
   void RefuseIfBlocked(TimePoint now);
-  void OnConnectionBroken(TimePoint now);
-  void NoteProgress(TimePoint now);
   void Send(const BackendRecord& backend);
   void LogSend(TimePoint now) const;
   void TakeNotice(TimePoint now);
@@ -73,11 +73,8 @@
   void Deliver();
   // The attempt came to nothing.
   void OnAttemptFailed(DirectPolicy::Next next, Reason reason);
-  bool ReserveRetry(TimePoint now);
-  void CountArrival(TimePoint now);
-  void UncountArrival(TimePoint now);
   void EndAttempt(Dispatcher::Result result);
-  bool IsStuck(TimePoint now) const;
+  bool IsStuck(TimePoint now);
   void LeaveStuckBackend();
   void GiveUp(Outcome outcome, Reason reason, Millis retry_after);
   void OnCallerGone();
@@ -88,14 +85,13 @@
   CallerConnection::Ptr caller_;
   Job job_;
   DirectPolicy policy_;
+  RequestRetries retries_;
+  PromptWatch prompt_;
   EventSplitter events_;
   Phase phase_ = Phase::kWaiting;
   TimePoint deadline_;
   AttemptNumber attempt_;
   std::optional<Reason> retry_reason_;  // of the attempt before; absent: none
-  // When the retry was reserved that is to be sent next; absent: none is.
-  std::optional<TimePoint> reserved_at_;
-  int arrivals_ = 0;       // sends that a backend server may have received
   BackendRecord backend_;  // of the attempt in progress, or the last one
   BackendConnection::Ptr connection_;
   std::vector<InstanceId> tried_;
@@ -104,8 +100,6 @@
   TimePoint sent_at_;
   Revision sent_by_;  // the view by which the backend server was chosen
   std::optional<TimePoint> last_event_at_;  // of this attempt
-  int events_before_ = 0;                   // events of earlier attempts
-  bool has_progress_ = false;  // the answer went on after its begin
   // The answer in progress.
   int status_ = 0;
   HttpFields answer_fields_;
