--- a/src/routing/poison_detector.cc
+++ b/src/routing/poison_detector.cc
@@ -10,7 +10,7 @@
 namespace mangohold {
 namespace {
 
-// An engine needs at least this long from one crash to the next.
+// A backend needs at least this long from one crash to the next.
 constexpr Duration kMinRestartTime = std::chrono::seconds(1);
 // Longest time that a report is under way. What a report says of a part that
 // was answered may look older by this than it is, but never newer.
@@ -64,7 +64,7 @@
   return longest;
 }
 
-// True while it is open whether an engine has crashed that had a request with
+// True while it is open whether a backend has crashed that had a request with
 // the part, which has never been answered.
 bool PoisonDetector::IsUnderSuspicion(PromptPart part, TimePoint now) const {
   if (LastCleared(part)) return false;
@@ -93,17 +93,17 @@
 
 std::pair<int, int> PoisonDetector::CountSimultaneous(
     PromptPart part, const Crash& crash) const {
-  int engines = 0;
+  int backends = 0;
   int with_part = 0;
   for (const Crash& other : crashes_) {
     const bool is_simultaneous =
         other.is_confirmed &&
         Distance(other.at, crash.at) <= options_.simultaneity;
     if (!is_simultaneous) continue;
-    ++engines;
+    ++backends;
     if (Contains(other.candidates, part)) ++with_part;
   }
-  return {engines, with_part};
+  return {backends, with_part};
 }
 
 PoisonDetector::Evidence PoisonDetector::EvidenceAgainst(
@@ -115,8 +115,8 @@
         evidence.crashes > 0 &&
         Distance(crash.at, evidence.last) <= options_.simultaneity;
     if (is_counted) continue;
-    const auto [engines, with_part] = CountSimultaneous(part, crash);
-    if (2 * with_part <= engines) continue;
+    const auto [backends, with_part] = CountSimultaneous(part, crash);
+    if (2 * with_part <= backends) continue;
     ++evidence.crashes;
     evidence.last = std::max(evidence.last, crash.at);
   }
@@ -191,7 +191,7 @@
   return crashes_.back();
 }
 
-// Forgets the oldest crash that blocks no part, so that a loss of many engines
+// Forgets the oldest crash that blocks no part, so that a loss of many backends
 // doesn't end a verdict.
 void PoisonDetector::MakeRoom() {
   if (crashes_.size() < options_.max_crashes) return;
@@ -241,7 +241,7 @@
     if (EvidenceAgainst(part).crashes > 0) changed_at_ = now;
     Clear(part, now);
   }
-  // An engine that answers a later request hasn't crashed.
+  // A backend that answers a later request hasn't crashed.
   std::erase_if(crashes_, [&](const Crash& crash) {
     return crash.backend == backend && !crash.is_confirmed && sent > crash.at;
   });
--- a/src/routing/poison_detector.h
+++ b/src/routing/poison_detector.h
@@ -1,17 +1,17 @@
-// Finds parts of prompts that crash every engine that answers a request with
+// Finds parts of prompts that crash every backend which answers a request with
 // them ("poison pills"), and keeps requests with such a part from reaching
-// further engines. Does no I/O and reads no clock.
+// further backends. Does no I/O and reads no clock.
 //
-// When an engine crashes, each part of a request whose answer had not begun
-// there is a candidate. A part is cleared by each answer to a request with it
-// that goes on after its begin. What is left over several crashes without such
-// an answer is at fault. Crashes of several engines at once are evidence only
-// against parts that were at most of them.
+// When a backend crashes, each part of a request whose answer had not gone on
+// beyond its first event there is a candidate. A part is cleared by each answer
+// that does go on. What is left over several crashes without such an answer is
+// at fault. Crashes of several backends at once are evidence only against parts
+// that were at most of them.
 //
 // Entries tell each other of crashes, candidates and cleared parts, so that
 // each of them can judge by all. A blocked part is tried again after a long
 // time, by one request of one entry: a wrong verdict ends, and a right one
-// costs one engine.
+// costs one backend.
 #pragma once
 
 #include <cstdint>
@@ -30,13 +30,13 @@
 struct PoisonReport {
   struct Crash {
     InstanceId backend;
-    std::int64_t age_us = 0;
+    std::int64_t age_us = 0;  // microseconds since then
     std::vector<PromptPart> candidates;
   };
   // A request with the part was answered.
   struct Cleared {
     PromptPart part;
-    std::int64_t age_us = 0;
+    std::int64_t age_us = 0;  // microseconds since then
   };
   std::vector<Crash> crashes;
   std::vector<Cleared> cleared;
@@ -48,7 +48,7 @@
  public:
   struct Options {
     InstanceId self;
-    // A broken connection is taken for a crash if its engine refuses a
+    // A broken connection is taken for a crash if its backend refuses a
     // connection, or leaves the list, within this time.
     Duration confirmation_time = std::chrono::seconds(5);
     // For so long a request waits for that.
@@ -98,7 +98,7 @@
   // The connection of a request broke before its answer went on.
   void OnBroken(const InstanceId& backend, const std::vector<PromptPart>& parts,
                 TimePoint now);
-  // The engine refuses connections, or is no longer listed.
+  // The backend refuses connections, or is no longer listed.
   void OnGone(const InstanceId& backend, TimePoint now);
 
   // What the other entries have to know; empty most of the time.
@@ -130,7 +130,7 @@
                             std::size_t max);
   bool IsCleared(PromptPart part, const Crash& crash) const;
   bool IsCandidate(PromptPart part, const Crash& crash) const;
-  // Number of engines that crashed at about the same time as `crash`, and of
+  // Number of backends that crashed at about the same time as `crash`, and of
   // those of them at which the part was a candidate.
   std::pair<int, int> CountSimultaneous(PromptPart part,
                                         const Crash& crash) const;
