Take an agent that started again for one that doesn't know its grants

Cause: a grant stands in the memory of the agent that gave it. The successor read "granted 0" of a process that had started after the grant as "never granted".

Only a process that was ready for the same version knows that it hasn't granted it (GrantOf). An agent whose rank holds or is armed leaves a delayed query unanswered, so that it can't be taken for one that saw the beginning. A successor undoes only if the agent of the rank that the former leader had hold knows so, and if all other ranks have that version pending; otherwise the hold stands until the unreachable rank's engine or agent answers.

The virtual group moves out of map_switch_test.cc, to serve both tests.

--- a/specs/map_switch.pml
+++ b/specs/map_switch.pml
@@ -5,8 +5,9 @@
  * own rank, arms it, and releases the hold. It may stop for good at any point,
  * and then rank 0 can't be reached for as long as it pleases. An order to arm may
  * be left unanswered and carried out at any later time until the pass has begun
- * or the rank has prepared another version; the rank's agent remembers that. A
- * successor beside rank 2 ends the leader's power over each rank that it reads
+ * or the rank has prepared another version; the rank's agent remembers that. The
+ * agent of rank 1 may start again once, at any point, and then knows neither what
+ * it granted nor which orders were left unanswered. A successor beside rank 2 ends the leader's power over each rank that it reads
  * and goes on from what it finds. The claim: the pass never begins with some
  * ranks armed and others not.
  *
@@ -16,6 +17,8 @@
  *   NO_READING      the successor releases without reading the ranks
  *   NO_GRANT        the leader arms its own rank without a grant
  *   IGNORE_LATE     the arming is undone although an order may still be late
+ *   FORGET_GRANT    an agent that has started again is taken to have granted
+ *                   nothing
  */
 #define RANKS 3
 
@@ -24,13 +27,21 @@
 bool may_arm_late[RANKS]; /* the agent sent one that got no answer */
 bool voided[RANKS];       /* has prepared another version since */
 bool fenced[RANKS];       /* the agent has seen the successor's term */
-bool granted;             /* rank 1 let the leader arm rank 0 */
+bool granted;             /* rank 1 let the leader arm rank 0, as its agent knows */
+bool knows = true;        /* that agent has run since before the switch */
+bool restarted;           /* and it has started again since */
 bool held;
 bool begun;
 bool stopped;             /* the leader, with the way to rank 0 */
 bool reachable = true;    /* rank 0 */
 bool done;
 
+#ifdef FORGET_GRANT
+#define IS_UNGRANTED (!granted)
+#else
+#define IS_UNGRANTED (knows && !granted)
+#endif
+
 #define ALL_ARMED (armed[0] && armed[1] && armed[2])
 #define NONE_ARMED (!armed[0] && !armed[1] && !armed[2])
 
@@ -106,7 +117,7 @@
        :: atomic { !armed[2] -> arm(2) }
        :: ALL_ARMED -> break
        od
-  :: !reachable && !granted ->
+  :: !reachable && IS_UNGRANTED ->
        do
        :: atomic { armed[1] -> armed[1] = false }
        :: atomic { armed[2] -> armed[2] = false }
@@ -114,7 +125,7 @@
        :: atomic { !armed[2] && !voided[2] -> voided[2] = true }
        :: !armed[1] && !armed[2] && ARE_LATE_VOID -> break
        od
-  :: !reachable && granted ->
+  :: !reachable && !IS_UNGRANTED ->
        reachable;                /* waits for rank 0 */
        fenced[0] = true;
        goto forward
@@ -133,6 +144,8 @@
        :: skip
        fi }
   :: atomic { stopped && !reachable -> reachable = true }
+  :: atomic { !restarted && !begun -> restarted = true;
+       granted = false; knows = false; may_arm_late[1] = true }
   :: atomic { late[0] && !begun && !voided[0] -> late[0] = false; armed[0] = true }
   :: atomic { late[1] && !begun && !voided[1] -> late[1] = false; armed[1] = true }
   :: atomic { late[2] && !begun && !voided[2] -> late[2] = false; armed[2] = true }
--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -31,6 +31,12 @@
   return next && *next > report.map ? next : std::nullopt;
 }
 
+// Returns the rank that holds the passes of a leader's switches; never the
+// leader's own rank in a group of several.
+int HolderFor(int leader_rank, int size) {
+  return leader_rank == 0 && size > 1 ? 1 : 0;
+}
+
 RankCommand ReleaseCommand(const RankReport& report) {
   return {.order = OrderKind::kGo, .pass = report.held.value_or(PassNumber())};
 }
@@ -227,48 +233,56 @@
 
 // A leader arms its own rank only after the agent of the holding rank has
 // granted it. The former leader's rank is therefore not armed, and the switch
-// can be undone, if that rank is the only unreachable one, nothing was granted,
-// and the switch was started by the former leader and not by an earlier one.
+// can be undone, if that rank is the only unreachable one, that agent knows
+// that it has granted nothing, and the switch was started by the former leader
+// and not by an earlier one.
 //
 // The hold is left in place while the group is idle: it does no harm then, and
 // the pass of a delayed order may still lie ahead.
 bool MapSwitch::CanUndo(TimePoint now) const {
-  if (!options_.former_leader_rank || *options_.former_leader_rank >= size() ||
-      !HoldingRank()) {
-    return false;
-  }
+  if (!options_.former_leader_rank || !HoldingRank()) return false;
+  const int former = *options_.former_leader_rank;
+  if (former >= size() || ranks_[former].is_known) return false;
+  // Step 1: all other ranks are known, and none can be armed by a delayed order
+  // unless that order can be voided.
   const bool has_map = MapOfKnownRanks().has_value();
   bool is_serving = false;
   for (int index = 0; index < size(); ++index) {
     const Rank& rank = ranks_[index];
-    if (index == *options_.former_leader_rank) {
-      if (rank.is_known) return false;
-      continue;
-    }
+    if (index == former) continue;
     if (!rank.is_known || rank.last_heard + options_.status_timeout < now) {
       return false;
     }
     if (rank.status.may_arm_late && !has_map) return false;
-    if (!IsOfFormerLeader(rank) || IsPendingGranted(rank)) return false;
     is_serving = is_serving || rank.status.report.running > 0;
   }
-  return is_serving;
-}
-
-// True if the rank has no pending version, or one of the former leader that may
-// be armed.
-bool MapSwitch::IsOfFormerLeader(const Rank& rank) const {
-  const auto pending = PendingVersion(rank.status.report);
-  if (!pending) return true;
-  return !IsUndoVersion(*pending) &&
-         pending->value() / kVersionsPerTerm == options_.former_term.value();
+  // Step 2: they are at the former leader's switch, and its grant wasn't given.
+  const auto pending = PendingOfOthers(former);
+  if (!is_serving || !pending || !IsOfFormerLeader(*pending)) return false;
+  const RankStatus& holder = ranks_[HolderFor(former, size())].status;
+  return GrantOf(*pending, holder.ready_for, holder.granted) ==
+         Grant::kNotGiven;
+}
+
+// Returns the version that all ranks but `unreachable` have pending; nullopt if
+// they differ or one has none. The unreachable rank has prepared it too, since
+// a leader holds no pass before all ranks have, so it can't be armed for an
+// earlier version any more.
+std::optional<MapVersion> MapSwitch::PendingOfOthers(int unreachable) const {
+  std::optional<MapVersion> common;
+  for (int index = 0; index < size(); ++index) {
+    if (index == unreachable) continue;
+    const auto pending = PendingVersion(ranks_[index].status.report);
+    if (!pending || (common && *common != *pending)) return std::nullopt;
+    common = pending;
+  }
+  return common;
 }
 
-bool MapSwitch::IsPendingGranted(const Rank& rank) const {
-  const auto pending = PendingVersion(rank.status.report);
-  return pending && std::ranges::any_of(ranks_, [&](const Rank& other) {
-           return other.is_known && other.status.granted == *pending;
-         });
+// True if the former leader may have armed ranks for `version`.
+bool MapSwitch::IsOfFormerLeader(MapVersion version) const {
+  return !IsUndoVersion(version) &&
+         version.value() / kVersionsPerTerm == options_.former_term.value();
 }
 
 // True if the rank isn't armed and can't be armed by a delayed order, which is
@@ -561,7 +575,7 @@
                          MakeDelta(CurrentVersion(), *current, map))
                    : nullptr;
   map_ = Canonicalize(std::move(map));
-  holder_ = options_.own_rank == 0 && size() > 1 ? 1 : 0;
+  holder_ = HolderFor(options_.own_rank, size());
   EnterPhase(Phase::kPreparing, now);
 }
 
--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -18,9 +18,12 @@
 // be armed, the switch proceeds by arming the others; the hold prevents S from
 // beginning before that is done. There is one exception: if the only
 // unreachable rank is the one of a former leader, and the agent of the holding
-// rank hasn't granted its arming, that rank is known not to be armed. Then the
-// switch is undone: the armed ranks are disarmed. A rank that a delayed order
-// may still arm prepares another version, which voids that order.
+// rank knows that it hasn't granted its arming, that rank is known not to be
+// armed. Then the switch is undone: the armed ranks are disarmed. A rank that a
+// delayed order may still arm prepares another version, which voids that order.
+// An agent that has started after the beginning of the switch doesn't know what
+// it granted; then the hold stands until the unreachable rank's engine or agent
+// answers, or the group forms again.
 //
 // Orders may be executed late. An order to arm or hold for S is void once S has
 // started or the group has formed anew (a new epoch); until then it requests a
@@ -38,14 +41,15 @@
 
 #include "backend/engine_api.h"
 #include "core/clock.h"
+#include "group/agent_promises.h"
+#include "group/leader_term.h"
 #include "group/map_delta.h"
 
 namespace mangohold {
 
-// The term of a group's leader. Agents refuse commands of earlier terms.
-using LeaderTerm = Number<struct LeaderTermTag>;
-
-// The status of a rank, as last sent by its agent.
+// The status of a rank, as last sent by its agent. An agent keeps `granted`,
+// `ready_for` and its unanswered orders in memory; see `GrantOf` and
+// `UnansweredArmOrders` for what a restart of its process leaves unknown.
 struct RankStatus {
   InstanceId agent;
   LeaderTerm term;  // the highest one that the agent has seen
@@ -178,8 +182,8 @@
   bool HasSwitched(const Rank& rank) const;
   bool CanUndo(TimePoint now) const;
   std::optional<int> HolderOf(PassNumber pass) const;
-  bool IsOfFormerLeader(const Rank& rank) const;
-  bool IsPendingGranted(const Rank& rank) const;
+  std::optional<MapVersion> PendingOfOthers(int unreachable) const;
+  bool IsOfFormerLeader(MapVersion version) const;
   bool IsUndone(const Rank& rank) const;
   void Undo(TimePoint now);
   std::optional<GroupMap> MapOfKnownRanks() const;
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -147,8 +147,8 @@
   message.status = rank_.Status();
   message.status.agent = options_.self.id;
   message.status.term = term_;
-  message.status.granted = granted_;
-  message.status.ready_for = ready_for_;
+  message.status.granted = promises_.granted();
+  message.status.ready_for = promises_.ready_for();
   message.status.missing = missing_;
   status_sent_at_ = BootNow();
   last_sent_report_ = message.status.report;
@@ -248,9 +248,15 @@
   RankCommand& command = queued.command;
   const RankReport* report = rank_.report();
   const bool is_current_term = queued.term == term_;
-  if (command.is_grant && is_current_term) granted_ = command.version;
-  if (command.is_readiness_query && is_current_term) {
-    ready_for_ = command.version;
+  if (command.is_grant && is_current_term) {
+    promises_.OnGrantRequest(command.version);
+    Log(LogLevel::kInfo, "grant_given",
+        {{"term", queued.term.value()},
+         {"version", command.version.value()},
+         {"ready_for", promises_.ready_for().value()}});
+  }
+  if (command.is_readiness_query && is_current_term && report != nullptr) {
+    promises_.OnReadinessQuery(command.version, *report);
   }
   const bool is_void = !report || !command.order || queued.term < term_ ||
                        report->epoch != command.epoch ||
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -12,6 +12,7 @@
 #include "backend/engine_api.h"
 #include "core/counters.h"
 #include "group/agent_directory.h"
+#include "group/agent_promises.h"
 #include "group/count_aggregation.h"
 #include "group/group_leader.h"
 #include "group/map_delta.h"
@@ -109,9 +110,7 @@
   // Absent until read from the deployment.
   std::optional<EngineFigures> engine_;
 
-  MapVersion granted_;  // newest map with which the leader may arm its own rank
-  // Map of the last switch for which this agent said that it is ready.
-  MapVersion ready_for_;
+  AgentPromises promises_;
   MapCache maps_;
   MapVersion missing_;  // map whose delta has an unknown base; 0: none
   std::deque<QueuedCommand> command_queue_;
--- a/tests/unit/map_switch_test.cc
+++ b/tests/unit/map_switch_test.cc
@@ -11,7 +11,9 @@
 #include <memory>
 
 #include "core/random.h"
+#include "group/agent_promises.h"
 #include "group/unanswered_arm_orders.h"
+#include "virtual_rank_group.h"
 
 namespace mangohold {
 namespace {
@@ -23,120 +25,7 @@
 constexpr milliseconds kStep(10);
 constexpr milliseconds kPassInterval(50);
 
-// The engines of one group. They follow the platform's rules for expert maps.
-class Group {
- public:
-  struct Engine {
-    MapVersion map;
-    MapVersion highest;
-    std::optional<MapVersion> prepared;
-    std::optional<MapVersion> copying;
-    TimePoint copied_at;
-    std::optional<MapVersion> armed;
-    PassNumber armed_at;
-    std::optional<PassNumber> held;
-  };
-
-  RankReport Report(int rank) const {
-    const Engine& engine = engines[rank];
-    return {.group = GroupName("g"),
-            .epoch = epoch,
-            .rank = rank,
-            .size = kRanks,
-            .is_open = true,
-            .pass = pass,
-            .map = engine.map,
-            .prepared = engine.prepared,
-            .armed = engine.armed,
-            .held = engine.held,
-            .running = 1};
-  }
-
-  // Executes an order. Returns false if the engine refuses it.
-  bool Execute(int rank, const RankCommand& command, TimePoint now) {
-    Engine& engine = engines[rank];
-    if (command.epoch != epoch || !command.order) return false;
-    switch (*command.order) {
-      case OrderKind::kPrepare:
-        if (engine.prepared == command.version ||
-            engine.copying == command.version) {
-          return true;
-        }
-        if (command.version <= engine.highest || engine.armed) return false;
-        engine.highest = command.version;
-        engine.prepared.reset();
-        engine.copying = command.version;
-        engine.copied_at = now + milliseconds(300);
-        return true;
-      case OrderKind::kArm:
-        if (engine.armed == command.version) return true;
-        if (engine.prepared != command.version || pass >= command.pass) {
-          return false;
-        }
-        engine.armed = command.version;
-        engine.armed_at = command.pass;
-        return true;
-      case OrderKind::kDisarm:
-        if (engine.map == command.version) return false;
-        if (engine.armed == command.version) engine.armed.reset();
-        return true;
-      case OrderKind::kHold:
-        if (engine.held == command.pass) return true;
-        if (engine.held || pass >= command.pass) return false;
-        engine.held = command.pass;
-        return true;
-      case OrderKind::kGo:
-        if (engine.held == command.pass) engine.held.reset();
-        return true;
-      case OrderKind::kCount:
-        break;
-    }
-    return false;
-  }
-
-  // Begins the next pass unless a rank holds it. Returns false if ranks begin
-  // it with different maps.
-  bool BeginPass(TimePoint now) {
-    const PassNumber next = pass.Next();
-    for (Engine& engine : engines) {
-      if (engine.copying && engine.copied_at <= now) {
-        engine.prepared = std::exchange(engine.copying, std::nullopt);
-      }
-    }
-    if (std::ranges::any_of(engines, [next](const Engine& engine) {
-          return engine.held && *engine.held <= next;
-        })) {
-      ++held_passes;
-      max_consecutive_held_passes =
-          std::max(max_consecutive_held_passes, ++consecutive_held_passes);
-      return true;
-    }
-    consecutive_held_passes = 0;
-    pass = next;
-    for (Engine& engine : engines) {
-      if (engine.armed && engine.armed_at == pass) {
-        engine.map = *engine.armed;
-        engine.armed.reset();
-        engine.prepared.reset();
-      }
-    }
-    return std::ranges::all_of(engines, [this](const Engine& engine) {
-      return engine.map == engines.front().map;
-    });
-  }
-
-  void StartNextEpoch() {
-    epoch = epoch.Next();
-    engines.assign(kRanks, Engine());
-  }
-
-  GroupEpoch epoch{1};
-  PassNumber pass{1};
-  std::vector<Engine> engines = std::vector<Engine>(kRanks);
-  int held_passes = 0;
-  int consecutive_held_passes = 0;  // up to now
-  int max_consecutive_held_passes = 0;
-};
+using Group = VirtualRankGroup;
 
 struct FaultRates {
   // Percentage of orders that are lost, and of those that are executed late.
@@ -230,8 +119,8 @@
             .term = terms_[rank],
             .report = group_.Report(rank),
             .holdings = {{rank}},
-            .granted = granted_[rank],
-            .ready_for = ready_for_[rank],
+            .granted = promises_[rank].granted(),
+            .ready_for = promises_[rank].ready_for(),
             .may_arm_late =
                 unanswered_[rank].MayArm(group_.epoch, group_.pass, now_)};
   }
@@ -263,8 +152,10 @@
       if (leader.term < terms_[rank]) return;
       terms_[rank] = leader.term;
     }
-    if (command.is_grant) granted_[rank] = command.version;
-    if (command.is_readiness_query) ready_for_[rank] = command.version;
+    if (command.is_grant) promises_[rank].OnGrantRequest(command.version);
+    if (command.is_readiness_query) {
+      promises_[rank].OnReadinessQuery(command.version, group_.Report(rank));
+    }
     if (command.order) {
       const auto roll = static_cast<int>(random_.Below(100));
       if (roll < fault_rates_.lost_percent) return;
@@ -294,15 +185,14 @@
 
   Random random_;
   FaultRates fault_rates_;
-  Group group_;
+  Group group_{kRanks};
   TimePoint now_ = TimePoint() + seconds(100);
   LeaderTerm term_;
   std::vector<LeaderTerm> terms_ = std::vector<LeaderTerm>(kRanks);
   std::vector<UnansweredArmOrders> unanswered_ =
       std::vector<UnansweredArmOrders>(kRanks);
   std::vector<TimePoint> stopped_until_ = std::vector<TimePoint>(kRanks);
-  std::vector<MapVersion> granted_ = std::vector<MapVersion>(kRanks);
-  std::vector<MapVersion> ready_for_ = std::vector<MapVersion>(kRanks);
+  std::vector<AgentPromises> promises_ = std::vector<AgentPromises>(kRanks);
   std::vector<Leader> leaders_;
   std::vector<DelayedOrder> delayed_orders_;
   int switches_ = 0;
@@ -380,7 +270,7 @@
 // answer and may still be executed. Returns the group after the successor has
 // led it for one second.
 Group SucceedStoppedLeader(std::optional<int> late_rank) {
-  Group group;
+  Group group(kRanks);
   TimePoint now = TimePoint() + seconds(50);
   constexpr LeaderTerm kFirst(1);
   constexpr LeaderTerm kSecond(2);
@@ -456,7 +346,7 @@
 // The switch must be abandoned without a hold, and the next one succeeds when
 // the machine has resumed.
 TEST(MapSwitch, PlacesNoHoldWhileAMachineIsStalled) {
-  Group group;
+  Group group(kRanks);
   TimePoint now = TimePoint() + seconds(50);
   constexpr LeaderTerm kTerm(1);
   constexpr int kStopped = 2;
@@ -511,7 +401,7 @@
 // Ranks compare their maps exactly. The full map sent to an agent that lacks
 // the base map must equal the one that other agents build from the delta.
 TEST(MapSwitch, FullMapEqualsTheMapFromTheDelta) {
-  Group group;
+  Group group(kRanks);
   const TimePoint now = TimePoint() + seconds(50);
   constexpr LeaderTerm kTerm(1);
   MapSwitch leader({.term = kTerm, .own_rank = 0});
@@ -545,7 +435,7 @@
 TEST(MapSwitch, WithoutAHoldAPassBeginsWithTwoMaps) {
   bool has_mixed_maps = false;
   for (std::uint64_t seed = 1; seed <= 50 && !has_mixed_maps; ++seed) {
-    Group group;
+    Group group(kRanks);
     Random random(seed);
     TimePoint now = TimePoint() + seconds(1);
     for (int rank = 0; rank < kRanks; ++rank) {
--- /dev/null
+++ b/tests/virtual_agents.cc
@@ -0,0 +1,443 @@
+#include "virtual_agents.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangohold {
+namespace {
+
+constexpr Millis kStep{10};
+constexpr int kStepsPerPass = 5;
+constexpr Millis kLatency{10};  // of a message, and of a call to an engine
+constexpr Millis kStoreLatency{20};
+constexpr Millis kHeartbeatInterval{100};
+constexpr Millis kPollInterval{150};
+constexpr Millis kTransitionPollInterval{30};
+constexpr Millis kSwitchInterval{50};
+constexpr Millis kBypassInterval{300};
+constexpr Millis kStatusGrace{300};
+constexpr Millis kOrderTimeout{400};
+constexpr int kOrderAttempts = 5;
+constexpr Millis kLeaderTimeout{800};
+constexpr Millis kLeaderTimeoutWhenHeld{300};
+constexpr Millis kCandidateDelayPerRank{150};
+
+bool IsDue(std::int64_t step, Duration interval) {
+  return step % (interval / kStep) == 0;
+}
+
+}  // namespace
+
+VirtualAgents::VirtualAgents(Options options)
+    : options_(options),
+      random_(options.seed),
+      group_(options.ranks),
+      now_(TimePoint() + std::chrono::seconds(100)),
+      agents_(static_cast<std::size_t>(options.ranks)) {
+  for (int rank = 0; rank < options_.ranks; ++rank) {
+    agents_[rank].knows_term = true;
+    agents_[rank].leader_heard = now_;
+  }
+  Lead(options_.first_leader);
+}
+
+bool VirtualAgents::Step() {
+  now_ += kStep;
+  ++steps_;
+  RunTasks();
+  for (int rank = 0; rank < options_.ranks; ++rank) {
+    Agent& agent = agents_[rank];
+    if (!agent.is_running && now_ >= agent.starts_at) StartProcess(rank);
+    if (agent.is_running && !IsFrozen(rank)) RunAgent(rank);
+  }
+  const bool is_still =
+      options_.frozen_engine == FrozenEngine::kStill &&
+      std::ranges::any_of(agents_, [this](const Agent& agent) {
+        return now_ < agent.frozen_until;
+      });
+  return steps_ % kStepsPerPass != 0 || is_still || group_.BeginPass(now_);
+}
+
+void VirtualAgents::Freeze(int rank, Duration duration) {
+  agents_[rank].frozen_until = now_ + duration;
+}
+
+void VirtualAgents::Kill(int rank, Duration restart_delay) {
+  Agent& agent = agents_[rank];
+  const std::uint64_t process = agent.process;
+  const TimePoint frozen_until = agent.frozen_until;
+  agent = Agent();
+  agent.is_running = false;
+  agent.process = process + 1;
+  agent.frozen_until = frozen_until;
+  agent.starts_at = now_ + restart_delay;
+}
+
+void VirtualAgents::ChangeEra() {
+  constexpr std::uint64_t kTermsPerEra = 1'000;
+  stored_term_ = LeaderTerm(stored_term_.value() + kTermsPerEra);
+  for (int rank = 0; rank < options_.ranks; ++rank) {
+    Agent& agent = agents_[rank];
+    if (!agent.leadership) continue;
+    agent.leadership.reset();
+    Lead(rank);
+  }
+}
+
+std::optional<int> VirtualAgents::holder() const {
+  const auto it = std::ranges::find_if(group_.engines, [](const auto& engine) {
+    return engine.held.has_value();
+  });
+  if (it == group_.engines.end()) return std::nullopt;
+  return static_cast<int>(it - group_.engines.begin());
+}
+
+Duration VirtualAgents::longest_hold() const {
+  return kStep * kStepsPerPass * group_.max_consecutive_held_passes;
+}
+
+bool VirtualAgents::HasSwitched() const {
+  return std::ranges::all_of(group_.engines, [](const auto& engine) {
+    return engine.map > MapVersion();
+  });
+}
+
+bool VirtualAgents::Answers(int rank) const {
+  return options_.frozen_engine == FrozenEngine::kAnswers || !IsFrozen(rank);
+}
+
+void VirtualAgents::StartProcess(int rank) {
+  Agent& agent = agents_[rank];
+  agent.is_running = true;
+  agent.leader_heard = now_;
+  agent.unanswered.OnProcessStart(now_);
+  After(rank, kStoreLatency, [this, rank] {
+    agents_[rank].knows_term = true;
+    if (stored_term_ > agents_[rank].leader.term) Follow(rank, stored_term_);
+  });
+}
+
+void VirtualAgents::After(int rank, Duration delay, std::function<void()> run) {
+  const std::uint64_t process = rank < 0 ? 0 : agents_[rank].process;
+  tasks_.push_back({.due_at = now_ + delay,
+                    .rank = rank,
+                    .process = process,
+                    .run = std::move(run)});
+}
+
+// Tasks of a machine that stands still run when it goes on; those of a process
+// that has ended never run.
+void VirtualAgents::RunTasks() {
+  std::deque<Task> due;
+  std::deque<Task> later;
+  for (Task& task : tasks_) {
+    const bool is_blocked = task.rank >= 0 && IsFrozen(task.rank);
+    (task.due_at <= now_ && !is_blocked ? due : later)
+        .push_back(std::move(task));
+  }
+  tasks_ = std::move(later);
+  for (const Task& task : due) {
+    const bool has_ended =
+        task.rank >= 0 && (agents_[task.rank].process != task.process ||
+                           !agents_[task.rank].is_running);
+    if (!has_ended) task.run();
+  }
+}
+
+void VirtualAgents::RunAgent(int rank) {
+  Agent& agent = agents_[rank];
+  while (!agent.inbox.empty() && agent.inbox.front().due_at <= now_) {
+    const Message message = std::move(agent.inbox.front());
+    agent.inbox.pop_front();
+    OnMessage(rank, message);
+  }
+  const RankReport report = group_.Report(rank);
+  const bool has_transitioned = report.prepared != agent.last_report.prepared ||
+                                report.armed != agent.last_report.armed ||
+                                report.held != agent.last_report.held ||
+                                report.map != agent.last_report.map;
+  const bool is_due = now_ - agent.status_sent_at >= kPollInterval;
+  const bool is_polled = IsDue(steps_ + rank, kTransitionPollInterval);
+  if (is_due || (is_polled && has_transitioned)) SendStatus(rank);
+  if (IsDue(steps_, kSwitchInterval)) WatchLeader(rank);
+  if (!agent.leadership) return;
+  if (IsDue(steps_, kHeartbeatInterval)) {
+    for (int to = 0; to < options_.ranks; ++to) {
+      if (to == rank) continue;
+      Send(rank, to,
+           {.kind = Message::Kind::kHeartbeat, .term = agent.leader.term});
+    }
+  }
+  if (IsDue(steps_, kSwitchInterval)) {
+    if (is_switch_requested_ && agent.leadership->CanBegin(now_)) {
+      is_switch_requested_ = false;
+      agent.leadership->Begin({SetMap(options_.ranks)}, now_);
+    }
+    Advance(rank);
+  }
+  if (IsDue(steps_, kBypassInterval)) BypassSilentAgents(rank);
+}
+
+void VirtualAgents::Send(int from, int to, Message message) {
+  if (!agents_[to].is_running) return;
+  message.from = from;
+  message.due_at = now_ + kLatency;
+  agents_[to].inbox.push_back(std::move(message));
+}
+
+void VirtualAgents::OnMessage(int rank, const Message& message) {
+  Agent& agent = agents_[rank];
+  if (message.kind != Message::Kind::kStatus &&
+      message.term > agent.leader.term) {
+    Follow(rank, message.term);
+  }
+  switch (message.kind) {
+    case Message::Kind::kHeartbeat:
+      if (message.term != agent.leader.term || agent.leadership) return;
+      agent.leader.OnHeartbeat(message.from);
+      agent.leader_heard = now_;
+      if (!std::exchange(agent.has_heard_leader, true)) SendStatus(rank);
+      return;
+    case Message::Kind::kStatus:
+      return OnStatus(rank, message);
+    case Message::Kind::kCommand:
+      if (!agent.knows_term || message.term < agent.leader.term) {
+        return Send(rank, message.from,
+                    {.kind = Message::Kind::kStatus,
+                     .term = agent.leader.term,
+                     .status = StatusOf(rank)});
+      }
+      agent.leader.OnHeartbeat(message.from);
+      agent.leader_heard = now_;
+      agent.commands.push_back({message.command, message.term});
+      return RunNextCommand(rank);
+  }
+}
+
+RankStatus VirtualAgents::StatusOf(int rank) const {
+  const Agent& agent = agents_[rank];
+  return {
+      .agent = InstanceId(std::to_string(rank)),
+      .term = agent.leader.term,
+      .report = group_.Report(rank),
+      .holdings = {{rank}},
+      .granted = agent.promises.granted(),
+      .ready_for = agent.promises.ready_for(),
+      .may_arm_late = agent.unanswered.MayArm(group_.epoch, group_.pass, now_)};
+}
+
+void VirtualAgents::SendStatus(int rank) {
+  Agent& agent = agents_[rank];
+  const Message message{.kind = Message::Kind::kStatus,
+                        .term = agent.leader.term,
+                        .from = rank,
+                        .status = StatusOf(rank)};
+  agent.status_sent_at = now_;
+  agent.last_report = message.status.report;
+  if (agent.leadership) return OnStatus(rank, message);
+  if (agent.leader.rank) Send(rank, *agent.leader.rank, message);
+}
+
+void VirtualAgents::OnStatus(int rank, const Message& message) {
+  Agent& agent = agents_[rank];
+  if (!agent.leadership) return;
+  if (message.term > agent.leader.term) return Follow(rank, message.term);
+  agent.located.erase(message.from);
+  agent.leadership->OnStatus(message.status, now_);
+  Advance(rank);
+}
+
+void VirtualAgents::Follow(int rank, LeaderTerm term) {
+  Agent& agent = agents_[rank];
+  agent.leadership.reset();
+  agent.leader.Follow(term);
+  agent.has_heard_leader = false;
+  agent.leader_heard = now_;
+}
+
+void VirtualAgents::WatchLeader(int rank) {
+  Agent& agent = agents_[rank];
+  if (agent.is_campaigning || !agent.knows_term) return;
+  if (agent.leadership) {
+    if (!agent.leadership->HasVersionsLeft()) Campaign(rank);
+    return;
+  }
+  if (now_ - agent.leader_heard > LeaderTimeout(rank)) Campaign(rank);
+}
+
+Duration VirtualAgents::LeaderTimeout(int rank) const {
+  if (group_.engines[rank].held) return kLeaderTimeoutWhenHeld;
+  const int ranks_after_leader =
+      (rank + options_.ranks - agents_[rank].leader.rank.value_or(0)) %
+      options_.ranks;
+  return kLeaderTimeout + kCandidateDelayPerRank * ranks_after_leader;
+}
+
+void VirtualAgents::Campaign(int rank) {
+  agents_[rank].is_campaigning = true;
+  After(rank, 2 * kStoreLatency, [this, rank] {
+    Agent& agent = agents_[rank];
+    agent.is_campaigning = false;
+    agent.leader_heard = now_;
+    if (stored_term_ > agent.leader.term) return Follow(rank, stored_term_);
+    Lead(rank);
+  });
+}
+
+void VirtualAgents::Lead(int rank) {
+  stored_term_ = stored_term_.Next();
+  stored_leader_ = rank;
+  Agent& agent = agents_[rank];
+  const KnownLeader former = agent.leader.Succeed(stored_term_, rank);
+  agent.located.clear();
+  agent.led_since = now_;
+  agent.leadership = std::make_unique<MapSwitch>(
+      MapSwitch::Options{.term = stored_term_,
+                         .own_rank = rank,
+                         .former_leader_rank = former.rank,
+                         .former_term = former.term,
+                         .experts = options_.ranks});
+}
+
+void VirtualAgents::Advance(int rank) {
+  Agent& agent = agents_[rank];
+  if (!agent.leadership) return;
+  for (const RankCommand& command : agent.leadership->Advance(now_)) {
+    Issue(rank, command);
+  }
+}
+
+void VirtualAgents::Issue(int rank, const RankCommand& command) {
+  Agent& agent = agents_[rank];
+  if (command.rank == rank) {
+    agent.commands.push_back({command, agent.leader.term});
+    return After(rank, kStep, [this, rank] { RunNextCommand(rank); });
+  }
+  if (command.is_direct) return OrderDirectly(rank, command);
+  const bool is_allowed =
+      command.order == OrderKind::kArm || command.order == OrderKind::kGo;
+  const bool is_confirmed = stored_term_ == agent.leader.term;
+  if (agent.located.contains(command.rank) && is_allowed && is_confirmed) {
+    OrderDirectly(rank, command);
+  }
+  Send(rank, command.rank,
+       {.kind = Message::Kind::kCommand,
+        .term = agent.leader.term,
+        .command = command});
+}
+
+void VirtualAgents::RunNextCommand(int rank) {
+  Agent& agent = agents_[rank];
+  if (agent.is_running_command || agent.commands.empty()) return;
+  agent.is_running_command = true;
+  const QueuedCommand queued = agent.commands.front();
+  agent.commands.pop_front();
+  After(rank, kLatency,
+        [this, rank, queued] { Execute(rank, queued, kOrderAttempts); });
+}
+
+void VirtualAgents::Execute(int rank, const QueuedCommand& queued,
+                            int attempts) {
+  Agent& agent = agents_[rank];
+  const RankCommand& command = queued.command;
+  const auto finish = [this, rank] {
+    agents_[rank].is_running_command = false;
+    SendStatus(rank);
+    RunNextCommand(rank);
+  };
+  const bool is_current_term = queued.term == agent.leader.term;
+  if (command.is_grant && is_current_term) {
+    agent.promises.OnGrantRequest(command.version);
+  }
+  if (command.is_readiness_query && is_current_term) {
+    agent.promises.OnReadinessQuery(command.version, group_.Report(rank));
+  }
+  const bool is_void = !command.order || queued.term < agent.leader.term;
+  if (is_void) return finish();
+  const bool is_arm = command.order == OrderKind::kArm;
+  if (is_arm) agent.unanswered.OnSent(command.epoch, command.pass);
+  const std::uint64_t process = agent.process;
+  const bool is_answered = Order(rank, command);
+  if (agents_[rank].process != process) return;  // killed at this order
+  if (is_answered) {
+    return After(rank, kLatency, [this, rank, is_arm, finish] {
+      if (is_arm) agents_[rank].unanswered.OnAnswered();
+      finish();
+    });
+  }
+  After(rank, kOrderTimeout, [this, rank, queued, attempts, is_arm, finish] {
+    if (is_arm) agents_[rank].unanswered.OnUnanswered(now_);
+    if (attempts > 1) return Execute(rank, queued, attempts - 1);
+    finish();
+  });
+}
+
+bool VirtualAgents::Order(int rank, const RankCommand& command) {
+  const bool is_preparation = command.order == OrderKind::kPrepare;
+  const std::uint64_t expected = group_.engines[rank].sequence;
+  if (static_cast<int>(random_.Below(100)) < options_.late_percent) {
+    const Duration delay = Millis(2'000 + random_.Below(10'000));
+    tasks_.push_back({.due_at = now_ + delay,
+                      .rank = -1,
+                      .run = [this, rank, command, expected] {
+                        const bool is_outdated =
+                            group_.engines[rank].sequence != expected;
+                        if (is_outdated && options_.checks_sequence) return;
+                        group_.Execute(rank, command, now_);
+                      }});
+    return false;
+  }
+  group_.Execute(rank, command, now_);
+  if (!is_preparation && on_order_) on_order_();
+  return true;
+}
+
+void VirtualAgents::OrderDirectly(int rank, const RankCommand& command) {
+  const LeaderTerm term = agents_[rank].leader.term;
+  After(rank, kLatency, [this, rank, command, term] {
+    const Agent& agent = agents_[rank];
+    const bool is_leading = agent.leadership && agent.leader.term == term;
+    if (!is_leading || !Answers(command.rank)) return;
+    const std::uint64_t process = agent.process;
+    if (!Order(command.rank, command)) return;
+    if (agents_[rank].process != process) return;  // killed at this order
+    if (agent.located.contains(command.rank)) {
+      return QueryEngine(rank, command.rank);
+    }
+    Send(rank, command.rank,
+         {.kind = Message::Kind::kCommand,
+          .term = term,
+          .command = {.rank = command.rank}});
+  });
+}
+
+void VirtualAgents::QueryEngine(int rank, int of) {
+  After(rank, 2 * kLatency, [this, rank, of] {
+    Agent& agent = agents_[rank];
+    if (!agent.leadership || !Answers(of)) return;
+    const auto silent = agent.leadership->SilentRanks(now_);
+    const bool is_needed = agent.located.contains(of) ||
+                           std::ranges::find(silent, of) != silent.end();
+    if (!is_needed || stored_term_ != agent.leader.term) return;
+    agent.located.insert(of);
+    agent.leadership->OnStatus(
+        {.term = agent.leader.term, .report = group_.Report(of)}, now_);
+    Advance(rank);
+  });
+}
+
+void VirtualAgents::BypassSilentAgents(int rank) {
+  const Agent& agent = agents_[rank];
+  const auto phase = agent.leadership->phase();
+  const bool may_be_held = phase == MapSwitch::Phase::kReading ||
+                           phase == MapSwitch::Phase::kHolding ||
+                           phase == MapSwitch::Phase::kArming ||
+                           phase == MapSwitch::Phase::kUndoing ||
+                           phase == MapSwitch::Phase::kReleasing;
+  if (!may_be_held || now_ - agent.led_since < kStatusGrace) return;
+  for (const int silent : agent.leadership->SilentRanks(now_)) {
+    QueryEngine(rank, silent);
+  }
+}
+
+}  // namespace mangohold
