End a hold although the agent that has to grant stands still

What callers would see: all streams of a group stand still for as long as one machine does (4.3 s with a freeze of 4 s), though its engine answers.

Cause: the leader waits for the grant of the holding rank's agent, and nobody else may undo the switch while that leader lives.

Change: a leader that only lacks the grant of an agent that is silent, while its engine answers, claims a new term (NeedsNewTerm) and undoes the switch in it, since agents refuse the commands of earlier terms. A hold that is confirmed by the engine of a silent agent is released before anything is armed.

--- a/src/group/group_leader.h
+++ b/src/group/group_leader.h
@@ -68,9 +68,8 @@
   // To be called once, right after construction.
   void Start();
   LeaderTerm term() const { return options_.term; }
-  // False if the map versions of this term are used up, so that no further
-  // switch may begin in it.
-  bool HasVersionsLeft() const { return switch_.HasVersionsLeft(); }
+  // True if the leader should claim a new term; see `MapSwitch`.
+  bool NeedsNewTerm() const { return switch_.NeedsNewTerm(); }
 
   // Takes a status of this term or an earlier one.
   void OnStatus(const RankMessage& message);
--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -149,7 +149,9 @@
       // No order to arm has been sent yet, so that another pass may be chosen
       // if the group has reached this one.
       if (ranks_[holder_].status.report.held == pass_) {
-        EnterPhase(Phase::kArming, now);
+        // Without its agent there will be no grant.
+        is_undone_ = IsWithoutAgent(ranks_[holder_]);
+        EnterPhase(is_undone_ ? Phase::kReleasing : Phase::kArming, now);
       } else if (LastPass() >= pass_) {
         pass_ = ChoosePass();
         ranks_[holder_].commanded_at.reset();
@@ -357,6 +359,17 @@
          !IsArmed(ranks_[options_.own_rank]);
 }
 
+bool MapSwitch::NeedsNewTerm() const {
+  if (!HasVersionsLeft()) return true;
+  if (phase_ != Phase::kArming || !NeedsGrant()) return false;
+  return IsWithoutAgent(ranks_[holder_]);
+}
+
+// True if only the rank's engine answers.
+bool MapSwitch::IsWithoutAgent(const Rank& rank) {
+  return rank.is_known && !rank.status.is_from_agent;
+}
+
 bool MapSwitch::HasSwitched(const Rank& rank) const {
   return rank.is_known && rank.status.report.map == version_;
 }
--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -67,13 +67,18 @@
   // A version that the agent can't build from its delta, because it doesn't
   // have the base map. 0: none.
   MapVersion missing;
+  // False if the agent is silent and only the engine answers.
+  bool is_from_agent = true;
 };
 
 // The status of a rank whose agent is silent, as its engine reports it to the
 // leader of `term`. Nothing is known of what its agent promised or ordered.
 inline RankStatus StatusWithoutAgent(LeaderTerm term,
                                      const RankReport& report) {
-  return {.term = term, .report = report, .may_arm_late = true};
+  return {.term = term,
+          .report = report,
+          .may_arm_late = true,
+          .is_from_agent = false};
 }
 
 // A command of a leader to the agent of a rank.
@@ -167,6 +172,12 @@
   // False if the versions of this term are nearly used up. Then no further
   // switch may begin in this term.
   bool HasVersionsLeft() const;
+  // True if this term can't go on and its leader should claim a new one: its
+  // versions are used up, or the agent that has to grant the arming of the
+  // leader's own rank is silent while its engine answers. A new term can undo
+  // the switch, because agents then refuse the commands of this one.
+  bool NeedsNewTerm() const;
+
   Phase phase() const { return phase_; }
   MapVersion version() const { return version_; }
   int size() const { return static_cast<int>(ranks_.size()); }
@@ -185,6 +196,7 @@
   bool AllKnown(TimePoint now) const;
   bool AreUniform() const;
   bool IsArmed(const Rank& rank) const;
+  static bool IsWithoutAgent(const Rank& rank);
   bool HasSwitched(const Rank& rank) const;
   bool CanUndo(TimePoint now) const;
   std::optional<MapVersion> PendingOfOthers(int unreachable) const;
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -330,8 +330,7 @@
 void RankAgent::WatchLeader() {
   if (is_campaigning_ || !rank_.is_in_group()) return;
   if (leadership_) {
-    // A new term has unused map versions.
-    if (!leadership_->HasVersionsLeft()) Campaign();
+    if (leadership_->NeedsNewTerm()) Campaign();
     return;
   }
   if (!knows_term_ || BootNow() - leader_heard_ > LeaderTimeout()) Campaign();
--- a/tests/unit/map_switch_storm_test.cc
+++ b/tests/unit/map_switch_storm_test.cc
@@ -310,5 +310,20 @@
   EXPECT_EQ(summary.held(), 0) << "first seed " << summary.first_held();
 }
 
+// Guards against a group that stands still until a machine goes on: the agent
+// of the holding rank, which has to grant the arming of the leader's own rank,
+// is silent, while its engine answers.
+TEST(MapSwitchStorm, AHoldEndsThoughTheAgentBesideItStandsStill) {
+  for (int order = 1; order < kOrders; ++order) {
+    const Verdict verdict = Storm({.frozen = Role::kHolder,
+                                   .freeze_order = order,
+                                   .killed = Role::kSuccessor})
+                                .Run();
+    EXPECT_TRUE(verdict.has_frozen);
+    EXPECT_FALSE(verdict.has_mixed_maps);
+    EXPECT_LT(verdict.longest_hold, kFreeze) << "order " << order;
+  }
+}
+
 }  // namespace
 }  // namespace mangohold
--- a/tests/virtual_agents.cc
+++ b/tests/virtual_agents.cc
@@ -259,7 +259,7 @@
   Agent& agent = agents_[rank];
   if (agent.is_campaigning || !agent.knows_term) return;
   if (agent.leadership) {
-    if (!agent.leadership->HasVersionsLeft()) Campaign(rank);
+    if (agent.leadership->NeedsNewTerm()) Campaign(rank);
     return;
   }
   if (now_ - agent.leader_heard > LeaderTimeout(rank)) Campaign(rank);
