Remember the own rank as the leader's when claiming a term again

What callers would see: a pass that begins with two maps (MAP): the store comes back in its next era in the middle of a switch, its leader claims a new term, and the machine of the leader before it stands still after its rank was armed.

Cause: BecomeLeader handed on leader_rank_, which only heartbeats of others set. A leader that claimed again, in a new era or with its versions used up, passed the rank of the leader before itself off as the former leader's, and CanUndo excused that rank, which is armed without a grant.

Change: term and rank of the known leader are one value (KnownLeader); whoever succeeds hands out the old value and stores its own rank.

--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -140,13 +140,13 @@
 
 void RankAgent::SendStatus() {
   if (!rank_.is_in_group()) return;
-  RankMessage message = NewRankMessage(RankMessageKind::kStatus, term_,
+  RankMessage message = NewRankMessage(RankMessageKind::kStatus, leader_.term,
                                        options_.self, rank_.report());
   message.zone = options_.self.zone;
   message.backend = options_.self.backend;
   message.status = rank_.Status();
   message.status.agent = options_.self.id;
-  message.status.term = term_;
+  message.status.term = leader_.term;
   message.status.granted = promises_.granted();
   message.status.ready_for = promises_.ready_for();
   message.status.missing = missing_;
@@ -164,7 +164,7 @@
   const Endpoint& to =
       collector_.empty() || is_own ? leader_address_ : collector_;
   if (to.empty() || !rank_.is_in_group()) return;
-  RankMessage message = NewRankMessage(RankMessageKind::kChoices, term_,
+  RankMessage message = NewRankMessage(RankMessageKind::kChoices, leader_.term,
                                        options_.self, rank_.report());
   message.counts = counts_.Take();
   if (!message.counts.empty()) Send(to, message);
@@ -180,7 +180,8 @@
   const auto message = DecodeRankMessage(data);
   if (!message) return;
   if (!rank_.report() || message->group != rank_.report()->group) return;
-  if (message->term > term_ && message->kind != RankMessageKind::kStatus) {
+  if (message->term > leader_.term &&
+      message->kind != RankMessageKind::kStatus) {
     FollowTerm(message->term, message->reply_to);
   }
   switch (message->kind) {
@@ -203,10 +204,10 @@
 
 // A new leader is sent the rank's status at once.
 void RankAgent::OnHeartbeat(const RankMessage& message) {
-  if (message.term != term_ || leadership_) return;
+  if (message.term != leader_.term || leadership_) return;
   const bool is_new = leader_address_ != message.reply_to;
   leader_address_ = message.reply_to;
-  leader_rank_ = message.rank;
+  leader_.OnHeartbeat(message.rank);
   leader_heard_ = BootNow();
   collector_ = message.collector;
   if (is_new) SendStatus();
@@ -215,7 +216,7 @@
 // A status with a newer term deposes this leader.
 void RankAgent::OnStatus(const RankMessage& message) {
   if (!leadership_) return;
-  if (message.term > term_) return FollowTerm(message.term, Endpoint());
+  if (message.term > leader_.term) return FollowTerm(message.term, Endpoint());
   leadership_->OnStatus(message);
 }
 
@@ -227,7 +228,7 @@
 // A command of an older term is rejected. The status sent in reply tells that
 // leader the newer term.
 void RankAgent::OnCommand(const RankMessage& message) {
-  if (!knows_term_ || message.term < term_) return SendStatus();
+  if (!knows_term_ || message.term < leader_.term) return SendStatus();
   leader_address_ = message.reply_to;
   leader_heard_ = BootNow();
   command_queue_.push_back({.command = message.command, .term = message.term});
@@ -247,7 +248,7 @@
 void RankAgent::Execute(QueuedCommand queued) {
   RankCommand& command = queued.command;
   const RankReport* report = rank_.report();
-  const bool is_current_term = queued.term == term_;
+  const bool is_current_term = queued.term == leader_.term;
   if (command.is_grant && is_current_term) {
     promises_.OnGrantRequest(command.version);
     Log(LogLevel::kInfo, "grant_given",
@@ -258,9 +259,9 @@
   if (command.is_readiness_query && is_current_term && report != nullptr) {
     promises_.OnReadinessQuery(command.version, *report);
   }
-  const bool is_void = !report || !command.order || queued.term < term_ ||
-                       report->epoch != command.epoch ||
-                       report->rank != command.rank;
+  const bool is_void =
+      !report || !command.order || queued.term < leader_.term ||
+      report->epoch != command.epoch || report->rank != command.rank;
   if (is_void || !ResolveMap(command)) return FinishCommand();
   rank_.ExecuteOrder(command, queued.term, [this] { FinishCommand(); });
 }
@@ -310,9 +311,8 @@
         {{"term", leadership_->term().value()}, {"newer", term.value()}});
   }
   leadership_.reset();
-  term_ = term;
+  leader_.Follow(term);
   leader_address_ = leader;
-  leader_rank_.reset();  // unknown until its first heartbeat
   leader_heard_ = BootNow();
 }
 
@@ -345,7 +345,7 @@
   if (report && report->held) return options_.leader_timeout_when_held;
   if (!report || report->size <= 0) return options_.leader_timeout;
   const int ranks_after_leader =
-      (report->rank + report->size - leader_rank_.value_or(0)) % report->size;
+      (report->rank + report->size - leader_.rank.value_or(0)) % report->size;
   const Duration delay_per_rank = std::min<Duration>(
       kCandidateDelayPerRank, Duration(kMaxCandidateDelay) / report->size);
   return options_.leader_timeout + delay_per_rank * ranks_after_leader;
@@ -364,7 +364,8 @@
     // After the store was restored from a copy, the newest term may be this
     // agent's own. It names no other leader, so the agent claims the next one.
     const bool is_restored = stored->is_own && knew_term;
-    if (term > term_ && !is_restored) return FollowTerm(term, Endpoint());
+    if (term > leader_.term && !is_restored)
+      return FollowTerm(term, Endpoint());
     if (knew_term) ClaimLeadership(stored->revision);
   });
 }
@@ -393,13 +394,15 @@
 // newer term deposes this leader. Nothing is called if the read fails.
 void RankAgent::ConfirmTerm(std::function<void()> on_confirmed) {
   if (!rank_.report()) return;
-  ReadTerm([this, old_term = term_, on_confirmed = std::move(on_confirmed)](
-               const absl::StatusOr<StoredTerm>& stored) {
-    if (!stored.ok()) return;
-    const LeaderTerm term(stored->revision.packed());
-    if (term > term_) return FollowTerm(term, Endpoint());
-    if (term == term_ && old_term == term_ && leadership_) on_confirmed();
-  });
+  ReadTerm(
+      [this, old_term = leader_.term, on_confirmed = std::move(on_confirmed)](
+          const absl::StatusOr<StoredTerm>& stored) {
+        if (!stored.ok()) return;
+        const LeaderTerm term(stored->revision.packed());
+        if (term > leader_.term) return FollowTerm(term, Endpoint());
+        if (term == leader_.term && old_term == leader_.term && leadership_)
+          on_confirmed();
+      });
 }
 
 void RankAgent::ClaimLeadership(Revision expected) {
@@ -418,8 +421,8 @@
 }
 
 void RankAgent::BecomeLeader(LeaderTerm term) {
-  if (!rank_.report() || term <= term_) return;
-  const LeaderTerm former_term = std::exchange(term_, term);
+  if (!rank_.report() || term <= leader_.term) return;
+  const KnownLeader former = leader_.Succeed(term, rank_.report()->rank);
   leader_address_ = options_.self.peer;
   leadership_.reset();
   const std::string demand_key =
@@ -427,8 +430,8 @@
   leadership_ = std::make_shared<GroupLeader>(
       GroupLeader::Options{.term = term,
                            .self = options_.self,
-                           .former_leader_rank = leader_rank_,
-                           .former_term = former_term,
+                           .former_leader_rank = former.rank,
+                           .former_term = former.term,
                            .demand_key = demand_key,
                            .planning = options_.planning,
                            .link_bytes_per_s = options_.link_bytes_per_s},
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -15,6 +15,7 @@
 #include "group/agent_promises.h"
 #include "group/count_aggregation.h"
 #include "group/group_leader.h"
+#include "group/known_leader.h"
 #include "group/map_delta.h"
 #include "group/own_rank.h"
 #include "group/published_slowdown.h"
@@ -123,9 +124,8 @@
   PublishedSlowdown published_slowdown_;
 
   bool knows_term_ = false;  // since the start of the process
-  LeaderTerm term_;
+  KnownLeader leader_;
   Endpoint leader_address_;
-  std::optional<int> leader_rank_;
   TimePoint leader_heard_;
   bool is_campaigning_ = false;
   // Used by the leader, and kept across terms.
--- a/tests/unit/map_switch_storm_test.cc
+++ b/tests/unit/map_switch_storm_test.cc
@@ -16,6 +16,8 @@
 namespace mangohold {
 namespace {
 
+using std::chrono::seconds;
+
 constexpr Millis kFreeze{4'000};
 constexpr Millis kRestart{500};
 constexpr Millis kDuration{12'000};
@@ -325,5 +327,35 @@
   }
 }
 
+// Guards against a pass with two maps: the store comes back in its next era in
+// the middle of a switch, so that the leader claims a new term, and takes the
+// leader before itself for the one whose rank it armed last. That rank's
+// machine stands still.
+TEST(MapSwitchStorm, ALeaderThatClaimsAgainExcusesNoOther) {
+  constexpr int kFirst = 2;
+  for (int order = 1; order <= kOrders; ++order) {
+    VirtualAgents agents({.first_leader = kFirst});
+    const auto run = [&agents](Duration duration) {
+      const TimePoint end = agents.now() + duration;
+      while (agents.now() < end) {
+        ASSERT_TRUE(agents.Step());
+      }
+    };
+    agents.Kill(kFirst, kRestart);
+    run(seconds(5));
+    ASSERT_NE(agents.leader(), kFirst);
+    int orders = 0;
+    agents.SetOnOrder([&] {
+      if (++orders != order) return;
+      agents.Freeze(kFirst, kFreeze);
+      agents.ChangeEra();
+    });
+    agents.RequestSwitch();
+    run(kDuration);
+    EXPECT_GE(orders, order);
+    EXPECT_FALSE(agents.holder());
+  }
+}
+
 }  // namespace
 }  // namespace mangohold
