Answer every request that a leaving process has read before it ends

Cause: StopWhenIdle ended the process at its latest time whatever was in progress, and is_idle meant only that no request was in progress.

Change: what a leaving process owes has a place of its own, net/graceful_stop, for both ways. OwedAnswers counts it by kind (being read, waiting, at a backend server, begun, unwritten) and is logged when requests are ended and at the end; LeaveSchedule gives the times. Requests wait at a leaving entry for half of the time between its last new request and the end of all requests (5.1 s of a grace of 8 s), then they are refused as not run, with 2.3 s left to repeat them elsewhere. 0.55 s before the kill (less for a short grace, never before five sixths of it) each request in progress gets the true word: not run, or 502 unknown; an answer that has begun is reset. A second SIGTERM does that at once. On the own way the word for unknown is link_broken, and agents tell entries that the request may have run.

--- a/src/agent_main.cc
+++ b/src/agent_main.cc
@@ -88,9 +88,10 @@
       HaveStarted({server.Start(), node.Start(), admin.Listen()});
   if (!has_started) return kExitUnavailable;
   OnLeave(control, traffic,
-          {.begin = [&server] { server.BeginLeaving(); },
-           .is_idle = [&server] { return server.is_idle(); },
-           .latest = settings.leave_limit});
+          {.begin = [&server](TimePoint /*now*/) { server.BeginLeaving(); },
+           .end_requests = [&server] { server.EndRequests(); },
+           .owed = [&server] { return server.Owed(); },
+           .schedule = MakeLeaveSchedule(settings.leave_limit, Duration(0))});
   Log(LogLevel::kInfo, "started",
       {{"peer_address", settings.peer_address.value()}});
   RunThreads(control, traffic);
--- a/src/backend/agent_server.cc
+++ b/src/backend/agent_server.cc
@@ -94,6 +94,24 @@
   Apply(gate_.BeginLeaving(Clock::now()));
 }
 
+void AgentServer::EndRequests() {
+  const auto jobs = jobs_;
+  for (const auto& [id, job] : jobs) {
+    if (!job->is_running || !jobs_.contains(id)) continue;
+    http_.Cancel(job->call);
+    job->call = HttpCallId();
+    FinishJob(job, WorkResult::kFailed, false, Reason::kBackendLeaving);
+  }
+}
+
+OwedAnswers AgentServer::Owed() const {
+  OwedAnswers owed;
+  for (const auto& [id, job] : jobs_) {
+    ++(job->has_head ? owed.begun : job->is_running ? owed.sent : owed.waiting);
+  }
+  return owed;
+}
+
 void AgentServer::BecomeCold() {
   counters_.Count(Event::kColdStarts);
   gate_.BecomeCold();
--- a/src/backend/agent_server.h
+++ b/src/backend/agent_server.h
@@ -14,6 +14,7 @@
 #include "backend/job.h"
 #include "core/counters.h"
 #include "net/event_loop.h"
+#include "net/graceful_stop.h"
 #include "net/http_client.h"
 #include "peer/http2_session.h"
 
@@ -37,8 +38,9 @@
   // Starts draining, for good: refuses new and queued requests and lets those
   // in progress finish.
   void BeginLeaving();
-  // True when no request is queued or in progress.
-  bool is_idle() const { return jobs_.empty(); }
+  // Ends the requests in progress. Entries are told that they may have run.
+  void EndRequests();
+  OwedAnswers Owed() const;
   // Why new requests are refused now, or kNone if they are accepted.
   Reason ClosedReason() const { return gate_.ClosedReason(Clock::now()); }
 
--- a/src/caller/caller_connection.h
+++ b/src/caller/caller_connection.h
@@ -73,6 +73,8 @@
   // answer.
   void Retire();
   bool is_closed() const { return phase_ == Phase::kClosed; }
+  // A part of a request has been read.
+  bool is_reading() const { return phase_ == Phase::kReading; }
 
  private:
   enum class Phase { kIdle, kReading, kAnswering, kLingering, kClosed };
--- a/src/caller/entry_context.h
+++ b/src/caller/entry_context.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -15,6 +16,8 @@
 
 namespace mangohold {
 
+class RequestRun;
+
 struct EntryContext {
   // A retry budget belongs to one workspace at one service.
   struct BudgetKey {
@@ -31,6 +34,7 @@
   std::map<BudgetKey, RetryBudget> budgets;
   std::map<WorkspaceName, int> in_flight;  // requests of each workspace here
   int requests = 0;                        // requests in progress here
+  std::set<RequestRun*> runs;              // the same; each is alive
   int live_entries = 1;                    // entries in the platform's list
 
   // The link to the backend server's agent, or null.
--- a/src/caller/entry_server.cc
+++ b/src/caller/entry_server.cc
@@ -154,6 +154,20 @@
   http_.CloseAfterReply();
 }
 
+void EntryServer::EndRequests() {
+  const std::set<RequestRun*> runs = context_.runs;
+  for (RequestRun* run : runs) {
+    // The end of one may be the end of others.
+    if (context_.runs.contains(run)) run->EndForLeaving();
+  }
+}
+
+OwedAnswers EntryServer::Owed() const {
+  OwedAnswers owed;
+  for (const RequestRun* run : context_.runs) run->CountIn(owed);
+  return owed;
+}
+
 void EntryServer::Handle(HttpRequest request, const Exchange& exchange) {
   const bool is_get = request.method == "GET";
   if (request.path.starts_with(kServicePrefix)) {
--- a/src/caller/entry_server.h
+++ b/src/caller/entry_server.h
@@ -14,6 +14,7 @@
 #include "caller/request_run.h"
 #include "core/counters.h"
 #include "net/event_loop.h"
+#include "net/graceful_stop.h"
 #include "net/http_server.h"
 #include "platform/instance.h"
 
@@ -41,7 +42,9 @@
   // Leaves the address list and asks callers to reconnect elsewhere; requests
   // go on being served.
   void BeginLeaving();
-  bool is_idle() const { return context_.requests == 0; }
+  // Ends the requests in progress, each with the true word.
+  void EndRequests();
+  OwedAnswers Owed() const;
   Millis address_max_age() const { return options_.address_max_age; }
 
  private:
--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -27,6 +27,8 @@
 // Time that a backend server needs at the least to begin its answer.
 constexpr Millis kAnswerTime{150};
 constexpr Millis kConfirmationRetry{500};
+// Callers of an entry that leaves come back to another one.
+constexpr Millis kLeavingRetry{100};
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
@@ -169,7 +171,8 @@
        .target_start = job_.message.arrived + job_.route->target_latency,
        .expected_events = has_begun_ ? 0 : ExpectedEvents(),
        .tried = tried_,
-       .waits_for_new_backends = job_.route->IsRepeatable(),
+       .is_repeatable = job_.route->IsRepeatable(),
+       .has_begun = has_begun_,
        .zones = job_.zones,
        .crash_suspect = crashes_.SuspectedRequest(BootNow())});
   context_.request_decisions();
@@ -562,6 +565,28 @@
   Finish(outcome, reason, status);
 }
 
+void ForwardRun::EndForLeaving() {
+  if (phase_ == Phase::kFinished) return;
+  const bool was_sent = phase_ == Phase::kSent;
+  DropBackend();
+  GiveUp(was_sent ? Outcome::kUnknown : policy_.GiveUpOutcome(),
+         Reason::kEntryLeaving, kLeavingRetry);
+}
+
+void ForwardRun::CountIn(OwedAnswers& owed) const {
+  switch (phase_) {
+    case Phase::kHeld:
+    case Phase::kWaiting:
+      ++(has_begun_ ? owed.begun : owed.waiting);
+      break;
+    case Phase::kSent:
+      ++(has_begun_ ? owed.begun : owed.sent);
+      break;
+    case Phase::kFinished:
+      break;
+  }
+}
+
 void ForwardRun::OnCallerGone() {
   if (phase_ == Phase::kFinished) return;
   DropBackend();
--- a/src/caller/forward_run.h
+++ b/src/caller/forward_run.h
@@ -11,6 +11,7 @@
 #include "caller/crash_watch.h"
 #include "caller/forward_context.h"
 #include "caller/request_retries.h"
+#include "net/graceful_stop.h"
 #include "routing/direct_policy.h"
 #include "routing/event_splitter.h"
 
@@ -37,6 +38,11 @@
   // Ends the request if its time is up, and leaves a backend server that stands
   // still.
   void OnTick(TimePoint now);
+  // The process is about to end: tells the caller what is known of its request,
+  // or breaks off an answer that has begun.
+  void EndForLeaving();
+  // Adds what this request is owed.
+  void CountIn(OwedAnswers& owed) const;
   // The attempt in progress, by which the dispatcher names this request.
   AttemptNumber attempt() const { return attempt_; }
   bool is_finished() const { return phase_ == Phase::kFinished; }
--- a/src/caller/forward_server.cc
+++ b/src/caller/forward_server.cc
@@ -382,6 +382,27 @@
   context_.confirmed_as_of = std::max(context_.confirmed_as_of, as_of);
 }
 
+void ForwardServer::BeginLeaving(const LeaveSchedule& schedule, TimePoint now) {
+  is_leaving_ = true;
+  context_.dispatcher.BeginLeaving(now + schedule.wait_until,
+                                   now + schedule.answer_until);
+  RequestDecisions();
+}
+
+void ForwardServer::EndRequests() {
+  const std::vector<RunPtr> runs = std::exchange(runs_, {});
+  for (const RunPtr& run : runs) run->EndForLeaving();
+}
+
+OwedAnswers ForwardServer::Owed() const {
+  OwedAnswers owed;
+  for (const RunPtr& run : runs_) run->CountIn(owed);
+  for (const auto& connection : connections_) {
+    owed.reading += connection->is_reading() ? 1 : 0;
+  }
+  return owed;
+}
+
 void ForwardServer::StopTaking() {
   is_closed_ = true;
   std::error_code ignored;  // it is given up in any case
--- a/src/caller/forward_server.h
+++ b/src/caller/forward_server.h
@@ -17,6 +17,7 @@
 #include "caller/forward_run.h"
 #include "net/datagram_socket.h"
 #include "net/event_loop.h"
+#include "net/graceful_stop.h"
 #include "peer/entry_gossip.h"
 
 namespace mangohold {
@@ -53,11 +54,14 @@
   void Confirm(TimePoint as_of);
   // The view holds every change acknowledged before `as_of`.
   void ConfirmView(TimePoint as_of);
-  // Answers ask callers to connect elsewhere from now on.
-  void BeginLeaving() { is_leaving_ = true; }
+  // Answers ask callers to connect elsewhere from now on, and only what is
+  // expected to end in time is sent on.
+  void BeginLeaving(const LeaveSchedule& schedule, TimePoint now);
   // New requests are refused; those in progress go on.
   void StopTaking();
-  bool is_idle() const { return runs_.empty(); }
+  // Ends the requests in progress, each with the true word.
+  void EndRequests();
+  OwedAnswers Owed() const;
 
  private:
   using RunPtr = std::shared_ptr<ForwardRun>;
--- a/src/caller/request_run.cc
+++ b/src/caller/request_run.cc
@@ -58,11 +58,13 @@
       deadline_timer_(context_.loop),
       ticket_(request_.ticket) {
   ++context_.requests;
+  context_.runs.insert(this);
   ++context_.in_flight[request_.workspace];
 }
 
 RequestRun::~RequestRun() {
   --context_.requests;
+  context_.runs.erase(this);
   const auto count = context_.in_flight.find(request_.workspace);
   if (--count->second == 0) context_.in_flight.erase(count);
 }
@@ -311,13 +313,22 @@
   deadline_timer_.Cancel();
 }
 
-void RequestRun::OnDeadline() {
+void RequestRun::OnDeadline() { Break(&AttemptPolicy::OnDeadline); }
+
+void RequestRun::EndForLeaving() { Break(&AttemptPolicy::OnLeaving); }
+
+void RequestRun::Break(Action (AttemptPolicy::*event)()) {
   if (policy_.is_finished()) return;
   const auto keep = shared_from_this();
   if (stream_ != nullptr) stream_->Reset();
   stream_.reset();
   EndAttempt(AttemptResult::kFailed);
-  Do(policy_.OnDeadline());
+  Do((policy_.*event)());
+}
+
+void RequestRun::CountIn(OwedAnswers& owed) const {
+  if (policy_.is_finished()) return;
+  ++(is_event_stream_ ? owed.begun : has_attempt_ ? owed.sent : owed.waiting);
 }
 
 void RequestRun::Finish(const Action& action) {
--- a/src/caller/request_run.h
+++ b/src/caller/request_run.h
@@ -10,6 +10,7 @@
 #include "caller/entry_context.h"
 #include "core/clock.h"
 #include "core/ids.h"
+#include "net/graceful_stop.h"
 #include "net/http_server.h"
 #include "peer/http2_session.h"
 #include "peer/messages.h"
@@ -41,6 +42,10 @@
              std::shared_ptr<HttpExchange> exchange);
   ~RequestRun();
 
+  // The process is about to end: tells the caller what is known of its request.
+  void EndForLeaving();
+  // Adds what this request is owed.
+  void CountIn(OwedAnswers& owed) const;
   void Start();
 
  private:
@@ -61,6 +66,8 @@
   void OnBroken();
   void OnCallerGone();
   void OnDeadline();
+  // Ends the attempt in progress and does what the policy says of `event`.
+  void Break(Action (AttemptPolicy::*event)());
   void Relay(const SubmitReply& reply);
   void RelayBytes(std::string_view data);
   void Finish(const Action& action);
--- a/src/direct_entry_main.cc
+++ b/src/direct_entry_main.cc
@@ -18,8 +18,6 @@
 // After SIGTERM new requests are taken for this long, for callers that still
 // use an old list of addresses.
 constexpr Millis kTakeAfterTerm{2'800};
-// The process ends this long before it would be killed.
-constexpr Millis kGraceMargin{300};
 
 std::map<ZoneName, RegionName> ToRegions(
     const std::map<std::string, std::string>& regions) {
@@ -110,17 +108,16 @@
   if (!has_started) return kExitUnavailable;
   control.OnHangUp(
       [&file] { ReloadLogLevel(file, &ParseDirectEntrySettings); });
+  const LeaveSchedule schedule =
+      MakeLeaveSchedule(FromSeconds(settings.grace_s), kTakeAfterTerm);
   OnLeave(control, traffic,
           {.announce = [&entry] { entry.BeginLeaving(); },
-           .begin =
-               [&server, &traffic] {
-                 server.BeginLeaving();
-                 traffic.After(kTakeAfterTerm,
-                               [&server] { server.StopTaking(); });
-               },
-           .is_idle = [&server] { return server.is_idle(); },
-           .earliest = kTakeAfterTerm,
-           .latest = FromSeconds(settings.grace_s) - kGraceMargin});
+           .begin = [&server, schedule](
+                        TimePoint now) { server.BeginLeaving(schedule, now); },
+           .stop_taking = [&server] { server.StopTaking(); },
+           .end_requests = [&server] { server.EndRequests(); },
+           .owed = [&server] { return server.Owed(); },
+           .schedule = schedule});
   Log(LogLevel::kInfo, "started",
       {{"caller_address", settings.caller_address.value()}});
   RunThreads(control, traffic);
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -60,10 +60,11 @@
   if (!has_started) return kExitUnavailable;
   OnLeave(control, traffic,
           {.announce = [&node] { node.BeginLeaving(); },
-           .begin = [&server] { server.BeginLeaving(); },
-           .is_idle = [&server] { return server.is_idle(); },
-           .earliest = settings.address_max_age,
-           .latest = settings.leave_limit});
+           .begin = [&server](TimePoint /*now*/) { server.BeginLeaving(); },
+           .end_requests = [&server] { server.EndRequests(); },
+           .owed = [&server] { return server.Owed(); },
+           .schedule = MakeLeaveSchedule(settings.leave_limit,
+                                         settings.address_max_age)});
   Log(LogLevel::kInfo, "started",
       {{"caller_address", settings.caller_address.value()}});
   RunThreads(control, traffic);
--- a/src/routing/attempt_policy.cc
+++ b/src/routing/attempt_policy.cc
@@ -159,14 +159,23 @@
 // A submitted request may still run after its caller's deadline.
 Action AttemptPolicy::OnDeadline() {
   if (phase_ == Phase::kFinished) return {};
-  const bool may_have_run = may_have_run_ || options_.has_caller_ticket ||
-                            phase_ == Phase::kSubmitted ||
-                            phase_ == Phase::kVoiding ||
-                            phase_ == Phase::kRelaying;
-  return Finish(may_have_run ? Outcome::kUnknown : Outcome::kNotRun,
+  return Finish(MayHaveRunSoFar() ? Outcome::kUnknown : Outcome::kNotRun,
                 Reason::kDeadlineExceeded);
 }
 
+// The status of kEntryLeaving promises that the request hasn't run.
+Action AttemptPolicy::OnLeaving() {
+  if (phase_ == Phase::kFinished) return {};
+  return MayHaveRunSoFar() ? Finish(Outcome::kUnknown, Reason::kLinkBroken)
+                           : Finish(Outcome::kNotRun, Reason::kEntryLeaving);
+}
+
+bool AttemptPolicy::MayHaveRunSoFar() const {
+  return may_have_run_ || options_.has_caller_ticket ||
+         phase_ == Phase::kSubmitted || phase_ == Phase::kVoiding ||
+         phase_ == Phase::kRelaying;
+}
+
 Action AttemptPolicy::OnBudgetExhausted() {
   if (phase_ == Phase::kFinished) return {};
   return Finish(may_have_run_ ? Outcome::kUnknown : Outcome::kNotRun,
--- a/src/routing/attempt_policy.h
+++ b/src/routing/attempt_policy.h
@@ -67,6 +67,8 @@
   Action OnResponseEnd(bool is_complete, Reason reason);
   // The request's deadline has passed.
   Action OnDeadline();
+  // This entry is about to end.
+  Action OnLeaving();
   // The retry budget does not allow another attempt.
   Action OnBudgetExhausted();
 
@@ -86,6 +88,9 @@
     kFinished
   };
 
+  // True if an earlier attempt, or the one in progress, may have run.
+  bool MayHaveRunSoFar() const;
+
   Action Next();
   Action SubmitTicket();
   bool IsCertainlyNotRun(Reason reason) const;
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -127,7 +127,7 @@
           Refuse(query, Reason::kDeadlineUnreachable, kSlowServiceRetryAfter));
       continue;
     }
-    if (!query.waits_for_new_backends && HasTriedAll(query)) {
+    if (!query.is_repeatable && HasTriedAll(query)) {
       decisions.push_back(
           Refuse(query, Reason::kBackendRefused, kAllTriedRetryAfter));
       continue;
@@ -137,6 +137,10 @@
       decisions.push_back(Send(query, *backend, now));
       continue;
     }
+    if (HasStoppedWaiting(query, now)) {
+      decisions.push_back(Refuse(query, Reason::kEntryLeaving, Duration(0)));
+      continue;
+    }
     const auto wait = WaitOf(query.service, ahead[query.service], now);
     if (!HasBackends(query.service)) {
       if (now >= query.start_deadline) {
@@ -165,6 +169,11 @@
   return needed * kMinDurationFraction <= ToSeconds(query.deadline - now);
 }
 
+// A response that has begun can't be refused any more.
+bool Dispatcher::HasStoppedWaiting(const Query& query, TimePoint now) const {
+  return leaving_ && now >= leaving_->wait_until && !query.has_begun;
+}
+
 double Dispatcher::MinEventGap(const ServiceName& service,
                                TimePoint now) const {
   double min_gap = 0;
@@ -527,6 +536,12 @@
   it->second.is_suspect = false;
 }
 
+void Dispatcher::RecordServiceTime(Backend& backend, double seconds) {
+  const bool is_first = backend.service_seconds == 0;
+  backend.service_seconds =
+      is_first ? seconds : Smoothed(backend.service_seconds, seconds);
+}
+
 void Dispatcher::OnEnded(AttemptNumber number, Result result, TimePoint now) {
   const auto it = sent_.find(number);
   if (it == sent_.end()) return;
@@ -542,10 +557,7 @@
   switch (result) {
     case Result::kServed:
       backend.ejection.OnServed();
-      backend.service_seconds =
-          backend.service_seconds == 0
-              ? ToSeconds(now - sent.at)
-              : Smoothed(backend.service_seconds, ToSeconds(now - sent.at));
+      RecordServiceTime(backend, ToSeconds(now - sent.at));
       break;
     case Result::kRejected:
       if (!HasRankGroups(sent.service)) {
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -84,8 +84,11 @@
     double expected_events = 0;
     // Backends that the request has tried already.
     std::vector<InstanceId> tried;
-    // Whether it waits for further backends to be listed once it has tried all.
-    bool waits_for_new_backends = true;
+    // A repeatable (idempotent) request waits for further backends to be listed
+    // once it has tried all.
+    bool is_repeatable = true;
+    // The caller has a part of the response; another backend is to go on.
+    bool has_begun = false;
     // Zones in which the request may run; empty: any.
     std::vector<ZoneName> zones;
     // Set if the request was at a backend when it crashed: it is sent to one
@@ -124,6 +127,13 @@
   void OnPeerShares(const InstanceId& peer,
                     const std::vector<BackendShare>& shares, TimePoint now);
 
+  // This entry leaves. From now on an attempt is sent only if it is expected to
+  // end before `end`, and none waits for a backend after `wait_until`. The
+  // others are refused at once, so that callers can try other entries.
+  void BeginLeaving(TimePoint wait_until, TimePoint end) {
+    leaving_ = {.wait_until = wait_until, .end = end};
+  }
+
   // Queues an attempt until `Decide` sends or refuses it.
   void Submit(Query query);
   // Removes an attempt from the queue.
@@ -219,6 +229,10 @@
     bool is_suspect = false;    // until the response has started
     TimePoint at;
   };
+  struct LeaveTimes {
+    TimePoint wait_until;
+    TimePoint end;
+  };
   struct Waiting {
     Query query;
     bool is_new = true;  // until `Decide` has kept it in the queue once
@@ -239,6 +253,8 @@
 
   void SortWaiting(TimePoint now);
   bool CanFinishInTime(const Query& query, TimePoint now) const;
+  // True if this entry leaves and lets none wait any more.
+  bool HasStoppedWaiting(const Query& query, TimePoint now) const;
   // Returns the backend to send to, or null if none is eligible.
   Backend* Choose(const Query& query, TimePoint now);
   // Returns the place of the chosen one.
@@ -261,6 +277,7 @@
   std::optional<TimePoint> EarliestBackoffEnd(const ServiceName& service,
                                               TimePoint now) const;
   void Eject(Backend& backend, TimePoint now);
+  static void RecordServiceTime(Backend& backend, double seconds);
   bool CanStartInTime(const Waiting& waiting, Duration wait,
                       TimePoint now) const;
   // Expected wait of a request with `ahead` others of its service before it;
@@ -289,6 +306,7 @@
   std::vector<Waiting> waiting_;  // in the order of `SortWaiting`
   std::map<AttemptNumber, Sent> sent_;
   std::map<WorkspaceName, int> in_progress_;
+  std::optional<LeaveTimes> leaving_;
 };
 
 }  // namespace mangohold
--- a/tests/direct_site.cc
+++ b/tests/direct_site.cc
@@ -14,6 +14,7 @@
 // Events of a whole stream, and the one at which a broken one ends.
 constexpr int kEvents = 10;
 constexpr int kBroken = 5;
+constexpr std::size_t kHugeBytes = 7U << 20U;
 constexpr char kId[] = "X-Mangohold-Request-Id";
 
 std::string Event(int id) {
@@ -186,6 +187,16 @@
       co_await standin::Sleep(milliseconds(5));
       connection.Drop();
       break;
+    case Manner::kHuge:
+      co_await connection.Send(Whole(200, id, std::string(kHugeBytes, 'h')));
+      break;
+    case Manner::kWork:
+      if (co_await connection.IsClosedWithin(work_)) {
+        ++cancelled_;
+      } else {
+        co_await connection.Send(Whole(200, id, body));
+      }
+      break;
     case Manner::kHang:
       if (co_await connection.IsClosedWithin(milliseconds(20'000))) {
         ++cancelled_;
@@ -293,14 +304,26 @@
   return Endpoint(Ip(10 + entry) + ":8080");
 }
 
+std::string DirectSite::RequestText(const std::string& method,
+                                    const std::string& path,
+                                    const std::string& id,
+                                    std::chrono::milliseconds deadline,
+                                    const std::string& body) {
+  return method + " " + path + " HTTP/1.1\r\nHost: h.example\r\n" + kId + ": " +
+         id +
+         "\r\nX-Mangohold-Deadline-Ms: " + std::to_string(deadline.count()) +
+         "\r\nAuthorization: Bearer k\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 void DirectSite::PutDeployment(int version,
                                const std::vector<std::string>& keys) {
-  const auto route = [](const char* name, const char* kind, bool resumes) {
+  const auto route = [this](const char* name, const char* kind, bool resumes) {
     return Json{{"name", name},
                 {"host", "h.example"},
                 {"prefix", std::string("/") + name + "/"},
                 {"route_type", kind},
-                {"timeout_ms", 4'000},
+                {"timeout_ms", options_.timeout_ms},
                 {"target_latency_ms", 400},
                 {"target_gap_ms", 120},
                 {"priority", 1},
--- a/tests/direct_site.h
+++ b/tests/direct_site.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -45,6 +46,8 @@
   kLateAnswer,      // 200 after 400 ms
   kLateReject,      // 503, not run, after 400 ms
   kCloseUnasked,    // 200, and the connection closes 5 ms later
+  kHuge,            // 200 with 7 MiB
+  kWork,            // 200 after the time of `SetWork`
   kHang             // no answer at all
 };
 
@@ -62,6 +65,11 @@
   BackendStandin& operator=(const BackendStandin&) = delete;
 
   void SetManner(Manner manner) { manner_ = manner; }
+  // From now on it works for so long on each request.
+  void SetWork(std::chrono::milliseconds work) {
+    work_ = work;
+    manner_ = Manner::kWork;
+  }
   // The request limit that its answers state from now on; empty: none.
   void SetLimit(const std::string& per_s);
   // Requests that it ran, by request id.
@@ -88,6 +96,7 @@
   std::string address_;
   std::string id_;
   std::atomic<Manner> manner_ = Manner::kAnswer;
+  std::atomic<std::chrono::milliseconds> work_{};
   std::atomic<int> cancelled_ = 0;
   mutable std::mutex mutex_;
   std::string limit_;
@@ -105,6 +114,7 @@
     int backends = 1;
     int revocation_ms = 5'000;
     double grace_s = 8;
+    int timeout_ms = 4'000;  // of the routes
     int most_direct_followers = 12;
     // Each entry reaches the store by a link of its own, which tests can cut.
     bool has_store_links = false;
@@ -129,6 +139,11 @@
   Process& entry(int index) { return *entries_[index]; }
   Relay& store_link(int entry) { return *store_links_[entry]; }
   Endpoint CallerAddress(int entry) const;
+  // The text of a request with a key.
+  static std::string RequestText(const std::string& method,
+                                 const std::string& path, const std::string& id,
+                                 std::chrono::milliseconds deadline,
+                                 const std::string& body = "");
   bool IsReady(int entry) const;
   std::string Directory(int entry) const;
   std::string Metrics(int entry) const;
--- /dev/null
+++ b/tests/unit/dispatcher_leaving_test.cc
@@ -0,0 +1,90 @@
+// Which requests an entry that leaves still sends to backends, lets wait, or
+// refuses so that callers can try other entries.
+#include <gtest/gtest.h>
+
+#include <optional>
+
+#include "routing/dispatcher.h"
+
+namespace mangohold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ServiceName kDesk("desk");
+constexpr int kSlots = 2;
+
+// One entry and one backend, in virtual time. The entry leaves at `begin_`.
+class DispatcherLeavingTest : public testing::Test {
+ protected:
+  DispatcherLeavingTest() : dispatcher_({.zone = ZoneName("north")}) {
+    dispatcher_.SetServices({{.name = kDesk}});
+    dispatcher_.SetBackends({{.id = InstanceId("d0"),
+                              .service = kDesk,
+                              .zone = ZoneName("north"),
+                              .slots = kSlots}});
+  }
+
+  void Leave() { dispatcher_.BeginLeaving(begin_ + kWait, begin_ + kEnd); }
+
+  AttemptNumber Submit(bool is_repeatable, seconds deadline) {
+    last_ = last_.Next();
+    dispatcher_.Submit({.number = last_,
+                        .service = kDesk,
+                        .start_deadline = now_ + deadline,
+                        .deadline = now_ + deadline,
+                        .is_repeatable = is_repeatable});
+    return last_;
+  }
+
+  // The decision about the newest request; absent: it waits.
+  std::optional<Dispatcher::Decision> Decide() {
+    for (const auto& decision : dispatcher_.Decide(now_)) {
+      if (decision.number == last_) return decision;
+    }
+    return std::nullopt;
+  }
+
+  // Serves a request that takes `time`.
+  void Serve(milliseconds time) {
+    const AttemptNumber number = Submit(true, seconds(60));
+    ASSERT_TRUE(Decide()->backend);
+    now_ += time;
+    dispatcher_.OnEnded(number, Dispatcher::Result::kServed, now_);
+  }
+
+  void FillSlots() {
+    for (int i = 0; i < kSlots; ++i) {
+      Submit(true, seconds(60));
+      ASSERT_TRUE(Decide()->backend);
+    }
+  }
+
+  static constexpr seconds kWait{5};
+  static constexpr seconds kEnd{7};
+  TimePoint now_ = TimePoint() + seconds(100);
+  TimePoint begin_ = now_;
+  AttemptNumber last_;
+  Dispatcher dispatcher_;
+};
+
+TEST_F(DispatcherLeavingTest, WaitingEndsWhileCallersCanStillTryElsewhere) {
+  Serve(milliseconds(10));
+  FillSlots();
+  begin_ = now_;
+  Submit(/*is_repeatable=*/true, seconds(30));
+  EXPECT_FALSE(Decide());
+  Leave();
+  EXPECT_FALSE(Decide());
+  now_ = begin_ + kWait - milliseconds(1);
+  EXPECT_FALSE(Decide());
+  now_ = begin_ + kWait;
+  const auto decision = Decide();
+  ASSERT_TRUE(decision);
+  EXPECT_EQ(decision->reason, Reason::kEntryLeaving);
+  EXPECT_LE(decision->retry_after, milliseconds(100));
+}
+
+}  // namespace
+}  // namespace mangohold
--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -153,7 +153,7 @@
                         .service = kDesk,
                         .start_deadline = now_ + seconds(2),
                         .tried = {InstanceId("d0"), InstanceId("d1")},
-                        .waits_for_new_backends = waits});
+                        .is_repeatable = waits});
     const auto decisions = Decide();
     ASSERT_EQ(decisions.contains(last_), !waits);
     if (waits) continue;
