Send nothing from a leaving entry that can't end before it does

What another operator's callers saw, and ours would: in a planned stop requests that came late in the grace were taken and passed on, and cut at its end, among them requests that may not be repeated (LOST). Shown here on the code before: work of 6 s, sent 2.6 s after SIGTERM with a deadline of 30 s, ran and was cut.

Cause: a leaving entry chose by the caller's deadline alone, as if it lived on.

Change: the dispatcher knows when the entry ends its requests. What the caller's own deadline ends sooner goes on as ever. Otherwise the estimate decides: events of a stream times the group's gap, else the time that slow requests of the service took (a longer one counts at once, shorter ones wear it off); where nothing is known, only repeatable work is sent. The rest is refused at once as not run, so that callers can try another entry with all of their time. Weighed: by deadline or route time-out alone every stream would be refused at SIGTERM (8 s of a grace of 8 s), by the mean a service of short and long work would send what it cuts.

--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -127,6 +127,10 @@
           Refuse(query, Reason::kDeadlineUnreachable, kSlowServiceRetryAfter));
       continue;
     }
+    if (!CanFinishBeforeLeaving(query, now)) {
+      decisions.push_back(Refuse(query, Reason::kEntryLeaving, Duration(0)));
+      continue;
+    }
     if (!query.is_repeatable && HasTriedAll(query)) {
       decisions.push_back(
           Refuse(query, Reason::kBackendRefused, kAllTriedRetryAfter));
@@ -169,11 +173,37 @@
   return needed * kMinDurationFraction <= ToSeconds(query.deadline - now);
 }
 
+// By the caller's deadline if that comes sooner; else by the expected events of
+// a stream, or by the time that slow requests of the service took. Where
+// neither is known, only a request that may run again elsewhere is sent.
+bool Dispatcher::CanFinishBeforeLeaving(const Query& query,
+                                        TimePoint now) const {
+  if (!leaving_ || query.deadline <= leaving_->end) return true;
+  const double left = ToSeconds(leaving_->end - now);
+  const double events = query.expected_events * MinEventGap(query.service, now);
+  if (events > 0) return events <= left;
+  const auto slow = SlowServiceTime(query.service);
+  return slow ? ToSeconds(*slow) <= left : query.is_repeatable;
+}
+
 // A response that has begun can't be refused any more.
 bool Dispatcher::HasStoppedWaiting(const Query& query, TimePoint now) const {
   return leaving_ && now >= leaving_->wait_until && !query.has_begun;
 }
 
+std::optional<Duration> Dispatcher::SlowServiceTime(
+    const ServiceName& service) const {
+  const auto group = by_service_.find(service);
+  if (group == by_service_.end()) return std::nullopt;
+  double seconds = 0;
+  for (const InstanceId& id : group->second) {
+    seconds = std::max(seconds, backends_.at(id).slow_service_seconds);
+  }
+  if (seconds <= 0) return std::nullopt;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
 double Dispatcher::MinEventGap(const ServiceName& service,
                                TimePoint now) const {
   double min_gap = 0;
@@ -540,6 +570,8 @@
   const bool is_first = backend.service_seconds == 0;
   backend.service_seconds =
       is_first ? seconds : Smoothed(backend.service_seconds, seconds);
+  backend.slow_service_seconds =
+      std::max(seconds, Smoothed(backend.slow_service_seconds, seconds));
 }
 
 void Dispatcher::OnEnded(AttemptNumber number, Result result, TimePoint now) {
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -220,6 +220,8 @@
     Ejection ejection;
     bool is_replaced = false;  // by another one at its address, until relisted
     double service_seconds = 0;  // smoothed; 0: none served yet
+    // The same for the slow ones: follows a longer time at once.
+    double slow_service_seconds = 0;
   };
   struct Sent {
     InstanceId backend;
@@ -253,8 +255,12 @@
 
   void SortWaiting(TimePoint now);
   bool CanFinishInTime(const Query& query, TimePoint now) const;
+  // True unless this entry leaves before the attempt is expected to end.
+  bool CanFinishBeforeLeaving(const Query& query, TimePoint now) const;
   // True if this entry leaves and lets none wait any more.
   bool HasStoppedWaiting(const Query& query, TimePoint now) const;
+  // Time that slow requests of the service take; absent: none served yet.
+  std::optional<Duration> SlowServiceTime(const ServiceName& service) const;
   // Returns the backend to send to, or null if none is eligible.
   Backend* Choose(const Query& query, TimePoint now);
   // Returns the place of the chosen one.
--- a/tests/system/direct_leaving_test.cc
+++ b/tests/system/direct_leaving_test.cc
@@ -192,6 +192,43 @@
   EXPECT_NE(site.Log(0).find("leaving_requests_ended"), std::string::npos);
 }
 
+// Guards against work that may not be repeated and is lost at a planned stop:
+// it came late in the grace, was passed on though it takes longer than the
+// entry lives, and was cut.
+TEST(DirectLeaving, WorkThatCannotEndInTimeIsNotBegun) {
+  constexpr milliseconds kLongWork{6'000};
+  DirectSite site({.entries = 1, .timeout_ms = 30'000});
+  site.Start();
+  site.backend(0).SetWork(kLongWork);
+  const Callers first = Connect(site, 0, 1);
+  first[0]->Send(
+      DirectSite::RequestText("POST", "/once/x", "first", kLongDeadline, "x"));
+  first[0]->BeginReading();
+  first[0]->Join();
+  ASSERT_EQ(first[0]->status(), 200);
+  const Callers callers = Connect(site, 0, 4);
+  site.entry(0).Signal(SIGTERM);
+  const auto begin = steady_clock::now();
+  SleepUntil(begin, milliseconds(100));
+  callers[0]->Send(
+      DirectSite::RequestText("POST", "/once/x", "fits", kLongDeadline, "x"));
+  callers[0]->BeginReading();
+  SleepUntil(begin, milliseconds(2'600));
+  int number = 1;
+  for (const char* path : {"/once/x", "/again/x", "/stream/x"}) {
+    callers[number]->Send(DirectSite::RequestText(
+        "POST", path, "late-" + std::to_string(number), kLongDeadline, "x"));
+    callers[number++]->BeginReading();
+  }
+  for (const auto& caller : callers) caller->Join();
+  EXPECT_EQ(callers[0]->status(), 200) << callers[0]->text();
+  for (int i = 1; i < 4; ++i) {
+    EXPECT_EQ(callers[i]->status(), kRefused) << callers[i]->text();
+  }
+  EXPECT_EQ(site.backend(0).runs_in_all(), 2);
+  EXPECT_EQ(site.entry(0).WaitForExit(seconds(10)), 0);
+}
+
 // A request of which a part was read before the entry stopped taking any.
 TEST(DirectLeaving, ARequestThatIsBeingReadIsRefused) {
   DirectSite site({});
--- a/tests/unit/dispatcher_leaving_test.cc
+++ b/tests/unit/dispatcher_leaving_test.cc
@@ -69,6 +69,37 @@
   Dispatcher dispatcher_;
 };
 
+TEST_F(DispatcherLeavingTest, SendsWhatItsDeadlineEndsInTime) {
+  Leave();
+  Submit(/*is_repeatable=*/false, seconds(6));
+  EXPECT_TRUE(Decide()->backend);
+}
+
+// Without any experience of the service, work that may run only once is left to
+// other entries.
+TEST_F(DispatcherLeavingTest, RefusesUnknownWorkThatMayRunOnlyOnce) {
+  Leave();
+  Submit(/*is_repeatable=*/false, seconds(30));
+  const auto decision = Decide();
+  ASSERT_TRUE(decision);
+  EXPECT_EQ(decision->reason, Reason::kEntryLeaving);
+  Submit(/*is_repeatable=*/true, seconds(30));
+  EXPECT_TRUE(Decide()->backend);
+}
+
+// The slow requests count, not the mean.
+TEST_F(DispatcherLeavingTest, RefusesWorkThatWasSeenToTakeTooLong) {
+  Serve(seconds(4));
+  for (int i = 0; i < 3; ++i) Serve(milliseconds(10));
+  begin_ = now_;
+  Leave();
+  Submit(/*is_repeatable=*/false, seconds(30));
+  EXPECT_TRUE(Decide()->backend);
+  now_ = begin_ + seconds(6);
+  Submit(/*is_repeatable=*/false, seconds(30));
+  EXPECT_EQ(Decide()->reason, Reason::kEntryLeaving);
+}
+
 TEST_F(DispatcherLeavingTest, WaitingEndsWhileCallersCanStillTryElsewhere) {
   Serve(milliseconds(10));
   FillSlots();
