Count bytes that are still to be written among what a leaving process owes

Cause: a request is finished once its answer is in the connection's output; what is there or being written wasn't counted. The same on the own way, where RESTinio has the bytes.

Change: OwedAnswers.unwritten counts connections with such bytes; HttpServer counts responses until they are written. The process stays for them until its grace ends.

--- a/src/caller/caller_connection.h
+++ b/src/caller/caller_connection.h
@@ -75,6 +75,12 @@
   bool is_closed() const { return phase_ == Phase::kClosed; }
   // A part of a request has been read.
   bool is_reading() const { return phase_ == Phase::kReading; }
+  // The caller is still to be sent bytes of an answer that is complete here.
+  bool has_unwritten() const {
+    const bool is_answering =
+        phase_ == Phase::kAnswering || phase_ == Phase::kClosed;
+    return !is_answering && !(writing_.empty() && output_.empty());
+  }
 
  private:
   enum class Phase { kIdle, kReading, kAnswering, kLingering, kClosed };
--- a/src/caller/entry_server.cc
+++ b/src/caller/entry_server.cc
@@ -163,7 +163,7 @@
 }
 
 OwedAnswers EntryServer::Owed() const {
-  OwedAnswers owed;
+  OwedAnswers owed{.unwritten = http_.unwritten()};
   for (const RequestRun* run : context_.runs) run->CountIn(owed);
   return owed;
 }
--- a/src/caller/forward_server.cc
+++ b/src/caller/forward_server.cc
@@ -399,6 +399,7 @@
   for (const RunPtr& run : runs_) run->CountIn(owed);
   for (const auto& connection : connections_) {
     owed.reading += connection->is_reading() ? 1 : 0;
+    owed.unwritten += connection->has_unwritten() ? 1 : 0;
   }
   return owed;
 }
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -76,6 +76,7 @@
 struct HttpExchange::Impl {
   restinio::request_handle_t request;
   std::shared_ptr<bool> close_after_reply;
+  std::shared_ptr<int> unwritten;
   std::unique_ptr<StreamedResponse> stream;
   std::function<void()> on_closed;
   bool answered = false;
@@ -87,6 +88,14 @@
     }
     if (*close_after_reply) builder.connection_close();
   }
+
+  // Counts a complete response as unwritten until the operating system has
+  // taken it, or its connection has closed.
+  template <typename Response>
+  void Complete(Response& response) {
+    ++*unwritten;
+    response.done([count = unwritten](const auto& /*error*/) { --*count; });
+  }
 };
 
 HttpExchange::HttpExchange(std::unique_ptr<Impl> impl)
@@ -109,7 +118,7 @@
   auto response = impl_->request->create_response(StatusLine(status));
   impl_->AddFields(response, fields);
   response.set_body(std::move(body));
-  response.done();
+  impl_->Complete(response);
 }
 
 void HttpExchange::StartStream(int status, const HttpFields& fields) {
@@ -132,7 +141,7 @@
   if (impl_->answered) return;
   impl_->answered = true;
   impl_->on_closed = nullptr;
-  impl_->stream->done();
+  impl_->Complete(*impl_->stream);
   impl_->stream.reset();
 }
 
@@ -143,6 +152,7 @@
 struct HttpServer::State {
   std::shared_ptr<CloseListener> listener = std::make_shared<CloseListener>();
   std::shared_ptr<bool> close_after_reply = std::make_shared<bool>(false);
+  std::shared_ptr<int> unwritten = std::make_shared<int>(0);
   std::unique_ptr<Server> server;
 };
 
@@ -154,18 +164,19 @@
     const auto on_closed = std::move(exchange.impl_->on_closed);
     if (on_closed) on_closed();
   });
-  const auto on_request = [listener = state_->listener,
-                           close = state_->close_after_reply,
-                           handler = std::move(handler)](
-                              const restinio::request_handle_t& request) {
-    auto impl = std::make_unique<HttpExchange::Impl>();
-    impl->request = request;
-    impl->close_after_reply = close;
-    auto exchange = std::make_shared<HttpExchange>(std::move(impl));
-    listener->Register(request->connection_id(), exchange);
-    handler(ToRequest(*request), std::move(exchange));
-    return restinio::request_accepted();
-  };
+  const auto on_request =
+      [listener = state_->listener, close = state_->close_after_reply,
+       unwritten = state_->unwritten, handler = std::move(handler)](
+          const restinio::request_handle_t& request) {
+        auto impl = std::make_unique<HttpExchange::Impl>();
+        impl->request = request;
+        impl->close_after_reply = close;
+        impl->unwritten = unwritten;
+        auto exchange = std::make_shared<HttpExchange>(std::move(impl));
+        listener->Register(request->connection_id(), exchange);
+        handler(ToRequest(*request), std::move(exchange));
+        return restinio::request_accepted();
+      };
   const HostPort address = ParseEndpoint(options.address);
   restinio::server_settings_t<ServerTraits> settings;
   settings.address(address.host)
@@ -207,4 +218,6 @@
 
 void HttpServer::CloseAfterReply() { *state_->close_after_reply = true; }
 
+int HttpServer::unwritten() const { return *state_->unwritten; }
+
 }  // namespace mangohold
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -79,6 +79,8 @@
   // Responses go out with "Connection: close" from now on, so that callers
   // move their connections elsewhere.
   void CloseAfterReply();
+  // Number of responses that are complete here and not yet written.
+  int unwritten() const;
 
  private:
   struct State;
--- a/tests/system/direct_leaving_test.cc
+++ b/tests/system/direct_leaving_test.cc
@@ -229,6 +229,27 @@
   EXPECT_EQ(site.entry(0).WaitForExit(seconds(10)), 0);
 }
 
+// Guards against answers that are cut at a leaving entry: they are whole in its
+// memory, and callers take their bytes slowly.
+TEST(DirectLeaving, AnswersAreWrittenToTheirEnd) {
+  DirectSite site({.entries = 2, .backends = 3, .timeout_ms = 30'000});
+  site.Start();
+  for (int i = 0; i < 3; ++i) site.backend(i).SetManner(Manner::kHuge);
+  const Callers callers = Connect(site, 0, 6);
+  for (std::size_t i = 0; i < callers.size(); ++i) {
+    callers[i]->Send(DirectSite::RequestText(
+        "GET", "/again/x", "huge-" + std::to_string(i), kLongDeadline));
+    callers[i]->BeginReading(kSlow);
+  }
+  std::this_thread::sleep_for(milliseconds(300));
+  site.entry(0).Signal(SIGTERM);
+  for (const auto& caller : callers) {
+    caller->Join();
+    EXPECT_EQ(caller->status(), 200) << caller->text().size() << " bytes";
+  }
+  EXPECT_EQ(site.entry(0).WaitForExit(seconds(10)), 0);
+}
+
 // A request of which a part was read before the entry stopped taking any.
 TEST(DirectLeaving, ARequestThatIsBeingReadIsRefused) {
   DirectSite site({});
