Let a leader that gets SIGTERM end its own hold before it ends

What callers would see: the streams of a group stand still until a successor has taken over, since the leader's process got SIGTERM under its own hold.

Cause: the rank agent stopped its loop at once, in the middle of an order or of a switch. Safe, since a successor undoes the switch, but 0.3 s and an election later, and the new map is lost.

Change: at SIGTERM it begins no further switch, ends the command and the hold in progress, for a second at the most, and says so in leaving_ended. A second SIGTERM ends it at once.

--- a/src/group/group_leader.cc
+++ b/src/group/group_leader.cc
@@ -274,6 +274,10 @@
   }
 }
 
+bool GroupLeader::IsHolding() const {
+  return MayBeHeld() && switch_.phase() != MapSwitch::Phase::kReading;
+}
+
 // While a hold may be in effect, the leader queries and commands the engines of
 // silent agents directly: the engines may be healthy, and until the hold is
 // released the whole group stands still.
@@ -325,7 +329,7 @@
 // Starts to plan a better map. The sets are planned one per event loop turn, so
 // that other events aren't delayed.
 void GroupLeader::StartPlan() {
-  if (!deps_.engine || planner_.is_planning()) return;
+  if (!deps_.engine || planner_.is_planning() || is_leaving_) return;
   if (!switch_.HasVersionsLeft()) return;
   const auto current = switch_.CurrentMap(BootNow());
   if (!current) return;
@@ -346,7 +350,8 @@
 void GroupLeader::FinishPlan() {
   const auto plan = planner_.Take();
   const TimePoint now = BootNow();
-  if (!plan || switch_.CurrentMap(now) != plan->current) return;
+  const bool is_current = plan && switch_.CurrentMap(now) == plan->current;
+  if (!is_current || is_leaving_) return;
   Log(LogLevel::kInfo, "map_planned",
       {{"skew_before_percent", static_cast<int>(plan->skew_before * 100)},
        {"skew_after_percent", static_cast<int>(plan->skew_after * 100)},
--- a/src/group/group_leader.h
+++ b/src/group/group_leader.h
@@ -71,6 +71,11 @@
   // True if the leader should claim a new term; see `MapSwitch`.
   bool NeedsNewTerm() const { return switch_.NeedsNewTerm(); }
 
+  // Begins no further switch.
+  void BeginLeaving() { is_leaving_ = true; }
+  // True while a pass may be held for this leader's switch.
+  bool IsHolding() const;
+
   // Takes a status of this term or an earlier one.
   void OnStatus(const RankMessage& message);
   // Adds expert counts, of one rank or summed over several, to the demand.
@@ -116,6 +121,7 @@
   std::optional<TimePoint> last_discovery_at_;
   // The group has formed again, and no map has been planned for it yet.
   bool needs_first_plan_ = false;
+  bool is_leaving_ = false;
 };
 
 }  // namespace mangohold
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -26,6 +26,9 @@
 // their own. The longest delay in a group is bounded by kMaxCandidateDelay.
 constexpr Millis kCandidateDelayPerRank{150};
 constexpr Millis kMaxCandidateDelay{2'400};
+// Time to end an order or a switch in progress before the process ends.
+constexpr Millis kMaxLeaveTime{1'000};
+constexpr Millis kLeaveTick{10};
 
 }  // namespace
 
@@ -299,6 +302,26 @@
   RunNextCommand();
 }
 
+void RankAgent::Leave(std::function<void()> on_done) {
+  if (leadership_) leadership_->BeginLeaving();
+  EndWhenDone(BootNow() + kMaxLeaveTime, on_done);
+}
+
+void RankAgent::EndWhenDone(TimePoint limit,
+                            const std::function<void()>& on_done) {
+  const bool is_holding = leadership_ && leadership_->IsHolding();
+  const bool is_executing = is_running_command_ || !command_queue_.empty();
+  const bool is_done = !is_holding && !is_executing;
+  if (!is_done && BootNow() < limit) {
+    return loop_.After(kLeaveTick,
+                       [this, limit, on_done] { EndWhenDone(limit, on_done); });
+  }
+  Log(LogLevel::kInfo, "leaving_ended",
+      {{"holding", static_cast<int>(is_holding)},
+       {"executing", static_cast<int>(is_executing)}});
+  on_done();
+}
+
 // --- Leader election --------------------------------------------------------
 
 std::string RankAgent::LeaderKey() const {
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -53,6 +53,10 @@
             Counters& counters);
 
   absl::Status Start();
+  // Begins no further switch of maps. Calls `on_done` once no command is being
+  // executed and no pass is held for this agent's own switch, and at the latest
+  // after a second: agents that come after it end a hold as well, but later.
+  void Leave(std::function<void()> on_done);
 
  private:
   // The group's newest term, as read from the store.
@@ -86,6 +90,7 @@
   void Execute(QueuedCommand queued);
   bool ResolveMap(RankCommand& command);
   void FinishCommand();
+  void EndWhenDone(TimePoint limit, const std::function<void()>& on_done);
 
   // Leader election.
   std::string LeaderKey() const;
--- a/src/rank_agent_main.cc
+++ b/src/rank_agent_main.cc
@@ -1,4 +1,6 @@
 // The daemon beside an engine that is a rank of a group.
+#include <utility>
+
 #include "core/daemon.h"
 #include "core/process_settings.h"
 #include "group/rank_agent.h"
@@ -38,7 +40,11 @@
   const bool has_started = HaveStarted({agent.Start(), metrics.Listen()});
   if (!has_started) return kExitUnavailable;
   loop.OnHangUp([&file] { ReloadLogLevel(file, &ParseRankAgentSettings); });
-  loop.OnTerminate([&loop] { loop.Stop(); });
+  bool is_leaving = false;
+  loop.OnTerminate([&loop, &agent, &is_leaving] {
+    if (std::exchange(is_leaving, true)) return loop.Stop();
+    agent.Leave([&loop] { loop.Stop(); });
+  });
   Log(LogLevel::kInfo, "started",
       {{"backend", settings.backend_address.value()}});
   loop.Run();
--- a/tests/system/rank_agent_test.cc
+++ b/tests/system/rank_agent_test.cc
@@ -219,6 +219,28 @@
   EXPECT_EQ(site.group().split_passes(), 0);
 }
 
+// Guards against a group that stands still until a successor leads, because the
+// leader got SIGTERM under its own hold.
+TEST(RankAgent, ALeaderThatLeavesEndsItsHoldItself) {
+  RankSite site(0);
+  ASSERT_TRUE(WaitFor([&] { return site.group().map(0) > 0; }));
+  ASSERT_TRUE(WaitFor([&] { return !site.group().holder().has_value(); }));
+  const int leader = site.Leader();
+  const std::uint64_t term = site.NewestTerm();
+  const std::uint64_t map = site.group().map(0);
+  const int holds = site.group().orders("hold");
+  site.group().SetPopularity(kShifted);
+  while (site.group().orders("hold") == holds) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  site.agent(leader).Signal(SIGTERM);
+  ASSERT_TRUE(WaitFor([&] { return !site.group().holder().has_value(); }));
+  EXPECT_EQ(site.NewestTerm(), term) << "a successor released the hold";
+  EXPECT_EQ(site.agent(leader).WaitForExit(seconds(5)), 0);
+  ASSERT_TRUE(WaitFor([&] { return site.group().map(0) > map; }));
+  EXPECT_EQ(site.group().split_passes(), 0);
+}
+
 // The machine of the leader stands still right after its hold, with the engine
 // beside it, while orders come late.
 TEST(RankAgent, AHoldIsReleasedWhenItsLeaderStandsStill) {
