--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -302,7 +302,7 @@
   RunNextCommand();
 }
 
-void RankAgent::Leave(std::function<void()> on_done) {
+void RankAgent::Leave(const std::function<void()>& on_done) {
   if (leadership_) leadership_->BeginLeaving();
   EndWhenDone(BootNow() + kMaxLeaveTime, on_done);
 }
@@ -387,8 +387,8 @@
     // After the store was restored from a copy, the newest term may be this
     // agent's own. It names no other leader, so the agent claims the next one.
     const bool is_restored = stored->is_own && knew_term;
-    if (term > leader_.term && !is_restored)
-      return FollowTerm(term, Endpoint());
+    const bool is_others = term > leader_.term && !is_restored;
+    if (is_others) return FollowTerm(term, Endpoint());
     if (knew_term) ClaimLeadership(stored->revision);
   });
 }
@@ -423,8 +423,8 @@
         if (!stored.ok()) return;
         const LeaderTerm term(stored->revision.packed());
         if (term > leader_.term) return FollowTerm(term, Endpoint());
-        if (term == leader_.term && old_term == leader_.term && leadership_)
-          on_confirmed();
+        const bool is_same = term == leader_.term && old_term == leader_.term;
+        if (is_same && leadership_) on_confirmed();
       });
 }
 
--- a/src/group/rank_agent.h
+++ b/src/group/rank_agent.h
@@ -56,7 +56,7 @@
   // Begins no further switch of maps. Calls `on_done` once no command is being
   // executed and no pass is held for this agent's own switch, and at the latest
   // after a second: agents that come after it end a hold as well, but later.
-  void Leave(std::function<void()> on_done);
+  void Leave(const std::function<void()>& on_done);
 
  private:
   // The group's newest term, as read from the store.
