Say what successors do, keep undo free of a dead end, split forward_run

Read as a newcomer: the header of map_switch still told of successors that complete a switch. CanDisarm now also holds when all ranks are armed, but for different switches; no schedule reached that, and it would have stood for ever.

--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -1,12 +1,11 @@
 #include "caller/forward_run.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <utility>
 
+#include "caller/answer_status.h"
 #include "core/cryptographic_hash.h"
 #include "core/log.h"
-#include "net/field_rules.h"
 #include "net/http1_text.h"
 
 namespace mangohold {
@@ -30,23 +29,6 @@
 // Callers of an entry that leaves come back to another one.
 constexpr Millis kLeavingRetry{100};
 
-bool IsSuccess(int status) { return status >= 200 && status < 300; }
-
-// True if the head is that of a stream of events: anything else has no place
-// in one that has begun.
-bool IsEventStream(int status, const HttpFields& fields) {
-  constexpr int kOk = 200;
-  constexpr std::string_view kType = "text/event-stream";
-  const std::string_view type = FieldValue(fields, "Content-Type");
-  const std::string_view name = type.substr(0, type.find(';'));
-  return status == kOk && (type.empty() || EqualsIgnoringCase(name, kType));
-}
-
-// Statuses that promise that a request has not run.
-bool PromisesNotRun(int status) {
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 // What a request is, whoever's attempt carries it: the same path, query,
 // workspace and body. Its id and deadline are new each time.
 RequestDigest DigestOf(const ForwardRun::Job& job) {
@@ -56,13 +38,6 @@
       {job.message.method, job.message.target, workspace, job.message.body}));
 }
 
-std::string SecondsText(Millis millis) {
-  std::array<char, 16> text{};
-  std::snprintf(text.data(), text.size(), "%.3f",
-                static_cast<double>(millis.count()) / 1000.0);
-  return text.data();
-}
-
 }  // namespace
 
 ForwardRun::ForwardRun(ForwardContext& context, CallerConnection::Ptr caller,
--- a/src/caller/request_run.h
+++ b/src/caller/request_run.h
@@ -42,11 +42,11 @@
              std::shared_ptr<HttpExchange> exchange);
   ~RequestRun();
 
+  void Start();
   // The process is about to end: tells the caller what is known of its request.
   void EndForLeaving();
   // Adds what this request is owed.
   void CountIn(OwedAnswers& owed) const;
-  void Start();
 
  private:
   void Do(const Action& action);
--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -287,9 +287,13 @@
 
 // Ranks are disarmed only once some other rank can't be armed any more. Then
 // the switch can't be completed, and every later leader undoes it too, so that
-// an order to disarm or to release that is executed late does no harm.
+// an order to disarm or to release that is executed late does no harm. Without
+// an unarmed rank, ranks are armed for different switches, and any may begin.
 bool MapSwitch::CanDisarm() const {
-  return is_former_unarmed_ ||
+  const auto is_unarmed = [](const Rank& rank) {
+    return !rank.status.report.armed.has_value();
+  };
+  return is_former_unarmed_ || std::ranges::none_of(ranks_, is_unarmed) ||
          std::ranges::any_of(ranks_, [this](const Rank& rank) {
            return rank.is_known && IsUndone(rank);
          });
--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -14,24 +14,27 @@
 // 5. When all ranks are confirmed to be armed, the hold is released. If this
 //    happens before the group reaches S, no rank ever waits.
 //
-// A command is retried until the rank's status confirms it. Once any rank may
-// be armed, the switch proceeds by arming the others; the hold prevents S from
-// beginning before that is done. There is one exception: if the only
-// unreachable rank is the one of a former leader, and the agent of the holding
-// rank knows that it hasn't granted its arming, that rank is known not to be
-// armed. Then the switch is undone: the armed ranks are disarmed. A rank that a
-// delayed order may still arm prepares another version, which voids that order.
-// An agent that has started after the beginning of the switch doesn't know what
-// it granted; then the hold stands until the unreachable rank's engine or agent
+// A command is retried until the rank's status confirms it. The hold prevents S
+// from beginning while some ranks are armed and others aren't. If the leader is
+// lost before that, its successor undoes the switch: it disarms the armed
+// ranks, and a rank that a delayed order may still arm prepares another
+// version, which voids that order. Only the leader that began a switch arms
+// ranks.
+//
+// An undo needs to know all ranks, with one exception: if the only unreachable
+// rank is the one of the former leader, and the agent of the holding rank knows
+// that it hasn't granted its arming, that rank is known not to be armed. An
+// agent that has started after the beginning of the switch doesn't know what it
+// granted; then the hold stands until the unreachable rank's engine or agent
 // answers, or the group forms again.
 //
 // Orders may be executed late. An order to arm or hold for S is void once S has
-// started or the group has formed anew (a new epoch); until then it requests a
-// state that all ranks are being brought to anyway.
+// started or the group has formed anew (a new epoch).
 //
 // A new leader first reads the status of all ranks. Each rank that it has read
-// refuses commands of earlier leaders. The new leader then continues from what
-// it finds: the ranks themselves are the only record of a switch.
+// refuses commands of earlier leaders. The new leader then releases the hold if
+// all ranks are armed, and undoes the switch otherwise: the ranks themselves
+// are the only record of a switch.
 #pragma once
 
 #include <cstdint>
--- a/src/net/graceful_stop.h
+++ b/src/net/graceful_stop.h
@@ -50,6 +50,7 @@
   std::function<void(TimePoint now)> begin;
   // The rest on the traffic thread.
   std::function<void()> stop_taking;  // at `take_until`; may be absent
+  // Ends the requests in progress, each with the true word, at `answer_until`.
   std::function<void()> end_requests;
   std::function<OwedAnswers()> owed;
   LeaveSchedule schedule;
