Split the dispatcher by responsibility

It keeps the calls of its users and the order of the decisions; each of these is now a module of its own:

- dispatch_query: the request, and the decision for it
- waiting_queue: the attempts that wait, and their order
- tracked_backend: the state of one backend: load, service time, ejection
- backend_table: the backends by service and by group
- backend_quotas: this entry's quotas of limits that all entries share
- eligibility: which backends may get a request
- backend_cost: what the choice among them is based on
- deadline_check: whether a request can start and finish in time
- service_wait: the expected wait
- refusal: refusals with their retry hints

UsableSlots (tracked_backend) is the only reader of a backend's slots, and CostOf (backend_cost) the only cost of a backend for a request. The table can't be copied, as it refers to its own backends. The unused member `in_progress_` is gone.

Behaviour is meant to stay the same.

All users of dispatcher.h compile.

--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -14,35 +14,26 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "config/deployment.h"
 #include "core/clock.h"
 #include "core/ids.h"
-#include "core/outcome.h"
 #include "core/random.h"
 #include "routing/backend_notices.h"
 #include "routing/backend_rate_limits.h"
+#include "routing/backend_table.h"
+#include "routing/deadline_check.h"
+#include "routing/dispatch_query.h"
 #include "routing/ejection.h"
-#include "routing/entry_quota.h"
-#include "routing/expected_wait.h"
 #include "routing/group_gate.h"
-#include "routing/sliding_count.h"
 #include "routing/stated_limit.h"
+#include "routing/tracked_backend.h"
+#include "routing/waiting_queue.h"
 #include "store/backend_record.h"
 
 namespace mangohold {
 
-// The share of a backend's load that one entry causes. Entries report theirs to
-// one another.
-struct BackendShare {
-  InstanceId backend;
-  int requests = 0;        // in progress
-  int prefill_tokens = 0;  // prompt tokens of those without a response so far
-};
-
 class Dispatcher {
  public:
   struct Options {
@@ -67,41 +58,8 @@
     // by free capacity instead.
     int max_least_loaded_entries = 12;
   };
-  struct Query {
-    AttemptNumber number;
-    ServiceName service;
-    int priority = 0;  // 0 is the most urgent
-    WorkspaceName workspace;
-    int prompt_tokens = 0;
-    // Latest time at which the start of a response is still useful.
-    TimePoint start_deadline;
-    // Time by which the response has to be complete.
-    TimePoint deadline = TimePoint::max();
-    // A response that starts later misses its latency target.
-    TimePoint target_start = TimePoint::max();
-    // Number of events that the stream is expected to have; 0: not a stream, or
-    // unknown.
-    double expected_events = 0;
-    // Backends that the request has tried already.
-    std::vector<InstanceId> tried;
-    // A repeatable (idempotent) request waits for further backends to be listed
-    // once it has tried all.
-    bool is_repeatable = true;
-    // The caller has a part of the response; another backend is to go on.
-    bool has_begun = false;
-    // Zones in which the request may run; empty: any.
-    std::vector<ZoneName> zones;
-    // Set if the request was at a backend when it crashed: it is sent to one
-    // without other such requests, so that they don't share the blame again,
-    // and all its copies to the same one.
-    std::optional<RequestDigest> crash_suspect;
-  };
-  struct Decision {
-    AttemptNumber number;
-    std::optional<BackendRecord> backend;  // absent: the attempt is refused
-    Reason reason = Reason::kNone;         // of a refusal
-    Millis retry_after{0};                 // of a refusal
-  };
+  using Query = DispatchQuery;
+  using Decision = DispatchDecision;
   enum class Result {
     kServed,
     kRejected,       // the backend said that it did not run the request
@@ -184,134 +142,54 @@
                TimePoint now) const;
 
   // Returns this entry's report for its peers.
-  std::vector<BackendShare> OwnShares() const;
+  std::vector<BackendShare> OwnShares() const { return table_.OwnShares(); }
   // Number of connections that this entry may open to the backend; 0 if it is
   // unknown.
   int MaxConnections(const InstanceId& id) const;
-  bool IsListed(const InstanceId& id) const {
-    const auto it = backends_.find(id);
-    return it != backends_.end() && it->second.is_listed;
-  }
+  bool IsListed(const InstanceId& id) const { return table_.IsListed(id); }
   std::size_t waiting() const { return waiting_.size(); }
   int sent() const { return static_cast<int>(sent_.size()); }
-  std::size_t backends() const { return backends_.size(); }
+  std::size_t backends() const { return table_.size(); }
 
  private:
-  struct PeerShare {
-    BackendShare share;
-    TimePoint received;
-  };
-  struct Backend {
-    BackendRecord record;
-    GroupGate* gate = nullptr;  // of its group; never null once listed
-    // A backend that is no longer listed is kept while requests are in progress
-    // there.
-    bool is_listed = true;
-    int own_requests = 0;
-    int own_prefill_tokens = 0;
-    // Requests sent there without a response so far that were at another
-    // backend when it crashed.
-    int own_suspects = 0;
-    std::map<InstanceId, PeerShare> peers;
-    SlidingCount recent{std::chrono::seconds(1)};  // requests sent
-    // This entry's quotas of the limits that all entries share.
-    int max_per_second = 0;
-    int max_connections = 0;
-    Ejection ejection;
-    bool is_replaced = false;  // by another one at its address, until relisted
-    double service_seconds = 0;  // smoothed; 0: none served yet
-    // The same for the slow ones: follows a longer time at once.
-    double slow_service_seconds = 0;
-  };
   struct Sent {
     InstanceId backend;
     ServiceName service;
     GroupGate* gate = nullptr;  // through which it was sent; never null
-    int prefill_tokens = 0;     // 0 once the response has started
-    bool is_suspect = false;    // until the response has started
+    PrefillLoad prefill;        // none once the response has started
     TimePoint at;
   };
-  struct LeaveTimes {
-    TimePoint wait_until;
-    TimePoint end;
-  };
-  struct Waiting {
-    Query query;
-    bool is_new = true;  // until `Decide` has kept it in the queue once
-  };
-  // Engines without a known group form one group per service.
-  using GroupKey = std::pair<ServiceName, GroupName>;
-
-  // True if the service's backends are ranks of groups.
-  bool HasRankGroups(const ServiceName& service) const;
-  // Shortest expected wait for one of the service's groups to open; absent if
-  // one is open.
-  std::optional<Duration> GroupWait(const ServiceName& service,
-                                    TimePoint now) const;
-  // Event gap of the service's fastest group, in seconds; 0: unknown.
-  double MinEventGap(const ServiceName& service, TimePoint now) const;
-  static double GroupLagOf(const Backend& backend, double min_gap,
-                           TimePoint now);
+  enum class LimitSource { kAnswer, kPeer };
 
-  void SortWaiting(TimePoint now);
-  bool CanFinishInTime(const Query& query, TimePoint now) const;
-  // True unless this entry leaves before the attempt is expected to end.
-  bool CanFinishBeforeLeaving(const Query& query, TimePoint now) const;
-  // True if this entry leaves and lets none wait any more.
-  bool HasStoppedWaiting(const Query& query, TimePoint now) const;
-  // Time that slow requests of the service take; absent: none served yet.
-  std::optional<Duration> SlowServiceTime(const ServiceName& service) const;
+  // Sends or refuses an attempt with `ahead` others of its service before it;
+  // absent if it goes on waiting.
+  std::optional<Decision> DecideOn(const WaitingAttempt& attempt, int ahead,
+                                   TimePoint now);
+  // Refuses an attempt that no backend takes now unless its turn is expected to
+  // come in time.
+  std::optional<Decision> RefuseIfLate(const WaitingAttempt& attempt, int ahead,
+                                       TimePoint now);
   // Returns the backend to send to, or null if none is eligible.
-  Backend* Choose(const Query& query, TimePoint now);
+  TrackedBackend* Choose(const Query& query, TimePoint now);
   // Returns the place of the chosen one.
-  std::optional<std::size_t> ChooseAmong(const std::vector<Backend*>& eligible,
-                                         const Query& query, TimePoint now);
-  bool IsEligible(const Backend& backend, const Query& query, TimePoint now);
-  // Load of the backend caused by all entries.
-  int RequestsInProgress(const Backend& backend, TimePoint now) const;
-  int PrefillTokens(const Backend& backend, TimePoint now) const;
-  double CostOf(const Backend& backend, const Query& query, double min_gap,
-                TimePoint now) const;
-  void UpdateQuotas(Backend& backend) const;
-  void UpdateAllQuotas();
-  const ServiceSpec* SpecOf(const ServiceName& service) const;
-  bool HasBackends(const ServiceName& service) const;
-  // True if the request has tried all backends of its service.
-  bool HasTriedAll(const Query& query) const;
-  // When the first of the service's backends ends its backoff; absent unless
-  // all that aren't leaving are in backoff.
-  std::optional<TimePoint> EarliestBackoffEnd(const ServiceName& service,
-                                              TimePoint now) const;
-  void Eject(Backend& backend, TimePoint now);
-  static void RecordServiceTime(Backend& backend, double seconds);
-  bool CanStartInTime(const Waiting& waiting, Duration wait,
-                      TimePoint now) const;
-  // Expected wait of a request with `ahead` others of its service before it;
-  // absent if no backend will take one from this entry.
-  std::optional<Duration> WaitOf(const ServiceName& service, int ahead,
-                                 TimePoint now);
-  ServiceCapacity CapacityOf(const ServiceName& service, TimePoint now);
-  // True if a backend of the service states a request limit.
-  bool HasLimits(const ServiceName& service, TimePoint now);
-  enum class LimitSource { kAnswer, kPeer };
+  std::optional<std::size_t> ChooseAmong(
+      const std::vector<TrackedBackend*>& eligible, const Query& query,
+      TimePoint now);
+  Decision Send(const Query& query, TrackedBackend& backend, TimePoint now);
+  // The attempt if it is in progress, or null.
+  const Sent* FindSent(AttemptNumber number) const;
+  void OnResult(TrackedBackend& backend, const Sent& sent, Result result,
+                TimePoint now);
+  void OnRejected(TrackedBackend& backend, const Sent& sent, TimePoint now);
   void LogLimit(const InstanceId& id, LimitSource source, TimePoint now);
-  Decision RefuseLate(const Query& query, std::optional<Duration> wait,
-                      TimePoint now);
-  Decision Send(const Query& query, Backend& backend, TimePoint now);
-  static Decision Refuse(const Query& query, Reason reason, Duration wait);
 
   Options options_;
   Random random_;
-  EntryQuota entry_quota_;
   BackendNotices notices_;
   BackendRateLimits limits_;
-  std::unordered_map<InstanceId, Backend> backends_;
-  std::map<ServiceName, std::vector<InstanceId>> by_service_;
-  std::map<ServiceName, ServiceSpec> services_;
-  std::map<GroupKey, GroupGate> gates_;
-  std::vector<Waiting> waiting_;  // in the order of `SortWaiting`
+  BackendTable table_;
+  WaitingQueue waiting_;
   std::map<AttemptNumber, Sent> sent_;
-  std::map<WorkspaceName, int> in_progress_;
   std::optional<LeaveTimes> leaving_;
 };
 
