State the processor share of an entry in its member record

Cause: the directory can't weigh entries of different size, as no entry knows how much processor its peers have.

Change: the setting `cpu_share` of the direct entry, from {{limits.cpu_share}}, goes into the member record, which gossip carries too. The control side is told of a live peer whose share has changed.

--- a/src/caller/forward_server.cc
+++ b/src/caller/forward_server.cc
@@ -275,9 +275,12 @@
   }
   UpdateEntries(now);
   const std::vector<Member> alive = gossip_.AlivePeers(now);
-  if (std::ranges::equal(alive, alive_, {}, &Member::id)) return;
-  alive_.clear();
-  std::ranges::transform(alive, std::back_inserter(alive_), &Member::id);
+  const bool is_known = std::ranges::equal(
+      alive, alive_, [](const Member& left, const Member& right) {
+        return left.id == right.id && left.cpu_share == right.cpu_share;
+      });
+  if (is_known) return;
+  alive_ = alive;
   Log(LogLevel::kInfo, "peers_alive", {{"count", alive.size()}});
   handlers_.on_alive(alive);
 }
--- a/src/caller/forward_server.h
+++ b/src/caller/forward_server.h
@@ -92,7 +92,7 @@
   asio::ip::tcp::acceptor acceptor_;
   DatagramSocket socket_;
   EntryGossip gossip_;
-  std::vector<InstanceId> alive_;  // as last told to the control side
+  std::vector<Member> alive_;  // as last told to the control side
   ForwardContext context_;
   CallerConnection::Host host_;
   CallerLimits default_limits_;
--- a/src/core/process_settings.cc
+++ b/src/core/process_settings.cc
@@ -7,6 +7,7 @@
 
 constexpr Range kLeaveLimitMs = {100, 3'600'000};
 constexpr Range kLinkMbps = {1, 1'000'000};
+constexpr Range kCpuShare = {0, 1'000};
 
 void ReadLogLevel(ObjectReader& reader, LogLevel& target) {
   int level = static_cast<int>(target);
@@ -137,6 +138,7 @@
         reader.Optional("cold_overrun", settings.cold_overrun, {0, 100});
         reader.Optional("cold_slack", settings.cold_slack, kCount);
         reader.Optional("regions", settings.regions);
+        reader.Optional("cpu_share", settings.cpu_share, kCpuShare);
       });
 }
 
--- a/src/core/process_settings.h
+++ b/src/core/process_settings.h
@@ -78,6 +78,7 @@
   double cold_overrun = 1;
   double cold_slack = 0;
   std::map<std::string, std::string> regions;  // of the zones, by zone
+  double cpu_share = 0;  // of the machine, in cores; 0: unknown
 };
 
 // The agent of an engine that is a rank of a group, on the direct way.
--- a/src/direct_entry_main.cc
+++ b/src/direct_entry_main.cc
@@ -44,7 +44,8 @@
                        .zone = settings.zone,
                        .caller = settings.caller_address,
                        .peer = settings.peer_address,
-                       .admin = settings.metrics_address};
+                       .admin = settings.metrics_address,
+                       .cpu_share = settings.cpu_share};
   EntryControl* to_control = nullptr;  // set before the threads start
   ForwardServer server(
       traffic,
--- a/src/store/member.h
+++ b/src/store/member.h
@@ -23,6 +23,8 @@
   // Current service time of that backend server over its usual one; agents
   // only.
   double slowdown = 1;
+  // Processor share of its machine, in cores; 0: unknown. Entries only.
+  double cpu_share = 0;
 };
 
 // Converts a member to its value in the store and back. DecodeMember() returns
