Name entries in directory answers in proportion to their capacity

Cause: an answer named all entries of the client's zone, and clients choose among them with equal probability, so an entry with 0.17 cores got as many requests as one with 0.5.

Change: routing/address_choice names as many entries as can be named in proportion, at least 8 and at most 64, by Pareto sampling of hashes of the entry, the asked entry, the client's IP address and an interval of 2 minutes that begins at another time for each entry. Equal capacities give all entries as before; beyond 64, which no answer respected so far, 64 are named. HttpRequest states the IP address of the connection.

--- a/src/caller/entry_calls.h
+++ b/src/caller/entry_calls.h
@@ -15,6 +15,7 @@
 // A caller's question for addresses.
 struct DirectoryQuestion {
   ZoneName zone;  // the caller's; empty if it doesn't say
+  std::string remote_ip;
 };
 
 struct DirectoryAnswer {
--- a/src/caller/entry_control.cc
+++ b/src/caller/entry_control.cc
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "core/log.h"
+#include "core/stable_hash.h"
+#include "routing/address_choice.h"
 
 namespace mangohold {
 namespace {
@@ -14,8 +16,6 @@
 constexpr Millis kPeerTimeout{800};
 constexpr char kDeploymentPath[] = "/deployment";
 constexpr int kMostAdminConnections = 256;
-// The least entries of a caller's own zone that are enough for it.
-constexpr std::ptrdiff_t kEnoughOfZone = 2;
 
 }  // namespace
 
@@ -176,8 +176,10 @@
         });
 }
 
-// The entries that live, those of the caller's own zone if it has enough. An
-// entry that hears none of its peers names those that the store lists.
+// Chooses among the entries that live. An entry that hears none of its peers
+// names those that the store lists. The choice differs by caller and by the
+// entry that is asked: callers behind one address get different answers at
+// different entries.
 DirectoryAnswer EntryControl::Answer(const DirectoryQuestion& question) const {
   std::vector<Member> entries = alive_;
   if (entries.empty()) {
@@ -187,15 +189,20 @@
     });
   }
   if (!is_leaving_) entries.push_back(options_.self);
-  const auto is_near = [&question](const Member& member) {
-    return member.zone == question.zone;
-  };
-  if (std::ranges::count_if(entries, is_near) >= kEnoughOfZone) {
-    std::erase_if(entries, std::not_fn(is_near));
+  AddressCandidates candidates;
+  for (const Member& entry : entries) {
+    candidates.push_back({.id = entry.id.value(),
+                          .zone = entry.zone.value(),
+                          .capacity = entry.cpu_share});
   }
+  const std::uint64_t seed = MixedHash(StableHash(options_.self.id.value())) ^
+                             StableHash(question.remote_ip);
   DirectoryAnswer answer{.max_age = options_.address_max_age};
-  std::ranges::transform(entries, std::back_inserter(answer.addresses),
-                         &Member::caller);
+  for (const std::size_t place : ChooseAddresses(
+           candidates,
+           {.zone = question.zone.value(), .seed = seed, .now = BootNow()})) {
+    answer.addresses.push_back(entries[place].caller);
+  }
   return answer;
 }
 
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -25,6 +25,7 @@
   std::string query;
   HttpFields fields;
   std::string body;
+  std::string remote_ip;  // of the connection; empty if it isn't known
 
   std::string_view Field(std::string_view name) const {
     return FieldValue(fields, name);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -63,6 +63,7 @@
     out.fields.push_back({field.name(), field.value()});
   });
   out.body = request.body();
+  out.remote_ip = request.remote_endpoint().address().to_string();
   return out;
 }
 
