State the memory and descriptors of an entry; test what clients can take

The specification's limits of bodies say nothing of how many bodies come at once, so that clients fill the memory of mangohold-direct-entry. The settings memory_mb and max_descriptors are read but have no effect yet.

--- a/src/core/process_settings.cc
+++ b/src/core/process_settings.cc
@@ -124,6 +124,9 @@
         ReadEndpoint(reader, "directory_address", settings.directory_address);
         reader.Optional("max_connections", settings.max_connections,
                         {1, 1'000'000});
+        reader.Optional("memory_mb", settings.memory_mb, {0, 1'000'000'000});
+        reader.Optional("max_descriptors", settings.max_descriptors,
+                        {0, 1'000'000'000});
         reader.OptionalMillis("address_max_age_ms", settings.address_max_age,
                               {100, 60'000});
         reader.Optional("most_direct_followers", settings.most_direct_followers,
--- a/src/core/process_settings.h
+++ b/src/core/process_settings.h
@@ -62,6 +62,9 @@
   Endpoint metrics_address;
   LogLevel log_level = LogLevel::kInfo;
   int max_connections = 3'000;
+  // Of the machine; 0: unknown.
+  int memory_mb = 0;
+  int max_descriptors = 0;
   Millis address_max_age{1'000};
   // In a larger fleet two entries of a zone follow the store for the others.
   int most_direct_followers = 12;
--- a/tests/direct_site.cc
+++ b/tests/direct_site.cc
@@ -342,7 +342,7 @@
                    {"services", {{{"name", "s"}, {"max_connections", 100}}}},
                    {"limits",
                     {{"max_header_bytes", 2'000},
-                     {"max_body_bytes", 5'000},
+                     {"max_body_bytes", options_.max_body_bytes},
                      {"header_timeout_ms", 500},
                      {"idle_timeout_ms", 15'000}}},
                    {"tenants", {{{"name", "sales"}, {"api_keys", keys}}}}}
@@ -398,6 +398,8 @@
       {"revocation_ms", options_.revocation_ms},
       {"most_direct_followers", options_.most_direct_followers},
       {"grace_s", options_.grace_s},
+      {"memory_mb", options_.memory_mb},
+      {"max_descriptors", options_.max_descriptors},
       {"retry_slack", 10'000}};
   entries_[index] = std::make_unique<Process>(
       std::vector<std::string>{
--- a/tests/direct_site.h
+++ b/tests/direct_site.h
@@ -118,6 +118,10 @@
     int most_direct_followers = 12;
     // Each entry reaches the store by a link of its own, which tests can cut.
     bool has_store_links = false;
+    // Of the entries' machines; 0: not stated.
+    int memory_mb = 0;
+    int max_descriptors = 0;
+    int max_body_bytes = 5'000;
   };
 
   explicit DirectSite(Options options);
