Bound the memory and descriptors that clients of an entry can take

Each connection read a body of up to max_body_bytes into a string that doubles, kept it after a refusal, and copied it for the send; nothing bounded all of them together. Far too long bodies were read up to the limit although their length was stated, and a failed accept was tried again at once.

Now connections and requests hold their bytes by the memory budget, half of memory_mb. A body that finds no room is refused with 503 (memory_limit), after those that stall (408, body_too_slow), hold far more, or wait unsent (503) had to give way. A stated length over the limit gets 413 (body_too_large) before the body. A refusal frees what was read, and reads no more. A body has to bring 16 KiB within idle_timeout_ms, instead of its end. The copy for the send is gone: attempts share the body. Large blocks are mappings of their own, so that they go back to the system. Callers get half of max_descriptors less 200; the connection idle for longest is closed first (connection_limit). An accept that fails is tried again 50 ms later.

--- a/src/backend/backend_connection.cc
+++ b/src/backend/backend_connection.cc
@@ -1,6 +1,8 @@
 #include "backend/backend_connection.h"
 
 #include <algorithm>
+#include <array>
+#include <asio/buffer.hpp>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <charconv>
@@ -95,7 +97,11 @@
 
 void BackendConnection::Write() {
   may_have_sent_ = true;
-  asio::async_write(socket_, asio::buffer(exchange_.request),
+  const std::array<asio::const_buffer, 2> request = {
+      asio::buffer(exchange_.request), exchange_.body == nullptr
+                                           ? asio::const_buffer()
+                                           : asio::buffer(*exchange_.body)};
+  asio::async_write(socket_, request,
                     [self = shared_from_this()](const std::error_code& error,
                                                 std::size_t size) {
                       if (self->phase_ != Phase::kBusy) return;
@@ -104,6 +110,7 @@
                         return self->Fail();
                       }
                       self->has_sent_request_ = true;
+                      self->exchange_.body = nullptr;
                     });
 }
 
--- a/src/backend/backend_connection.h
+++ b/src/backend/backend_connection.h
@@ -50,7 +50,10 @@
   using Ptr = std::shared_ptr<BackendConnection>;
   struct Exchange {
     RequestId id;
-    std::string request;   // in HTTP/1.1 wire format
+    std::string request;  // in HTTP/1.1 wire format, without its body
+    // Shared, so that a body that is kept for a retry isn't copied. May be
+    // null.
+    std::shared_ptr<const std::string> body;
     bool is_head = false;  // a HEAD request: responses have no body
     std::shared_ptr<BackendListener> listener;
   };
--- a/src/caller/caller_connection.h
+++ b/src/caller/caller_connection.h
@@ -10,8 +10,10 @@
 
 #include "config/deployment.h"
 #include "core/clock.h"
+#include "core/outcome.h"
 #include "net/http1_parser.h"
 #include "net/http_message.h"
+#include "net/memory_budget.h"
 #include "net/socket_reader.h"
 
 namespace mangohold {
@@ -34,11 +36,14 @@
   struct Host {
     // A whole request has been read.
     std::function<void(Ptr, CallerMessage)> on_request;
-    // A request was refused before it could be handed out.
-    std::function<void(int status)> on_refused;
+    // A request was refused before it could be handed out, with so many bytes
+    // of its body read.
+    std::function<void(Reason reason, int status, std::size_t body_bytes)>
+        on_refused;
     std::function<const CallerLimits&()> limits;
     // Answers ask callers to connect anew.
     std::function<bool()> closes_after_answer;
+    MemoryBudget& memory;
   };
   // What a request in progress hears of its caller.
   struct Listener {
@@ -49,6 +54,9 @@
 
   CallerConnection(asio::ip::tcp::socket socket, const Host& host);
 
+  // Makes room for the connection itself; false if there is none, and the
+  // connection must not start.
+  bool HasRoom();
   void Start();
   void SetListener(Listener listener) { listener_ = std::move(listener); }
 
@@ -66,12 +74,18 @@
   // The caller takes bytes more slowly than they come.
   bool is_congested() const { return output_.size() > kCongestedBytes; }
 
-  // Closes the connection if it has been idle, or has been sending a request,
-  // for too long.
+  // Closes the connection if it has been idle, or has made no progress with a
+  // request, for too long.
   void CloseIfOverdue(TimePoint now);
   // Closes the connection at once if no request is in progress, else with its
   // answer.
   void Retire();
+  // Closes the connection.
+  void Close();
+  // No part of a request is in progress, and all is written.
+  bool is_idle() const { return phase_ == Phase::kIdle && is_written(); }
+  // When it became idle, if it is.
+  TimePoint phase_began() const { return phase_began_; }
   bool is_closed() const { return phase_ == Phase::kClosed; }
   // A part of a request has been read.
   bool is_reading() const { return phase_ == Phase::kReading; }
@@ -79,13 +93,13 @@
   bool has_unwritten() const {
     const bool is_answering =
         phase_ == Phase::kAnswering || phase_ == Phase::kClosed;
-    return !is_answering && !(writing_.empty() && output_.empty());
+    return !is_answering && !is_written();
   }
 
  private:
   enum class Phase { kIdle, kReading, kAnswering, kLingering, kClosed };
   static constexpr std::size_t kCongestedBytes = 256U << 10U;
-  static constexpr std::size_t kMostAhead = 64U << 10U;
+  static constexpr std::size_t kMostAhead = 16U << 10U;
 
   void OnHead(Http1Head head) override;
   void OnBody(std::string_view data) override;
@@ -94,15 +108,26 @@
   void Read();
   void OnRead(const std::error_code& error, std::string_view bytes);
   void Parse();
-  bool IsRequestBad();
-  void RefuseAndClose(int status);
+  bool CanParse() const {
+    return phase_ == Phase::kIdle || phase_ == Phase::kReading;
+  }
+  std::size_t Feed(std::string_view data);
+  void OnFed();
+  void FindFault();
+  void Refuse(Reason reason, int status);
+  void RefuseAndClose(Reason reason, int status);
+  void ReserveBody(std::size_t bytes);
+  bool HoldBody(std::size_t bytes);
+  void UpdateHeld();
+  void OnEvicted(Eviction reason);
   void AddConnectionFields(HttpFields& fields);
   void Send(std::string_view data);
   void WriteNext();
   void OnWritten(const std::error_code& error);
+  bool is_written() const { return writing_.empty() && output_.empty(); }
   void EndAnswer();
-  void Close();
   void Drop();
+  void Free();
 
   asio::ip::tcp::socket socket_;
   const Host& host_;
@@ -115,7 +140,12 @@
   std::string output_;     // to be written
   std::string writing_;    // being written
   CallerMessage message_;  // being read
-  int refusal_ = 0;        // status that the message in progress calls for
+  // What the message in progress calls for; 0: nothing.
+  int refusal_ = 0;
+  Reason refusal_reason_ = Reason::kNone;
+  std::size_t declared_ = 0;  // the length of the body; 0: not stated
+  std::size_t progress_ = 0;  // bytes of the body at the last progress
+  MemoryBudget::Holder held_;
   bool has_whole_message_ = false;
   bool keeps_alive_ = true;
   bool closes_ = false;  // with the answer in progress
--- a/src/caller/forward_context.h
+++ b/src/caller/forward_context.h
@@ -10,6 +10,7 @@
 #include "caller/dialect.h"
 #include "config/fleet_view.h"
 #include "core/counters.h"
+#include "net/memory_budget.h"
 #include "routing/dispatcher.h"
 #include "routing/poison_detector.h"
 #include "routing/shared_retry_budget.h"
@@ -20,6 +21,7 @@
 struct ForwardContext {
   Counters& counters;
   const Dialect& dialect;
+  MemoryBudget& memory;
   Dispatcher dispatcher;
   BackendPool pool;
   PoisonDetector poison;
--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -29,14 +29,7 @@
 // Callers of an entry that leaves come back to another one.
 constexpr Millis kLeavingRetry{100};
 
-// What a request is, whoever's attempt carries it: the same path, query,
-// workspace and body. Its id and deadline are new each time.
-RequestDigest DigestOf(const ForwardRun::Job& job) {
-  const std::string workspace =
-      job.workspace == nullptr ? "" : job.workspace->name.value();
-  return RequestDigest(CryptographicHash(
-      {job.message.method, job.message.target, workspace, job.message.body}));
-}
+constexpr Millis kMemoryRetry{1'000};
 
 }  // namespace
 
@@ -45,17 +38,43 @@
     : context_(context),
       caller_(std::move(caller)),
       job_(std::move(job)),
+      request_body_(std::make_shared<const std::string>(
+          std::exchange(job_.message.body, {}))),
+      held_(
+          context.memory, [this](Eviction) { OnEvicted(); },
+          job_.message.arrived),
       policy_({.is_repeatable = job_.route->IsRepeatable(),
                .max_attempts = job_.route->max_attempts}),
       retries_(context, job_.fields.id, job_.service),
       crashes_(context, job_.fields.id, job_.fields.shared_parts,
-               [this] { return DigestOf(job_); }),
+               [this] { return Digest(); }),
       events_(job_.fields.last_event_id) {
   const Millis longest = job_.route->timeout.count() > 0
                              ? job_.route->timeout
                              : Millis(std::chrono::minutes(1));
   deadline_ = job_.message.arrived +
               std::min(longest, job_.fields.deadline.value_or(longest));
+  held_.Set(BytesHeld());
+}
+
+// What a request is, whoever's attempt carries it: the same path, query,
+// workspace and body. Its id and deadline are new each time.
+RequestDigest ForwardRun::Digest() const {
+  const std::string workspace =
+      job_.workspace == nullptr ? "" : job_.workspace->name.value();
+  return RequestDigest(CryptographicHash(
+      {job_.message.method, job_.message.target, workspace, *request_body_}));
+}
+
+std::size_t ForwardRun::BytesHeld() const {
+  return request_body_->size() + body_.capacity();
+}
+
+// Others need the memory. Called only while no attempt is in progress.
+void ForwardRun::OnEvicted() {
+  if (phase_ != Phase::kHeld && phase_ != Phase::kWaiting) return;
+  DropBackend();
+  GiveUp(policy_.GiveUpOutcome(), Reason::kMemoryLimit, kMemoryRetry);
 }
 
 void ForwardRun::Start() {
@@ -133,6 +152,7 @@
 void ForwardRun::Submit() {
   if (!PassesCrashCheck(BootNow())) return;
   phase_ = Phase::kWaiting;
+  held_.Protect(has_begun_ ? Protection::kFull : Protection::kNone);
   attempt_ = context_.last_attempt = context_.last_attempt.Next();
   context_.dispatcher.Submit(
       {.number = attempt_,
@@ -160,6 +180,7 @@
                   decision.retry_after);
   }
   phase_ = Phase::kSent;
+  held_.Protect(Protection::kFull);
   backend_ = *decision.backend;
   if (!PassesCrashCheck(BootNow())) {
     return EndAttempt(Dispatcher::Result::kCancelled);
@@ -197,9 +218,9 @@
   last_event_at_.reset();
   std::string request = RequestText(job_.message.method, job_.message.target,
                                     FieldsFor(backend, now));
-  request.append(job_.message.body);
   connection_->Send({.id = job_.fields.id,
                      .request = std::move(request),
+                     .body = request_body_,
                      .is_head = job_.message.method == "HEAD",
                      .listener = shared_from_this()});
 }
@@ -233,11 +254,10 @@
        .last_event_id = events_.last_id(),
        .drops_key = job_.routes->needs_keys()});
   const bool has_body =
-      !job_.message.body.empty() ||
+      !request_body_->empty() ||
       (job_.message.method != "GET" && job_.message.method != "HEAD");
   if (has_body) {
-    fields.push_back(
-        {"Content-Length", std::to_string(job_.message.body.size())});
+    fields.push_back({"Content-Length", std::to_string(request_body_->size())});
   }
   return fields;
 }
@@ -323,8 +343,15 @@
 }
 
 void ForwardRun::Gather(std::string_view data) {
+  const TimePoint now = BootNow();
+  held_.OnProgress(now);
+  const std::size_t size = body_.size() + data.size();
+  // A growing string holds twice its size for a moment.
+  const bool has_room =
+      size <= body_.capacity() || held_.Resize(BytesHeld() + 2 * size, now);
   body_.append(data);
-  if (body_.size() <= kMostGathered) return;
+  held_.Set(BytesHeld());
+  if (has_room && size <= kMostGathered) return;
   // A failure, or what can't go on with a stream that has begun, is not worth
   // more room. Other answers go on from here; they can't be made again.
   if (has_begun_ || status_ >= kLeastFailure) return DropAnswer();
@@ -578,6 +605,9 @@
 void ForwardRun::Finish(Outcome outcome, Reason reason, int status) {
   phase_ = Phase::kFinished;
   const TimePoint now = BootNow();
+  request_body_ = std::make_shared<const std::string>();
+  std::string().swap(body_);  // an assignment would keep the memory
+  held_.Set(0);
   retries_.Release(now);
   const Duration latency = now - job_.message.arrived;
   context_.counters.CountOutcome(outcome);
--- a/src/caller/forward_run.h
+++ b/src/caller/forward_run.h
@@ -68,6 +68,10 @@
     kBytes    // as they come; no other attempt can go on
   };
 
+  RequestDigest Digest() const;
+  // What this request holds in memory has changed.
+  std::size_t BytesHeld() const;
+  void OnEvicted();
   void Submit();
   bool PassesCrashCheck(TimePoint now);
   void RefuseIfBlocked(TimePoint now);
@@ -100,7 +104,10 @@
 
   ForwardContext& context_;
   CallerConnection::Ptr caller_;
-  Job job_;
+  Job job_;  // its message without the body
+  // Kept for a retry, and shared with the attempt that sends it.
+  std::shared_ptr<const std::string> request_body_;
+  MemoryBudget::Holder held_;
   DirectPolicy policy_;
   RequestRetries retries_;
   CrashWatch crashes_;
--- a/src/caller/forward_server.cc
+++ b/src/caller/forward_server.cc
@@ -27,6 +27,20 @@
 constexpr int kProbes = 2;
 constexpr Millis kProbeInterval{50};
 constexpr Millis kProbeTimeout{400};
+// The time without descriptors or memory until the next try to accept.
+constexpr Millis kAcceptRetry{50};
+// Descriptors that are for files, listening sockets, and connections to the
+// store, to other entries and of operators.
+constexpr int kReservedDescriptors = 200;
+// A caller's connection needs one to a backend server at the most.
+constexpr int kDescriptorsOfCaller = 2;
+
+int MostConnections(const ForwardServer::Options& options) {
+  if (options.max_descriptors == 0) return options.max_connections;
+  const int by_descriptors =
+      (options.max_descriptors - kReservedDescriptors) / kDescriptorsOfCaller;
+  return std::clamp(by_descriptors, 1, options.max_connections);
+}
 
 }  // namespace
 
@@ -39,9 +53,11 @@
       acceptor_(loop.io()),
       socket_(loop.io(), counters),
       gossip_({.self = options_.self}),
+      memory_(MemoryBudget::OptionsFor(options_.memory_mb)),
       context_{
           .counters = counters,
           .dialect = dialect,
+          .memory = memory_,
           .dispatcher = Dispatcher(options_.dispatcher),
           .pool = BackendPool(loop.io(), counters),
           .poison = PoisonDetector({.self = options_.self.id}),
@@ -52,24 +68,38 @@
           .request_decisions = [this] { RequestDecisions(); },
           .check_backend =
               [this](const BackendRecord& backend) { CheckBackend(backend); }},
+      host_{.on_request =
+                [this](const CallerConnection::Ptr& caller,
+                       CallerMessage message) {
+                  OnRequest(caller, std::move(message));
+                },
+            .on_refused =
+                [this](Reason reason, int status, std::size_t body_bytes) {
+                  OnRefused(reason, status, body_bytes);
+                },
+            .limits = [this]() -> const CallerLimits& {
+              const FleetViewPtr& view = context_.view;
+              return view == nullptr || view->routes == nullptr
+                         ? default_limits_
+                         : view->routes->deployment().limits;
+            },
+            .closes_after_answer = [this] { return is_leaving_; },
+            .memory = memory_},
       random_(options_.dispatcher.seed) {
-  host_ = {
-      .on_request =
-          [this](const CallerConnection::Ptr& caller, CallerMessage message) {
-            OnRequest(caller, std::move(message));
-          },
-      .on_refused =
-          [this](int status) {
-            context_.counters.CountRefusal(Reason::kBadRequest);
-            Log(LogLevel::kInfo, "malformed_request", {{"status", status}});
-          },
-      .limits = [this]() -> const CallerLimits& {
-        const FleetViewPtr& view = context_.view;
-        return view == nullptr || view->routes == nullptr
-                   ? default_limits_
-                   : view->routes->deployment().limits;
-      },
-      .closes_after_answer = [this] { return is_leaving_; }};
+  options_.max_connections = MostConnections(options_);
+}
+
+void ForwardServer::OnRefused(Reason reason, int status,
+                              std::size_t body_bytes) {
+  context_.counters.CountRefusal(reason);
+  if (reason == Reason::kBadRequest) {
+    return Log(LogLevel::kInfo, "malformed_request", {{"status", status}});
+  }
+  Log(LogLevel::kInfo, "body_refused",
+      {{"reason", Name(reason)},
+       {"status", status},
+       {"body_bytes", body_bytes},
+       {"budget_bytes", memory_.bytes()}});
 }
 
 absl::Status ForwardServer::Start() {
@@ -96,16 +126,66 @@
   acceptor_.async_accept(
       [this](const std::error_code& error, asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted || is_closed_) return;
-        if (!error && std::ssize(connections_) < options_.max_connections) {
-          const auto connection =
-              std::make_shared<CallerConnection>(std::move(socket), host_);
-          connections_.push_back(connection);
-          connection->Start();
-        }
+        if (error) return OnAcceptFailed(error);
+        OnAccepted(std::move(socket));
         Accept();
       });
 }
 
+void ForwardServer::OnAccepted(asio::ip::tcp::socket socket) {
+  if (!MakeRoomForConnection()) {
+    return RefuseConnection(Reason::kConnectionLimit);
+  }
+  const auto connection =
+      std::make_shared<CallerConnection>(std::move(socket), host_);
+  if (!connection->HasRoom()) return RefuseConnection(Reason::kMemoryLimit);
+  connections_.push_back(connection);
+  connection->Start();
+}
+
+// Closes the connection that has been idle for longest if there are too many.
+bool ForwardServer::MakeRoomForConnection() {
+  if (std::ssize(connections_) < options_.max_connections) return true;
+  std::erase_if(connections_, [](const CallerConnection::Ptr& connection) {
+    return connection->is_closed();
+  });
+  if (std::ssize(connections_) < options_.max_connections) return true;
+  auto oldest = connections_.end();
+  for (auto it = connections_.begin(); it != connections_.end(); ++it) {
+    if (!(*it)->is_idle()) continue;
+    if (oldest == connections_.end() ||
+        (*it)->phase_began() < (*oldest)->phase_began()) {
+      oldest = it;
+    }
+  }
+  if (oldest == connections_.end()) return false;
+  (*oldest)->Close();
+  connections_.erase(oldest);
+  context_.counters.CountRefusal(Reason::kConnectionLimit);
+  Log(LogLevel::kInfo, "idle_connection_closed",
+      {{"connections", connections_.size()}});
+  return true;
+}
+
+void ForwardServer::RefuseConnection(Reason reason) {
+  context_.counters.CountRefusal(reason);
+  Log(LogLevel::kInfo, "connection_refused",
+      {{"reason", Name(reason)},
+       {"connections", connections_.size()},
+       {"budget_bytes", memory_.bytes()}});
+}
+
+// The connection stays in the queue of the listening socket, so that another
+// try at once would fail in the same way.
+void ForwardServer::OnAcceptFailed(const std::error_code& error) {
+  context_.counters.Count(Event::kAcceptsFailed);
+  Log(LogLevel::kWarning, "accept_failed",
+      {{"error", error.message()}, {"connections", connections_.size()}});
+  loop_.After(kAcceptRetry, [this] {
+    if (!is_closed_) Accept();
+  });
+}
+
 void ForwardServer::OnRequest(const CallerConnection::Ptr& caller,
                               CallerMessage message) {
   RequestFields fields = context_.dialect.DecodeRequest(message.fields);
@@ -225,6 +305,9 @@
   std::erase_if(connections_, [](const CallerConnection::Ptr& connection) {
     return connection->is_closed();
   });
+  context_.counters.Set(Gauge::kBudgetBytes,
+                        static_cast<std::int64_t>(memory_.bytes()));
+  context_.counters.Set(Gauge::kCallerConnections, std::ssize(connections_));
   context_.pool.CloseUnused(now, [this](const InstanceId& id) {
     return context_.dispatcher.IsListed(id);
   });
--- a/src/caller/forward_server.h
+++ b/src/caller/forward_server.h
@@ -28,6 +28,9 @@
   struct Options {
     Endpoint listen;
     int max_connections = 3'000;
+    // Of the machine; 0: unknown.
+    int memory_mb = 0;
+    int max_descriptors = 0;
     Dispatcher::Options dispatcher;
     SharedRetryBudget::Options budget;
     Duration confirmation_limit = std::chrono::milliseconds(4'500);
@@ -67,6 +70,11 @@
   using RunPtr = std::shared_ptr<ForwardRun>;
 
   void Accept();
+  void OnAccepted(asio::ip::tcp::socket socket);
+  bool MakeRoomForConnection();
+  void RefuseConnection(Reason reason);
+  void OnAcceptFailed(const std::error_code& error);
+  void OnRefused(Reason reason, int status, std::size_t body_bytes);
   void OnRequest(const CallerConnection::Ptr& caller, CallerMessage message);
   void Refuse(const CallerConnection::Ptr& caller, const RequestId& id,
               Reason reason, Millis retry_after);
@@ -92,6 +100,7 @@
   asio::ip::tcp::acceptor acceptor_;
   DatagramSocket socket_;
   EntryGossip gossip_;
+  MemoryBudget memory_;
   std::vector<InstanceId> alive_;  // as last told to the control side
   ForwardContext context_;
   CallerConnection::Host host_;
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -40,6 +40,7 @@
   kRetriesDenied,  // by the budget
   kBackendEntriesIgnored,
   kLimitsUnreadable,  // request limits that backend servers stated
+  kAcceptsFailed,
   kCount
 };
 
@@ -55,6 +56,8 @@
   kRequestsBlocked,
   kBackendsLimited,  // by a request limit that they state
   kRetryTokens,      // retries that may be made at once, of all services
+  kBudgetBytes,      // held in memory for requests and connections
+  kCallerConnections,
   kCount
 };
 
--- a/src/direct_entry_main.cc
+++ b/src/direct_entry_main.cc
@@ -1,6 +1,7 @@
 // The daemon of an entry that sends to backend servers directly.
 #include "caller/entry_control.h"
 #include "caller/forward_server.h"
+#include "core/allocator.h"
 #include "core/daemon.h"
 #include "core/process_settings.h"
 #include "core/random.h"
@@ -34,6 +35,7 @@
 }
 
 int Run(const DirectEntrySettings& settings, const std::string& file) {
+  ReturnLargeBlocksAtOnce();
   Counters counters;
   EventLoop control;
   EventLoop traffic;
@@ -50,6 +52,8 @@
       traffic,
       {.listen = settings.caller_address,
        .max_connections = settings.max_connections,
+       .memory_mb = settings.memory_mb,
+       .max_descriptors = settings.max_descriptors,
        .dispatcher = {.zone = settings.zone,
                       .seed = RandomSeed(),
                       .cold_overrun = settings.cold_overrun,
--- a/tests/direct_site.cc
+++ b/tests/direct_site.cc
@@ -344,7 +344,7 @@
                     {{"max_header_bytes", 2'000},
                      {"max_body_bytes", options_.max_body_bytes},
                      {"header_timeout_ms", 500},
-                     {"idle_timeout_ms", 15'000}}},
+                     {"idle_timeout_ms", options_.idle_timeout_ms}}},
                    {"tenants", {{{"name", "sales"}, {"api_keys", keys}}}}}
                   .dump());
 }
--- a/tests/direct_site.h
+++ b/tests/direct_site.h
@@ -122,6 +122,7 @@
     int memory_mb = 0;
     int max_descriptors = 0;
     int max_body_bytes = 5'000;
+    int idle_timeout_ms = 15'000;
   };
 
   explicit DirectSite(Options options);
--- a/tests/system/direct_memory_test.cc
+++ b/tests/system/direct_memory_test.cc
@@ -15,10 +15,13 @@
 #include <sstream>
 #include <string>
 #include <string_view>
+#include <system_error>
+#include <thread>
 #include <vector>
 
 #include "direct_site.h"
 #include "net/endpoint.h"
+#include "raw_caller.h"
 
 namespace mangohold::testing {
 namespace {
@@ -228,6 +231,47 @@
   EXPECT_EQ(answer.body, "large:" + body);
 }
 
+// Sends a request whose body comes in `count` pieces of `size`, 200 ms apart.
+// Returns what the entry answers first.
+std::string StatusOfSlowBody(const DirectSite& site, std::size_t size,
+                             int count) {
+  RawCaller caller(site.CallerAddress(0));
+  caller.Send(
+      "POST /again/x HTTP/1.1\r\nHost: h.example\r\n"
+      "X-Mangohold-Request-Id: slow\r\nAuthorization: Bearer k\r\n"
+      "Content-Length: " +
+      std::to_string(size * static_cast<std::size_t>(count)) + "\r\n\r\n");
+  for (int i = 0; i < count; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    try {
+      caller.Send(std::string(size, 'x'));
+    } catch (const std::system_error&) {
+      break;  // the entry has closed the connection
+    }
+  }
+  return caller.ReadUntil("\r\n").substr(0, 12);
+}
+
+// Guards against a limit on the time of a whole body, which refuses large
+// bodies on slow links: this one takes 3 s, `idle_timeout_ms` is 1 s.
+TEST(DirectMemory, ABodyThatComesSteadilyIsServed) {
+  DirectSite site({.max_body_bytes = static_cast<int>(kMostBody),
+                   .idle_timeout_ms = 1'000});
+  site.Start();
+  EXPECT_EQ(StatusOfSlowBody(site, 16U << 10U, 15), "HTTP/1.1 200");
+}
+
+// Guards against bodies that stay in memory by a few bytes at a time.
+TEST(DirectMemory, ABodyThatTricklesIsRefused) {
+  DirectSite site({.max_body_bytes = static_cast<int>(kMostBody),
+                   .idle_timeout_ms = 1'000});
+  site.Start();
+  EXPECT_EQ(StatusOfSlowBody(site, 10, 10), "HTTP/1.1 408");
+  EXPECT_EQ(site.backend(0).runs_in_all(), 0);
+  EXPECT_NE(site.Metrics(0).find("reason=\"body_too_slow\"} 1"),
+            std::string::npos);
+}
+
 std::vector<asio::ip::tcp::socket> ConnectMany(asio::io_context& io,
                                                const Endpoint& address,
                                                int count) {
