--- a/tests/system/direct_memory_test.cc
+++ b/tests/system/direct_memory_test.cc
@@ -37,6 +37,8 @@
 // What a client sends of a body without end.
 constexpr std::size_t kManyBytes = 16U << 20U;
 constexpr std::size_t kPieceBytes = 64U << 10U;
+// Answers of this size are gathered before they go on.
+constexpr std::size_t kAnswerBytes = 900U << 10U;
 // How long clients stay connected before the entry is looked at.
 constexpr seconds kHeldFor(5);
 
@@ -45,6 +47,8 @@
   std::string length;     // the field that states it
   std::string piece;      // sent again and again
   std::size_t bytes = 0;  // sent, framing included
+  // Of a client that never reads; 0: the system's usual one.
+  int receive_buffer = 0;
 };
 
 std::string Chunks(std::size_t size, std::size_t all) {
@@ -79,6 +83,11 @@
              Body body)
       : socket_(io), body_(std::move(body)) {
     const HostPort target = ParseEndpoint(address);
+    socket_.open(asio::ip::tcp::v4());
+    if (body_.receive_buffer > 0) {
+      socket_.set_option(
+          asio::socket_base::receive_buffer_size(body_.receive_buffer));
+    }
     socket_.connect({asio::ip::make_address(target.host), target.port});
     head_ =
         "POST /again/x HTTP/1.1\r\nHost: h.example\r\n"
@@ -167,13 +176,13 @@
 
 // Clients whose bodies are `bodies` in turn stay connected after they have sent
 // them. The entry has to stay inside its memory, and to answer another client.
-void ExpectBounded(const std::vector<Body>& bodies) {
+void ExpectBounded(const std::vector<Body>& bodies, int clients = kClients) {
   DirectSite site(
       {.memory_mb = kMemoryMb, .max_body_bytes = static_cast<int>(kMostBody)});
   site.Start();
   asio::io_context io;
   std::vector<std::shared_ptr<BodySender>> senders;
-  for (int i = 0; i < kClients; ++i) {
+  for (int i = 0; i < clients; ++i) {
     const auto kind = static_cast<std::size_t>(i) % bodies.size();
     senders.push_back(std::make_shared<BodySender>(io, site.CallerAddress(0), i,
                                                    bodies[kind]));
@@ -219,6 +228,14 @@
                  Chunked(kPieceBytes, kManyBytes)});
 }
 
+// Guards against answers that pile up for clients that never read them. The
+// backend server sends each body back.
+TEST(DirectMemory, AnswersThatNobodyReads) {
+  Body body = Declared(kAnswerBytes, kAnswerBytes);
+  body.receive_buffer = 4'096;
+  ExpectBounded({body}, 150);
+}
+
 // Guards against limits that refuse what the specification allows: the largest
 // body, when nothing else is in progress.
 TEST(DirectMemory, TheLargestLegalBodyIsServed) {
