--- a/src/core/process_settings.cc
+++ b/src/core/process_settings.cc
@@ -7,6 +7,8 @@
 
 constexpr Range kLeaveLimitMs = {100, 3'600'000};
 constexpr Range kLinkMbps = {1, 1'000'000};
+constexpr Range kMemoryMb = {0, 1'000'000};
+constexpr Range kMaxDescriptors = {0, 10'000'000};
 
 void ReadLogLevel(ObjectReader& reader, LogLevel& target) {
   int level = static_cast<int>(target);
@@ -30,6 +32,8 @@
   ReadProcess(reader, settings);
   reader.OptionalMillis("leave_limit_ms", settings.leave_limit, kLeaveLimitMs);
   reader.Optional("seeds", settings.seeds);
+  reader.Optional("memory_mb", settings.memory_mb, kMemoryMb);
+  reader.Optional("max_descriptors", settings.max_descriptors, kMaxDescriptors);
 }
 
 void ReadEndpoint(ObjectReader& reader, std::string_view name,
--- a/src/core/process_settings.h
+++ b/src/core/process_settings.h
@@ -33,6 +33,8 @@
   Millis address_max_age{5'000};
   // How long a leaving entry waits for requests in progress.
   Millis leave_limit{60'000};
+  int memory_mb = 0;        // of the machine; 0: unknown
+  int max_descriptors = 0;  // that the process may open; 0: unknown
   std::vector<OperatorToken> operators;
 };
 
@@ -48,6 +50,8 @@
   LogLevel log_level = LogLevel::kInfo;
   Millis confirmation_limit{2'500};
   Millis leave_limit{60'000};
+  int memory_mb = 0;        // of the machine; 0: unknown
+  int max_descriptors = 0;  // that the process may open; 0: unknown
 };
 
 // An entry that sends to backend servers directly, without agents as gates.
--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -127,6 +127,14 @@
   return Endpoint(Ip(kFirstEntryHost + entry) + ":8081");
 }
 
+Endpoint Site::AgentAddress(int backend) const {
+  return Endpoint(Ip(kFirstBackendHost + backend) + ":7070");
+}
+
+Endpoint Site::AdminAddress(int backend) const {
+  return Endpoint(Ip(kFirstBackendHost + backend) + ":7071");
+}
+
 std::string Site::BackendUrl(int backend) const {
   return "http://" + Ip(kFirstBackendHost + backend) + ":8000";
 }
@@ -155,8 +163,15 @@
   return path;
 }
 
+void Site::StateLimits(nlohmann::json& settings) const {
+  if (options_.memory_mb > 0) settings["memory_mb"] = options_.memory_mb;
+  if (options_.max_descriptors > 0) {
+    settings["max_descriptors"] = options_.max_descriptors;
+  }
+}
+
 void Site::StartEntry(int index) {
-  const nlohmann::json settings = {
+  nlohmann::json settings = {
       {"instance", "entry-" + std::to_string(index)},
       {"zone", options_.zones[index % options_.zones.size()]},
       {"caller_address", CallerAddress(index).value()},
@@ -169,6 +184,7 @@
       {"operators",
        {{{"name", "lead"}, {"token", "lead"}, {"subtree", "/"}},
         {{"name", "zones"}, {"token", "zones"}, {"subtree", "/zones/"}}}}};
+  StateLimits(settings);
   const std::string name = "entry-" + std::to_string(index);
   entries_[index] = std::make_unique<Process>(
       std::vector<std::string>{Program("mangohold-entry"), "--config",
@@ -178,16 +194,17 @@
 
 void Site::StartAgent(int index) {
   const std::string ip = Ip(kFirstBackendHost + index);
-  const nlohmann::json settings = {
+  nlohmann::json settings = {
       {"instance", "backend-" + std::to_string(index)},
       {"zone", plan_[index].zone},
       {"service", plan_[index].service},
-      {"peer_address", ip + ":7070"},
-      {"admin_address", ip + ":7071"},
+      {"peer_address", AgentAddress(index).value()},
+      {"admin_address", AdminAddress(index).value()},
       {"backend_url", BackendUrl(options_.has_one_backend ? 0 : index)},
       {"log_level", options_.log_level},
       {"seeds", Seeds()},
       {"platform_url", PlatformUrl()}};
+  StateLimits(settings);
   const std::string name = "agent-" + std::to_string(index);
   agents_[index] = std::make_unique<Process>(
       std::vector<std::string>{Program("mangohold-agent"), "--config",
@@ -319,9 +336,7 @@
 }
 
 std::string Site::AgentMetrics(int backend) const {
-  return Send(Endpoint(Ip(kFirstBackendHost + backend) + ":7071"), "GET",
-              "/metrics", "")
-      .body;
+  return Send(AdminAddress(backend), "GET", "/metrics", "").body;
 }
 
 nlohmann::json Site::BackendState(int backend) const {
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -57,6 +57,9 @@
   bool has_one_backend = false;
   // Entries reach agents through relays, which tests can cut.
   bool has_relays = false;
+  // Stated to entries and agents; 0: not stated.
+  int memory_mb = 0;
+  int max_descriptors = 0;
 };
 
 // A running deployment on loopback addresses of its own. Zones are dealt out
@@ -73,6 +76,10 @@
   Endpoint CallerAddress(int entry) const;
   std::vector<Endpoint> CallerAddresses() const;
   Endpoint OperatorAddress(int entry) const;
+  // Where the agent takes streams of entries.
+  Endpoint AgentAddress(int backend) const;
+  // Health and metrics of the agent.
+  Endpoint AdminAddress(int backend) const;
   std::string BackendUrl(int backend) const;
   std::string PlatformUrl() const;
 
@@ -100,6 +107,8 @@
   std::string log_directory() const { return directory_; }
 
  private:
+  // Adds the limits of the machine to the settings of a process.
+  void StateLimits(nlohmann::json& settings) const;
   // Sets a document of the start, again until it is accepted.
   void BringIn(const std::string& path, const std::string& text);
 
