Test bodies at the small servers of a direct entry and at the control port

The first tests leave out the readiness, directory and metrics servers of a direct entry, the port where processes ask an entry for settings, and what a refused client is told.

--- a/tests/system/request_bodies_test.cc
+++ b/tests/system/request_bodies_test.cc
@@ -1,6 +1,5 @@
 // Clients that send large or endless request bodies, at the servers of entries
-// and agents. The processes are told of a machine with little memory and must
-// stay within it.
+// and agents. The processes must stay within a machine with little memory.
 #include <gtest/gtest.h>
 #include <poll.h>
 #include <unistd.h>
@@ -15,10 +14,12 @@
 #include <thread>
 #include <vector>
 
+#include "direct_site.h"
 #include "harness.h"
 #include "net/endpoint.h"
 #include "peer/http2_session.h"
 #include "peer/messages.h"
+#include "raw_caller.h"
 
 namespace mangohold::testing {
 namespace {
@@ -269,6 +270,24 @@
   EXPECT_TRUE(IsServed(site));
 }
 
+// The same through the servers of a direct entry for readiness, directory and
+// metrics, all at once.
+TEST_P(RequestBodies, AtTheSmallServersDontFillADirectEntry) {
+  DirectSite site({});
+  site.Start();
+  const HostPort caller = ParseEndpoint(site.CallerAddress(0));
+  std::vector<Clients> clients;
+  for (const char* port : {":8081", ":8082", ":8084"}) {
+    clients.push_back(SendBodies(Endpoint(caller.host + port),
+                                 "/mangohold/readyz", GetParam().kind));
+  }
+  ExpectWithinLimits(site.entry(0));
+  EXPECT_TRUE(WaitFor([&site] { return site.IsReady(0); }));
+  EXPECT_FALSE(site.Directory(0).empty());
+  EXPECT_FALSE(site.Metrics(0).empty());
+  EXPECT_EQ(site.Call("GET", "/again/x", "ordinary").status, 200);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Kinds, RequestBodies,
     ::testing::Values(Case{"Declared", Kind::kDeclared},
@@ -376,5 +395,53 @@
   ExpectAgentBears(kClients, 1, kEndlessBytes);
 }
 
+// The same through the port of an entry where other processes ask for settings,
+// with requests of legal size.
+TEST(RequestStreams, AtTheControlPortDontFillAnEntry) {
+  constexpr int kStreams = 100;
+  constexpr std::size_t kRequestBytes = 64U << 10U;
+  Site site(SmallMachines());
+  site.Start();
+  const Endpoint control(ParseEndpoint(site.OperatorAddress(0)).host + ":8082");
+  OpenStreams abusive(control, kClients, kStreams, kRequestBytes);
+  abusive.Run();
+  ExpectWithinLimits(site.entry(0));
+  EXPECT_TRUE(IsServed(site));
+}
+
+// Guards against a body that is read although its declared length is too large
+// already, and against a client that isn't told.
+TEST(RequestLimits, ADeclaredLengthOverTheLimitIsRefusedAtItsHead) {
+  Site site(SmallMachines());
+  site.Start();
+  RawCaller caller(site.CallerAddress(0));
+  caller.Send(MakePlan(Kind::kDeclaredHuge, "/v1/services/bookings/x").head);
+  const std::string answer = caller.ReadUntil("\r\n\r\n");
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 413 ")) << answer;
+  EXPECT_EQ(Metric(site.Metrics(0),
+                   "mangohold_refusals_total{reason=\"body_too_large\"}"),
+            1);
+}
+
+// Guards against limits that refuse a large legal request of a client that is
+// alone. The stand-in's answer repeats the body and must stay below 4 MiB too.
+TEST(RequestLimits, ALargeRequestIsServedWithoutOtherLoad) {
+  Site site(SmallMachines());
+  site.Start();
+  const std::string path = "/v1/services/bookings/viewings";
+  const HttpFields fields = {{"Mangohold-Workspace", "sales"}};
+  EXPECT_EQ(Send(site.CallerAddress(0), "POST", path,
+                 std::string(kAlmostAll, 'x'), fields)
+                .status,
+            200);
+  RawCaller caller(site.CallerAddress(0));
+  const Plan plan = MakePlan(Kind::kSmallChunks, path);
+  caller.Send(plan.head);
+  for (std::size_t i = 0; i < plan.units; ++i) caller.Send(plan.unit);
+  caller.Send("0\r\n\r\n");
+  const std::string answer = caller.ReadUntil("\r\n\r\n");
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+}
+
 }  // namespace
 }  // namespace mangohold::testing
