Bound what request bodies hold in entries and agents

Servers kept every body up to 4 MiB of every connection and stream, so that 40 clients exceeded a machine of 112 MB.

HTTP servers: a socket under RESTinio shows the bytes of all connections to a guard first. It refuses a declared length over the limit with 413 at its head, and bounds what all requests hold together by a memory budget, from the first byte until the answer is written. A body that stalls while others need room is answered 408, one without room 503; the connection ends and its bytes are freed. Health, readiness, directory and metrics take 64 KiB and 4 MiB together, the operators' server 1 MiB and 8 MiB together. Agents bound the streams of entries by the same budget and tell the entry that a refused request has not run; an entry bounds the requests of other processes for settings. HTTP/2 servers limit their connections, and accept again after an accept has failed.

memory_mb and max_descriptors set the limits of entries and agents; unknown, as by default, there is no limit on the bodies of callers and of streams together. Reasons body_too_large, body_too_slow, memory_limit and connection_limit, each counted and logged.

--- a/src/agent_main.cc
+++ b/src/agent_main.cc
@@ -6,6 +6,7 @@
 #include "core/log.h"
 #include "core/process_settings.h"
 #include "core/random.h"
+#include "net/connection_limit.h"
 #include "net/endpoint.h"
 #include "net/graceful_stop.h"
 #include "net/http_server.h"
@@ -47,7 +48,10 @@
                             .incarnation = Incarnation(RandomHex128())},
                 .confirmation_limit = settings.confirmation_limit},
        .listen = settings.peer_address,
-       .backend_url = settings.backend_url},
+       .backend_url = settings.backend_url,
+       .memory = MemoryBudget::OptionsFor(settings.memory_mb),
+       .max_connections =
+           SessionLimit(settings.memory_mb, settings.max_descriptors)},
       counters);
   HttpClient http(control.io());
   PlatformClient platform(
@@ -78,12 +82,13 @@
              traffic.Post([&server] { server.BeginLeaving(); });
            }},
       counters);
-  HttpServer admin(control.io(),
-                   {.address = settings.admin_address, .max_connections = 64},
-                   [&counters](const HttpRequest& request,
-                               const std::shared_ptr<HttpExchange>& exchange) {
-                     HandleAdmin(request, *exchange, counters);
-                   });
+  HttpServer admin(
+      control.io(),
+      HttpServer::SmallRequests(settings.admin_address, 64, counters),
+      [&counters](const HttpRequest& request,
+                  const std::shared_ptr<HttpExchange>& exchange) {
+        HandleAdmin(request, *exchange, counters);
+      });
   const bool has_started =
       HaveStarted({server.Start(), node.Start(), admin.Listen()});
   if (!has_started) return kExitUnavailable;
--- a/src/backend/agent_server.cc
+++ b/src/backend/agent_server.cc
@@ -15,6 +15,13 @@
 // Statuses with which a backend server may refuse a request; see OnBackendHead.
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
+// A body is in the job and in its call to the backend server; the buffer of one
+// that is being read doubles as it grows.
+constexpr std::size_t kCopiesOfBody = 2;
+// What a stream holds besides its texts, about.
+constexpr std::size_t kStreamBytes = 2U << 10U;
+// Fewer new bytes of a body than this are no progress.
+constexpr std::size_t kProgressBytes = 16U << 10U;
 
 std::string_view PriorityName(Priority priority) {
   constexpr std::array<std::string_view, static_cast<int>(Priority::kCount)>
@@ -61,6 +68,7 @@
     : loop_(loop),
       options_(std::move(options)),
       counters_(counters),
+      budget_(options_.memory),
       gate_(options_.gate),
       http_(loop.io()),
       monitor_(loop, http_, {.url = options_.backend_url},
@@ -74,6 +82,11 @@
               [this](const Http2StreamPtr& stream) { Accept(stream); }) {}
 
 absl::Status AgentServer::Start() {
+  server_.SetConnectionLimit(options_.max_connections, [this] {
+    counters_.CountRefusal(Reason::kConnectionLimit);
+    Log(LogLevel::kInfo, "connection_refused",
+        {{"limit", options_.max_connections}});
+  });
   absl::Status status = server_.Listen(options_.listen);
   if (!status.ok()) return status;
   monitor_.Start();
@@ -134,18 +147,32 @@
 void AgentServer::Accept(const Http2StreamPtr& stream) {
   const auto incoming = std::make_shared<Incoming>();
   const std::weak_ptr<Http2Stream> weak = stream;
+  incoming->held = std::make_unique<MemoryBudget::Holder>(
+      budget_,
+      [this, weak, weak_incoming = std::weak_ptr(incoming)](Eviction eviction) {
+        const auto evicted = weak_incoming.lock();
+        if (evicted == nullptr) return;
+        RefuseBody(weak.lock(), *evicted,
+                   eviction == Eviction::kStalled ? Reason::kBodyTooSlow
+                                                  : Reason::kMemoryLimit);
+      },
+      Clock::now());
   stream->SetHandlers(
       {.on_head =
-           [incoming](const HttpFields& head) {
+           [this, incoming, weak](const HttpFields& head) {
              incoming->path = std::string(FieldValue(head, ":path"));
              incoming->message = std::string(FieldValue(head, kMessageField));
+             const bool has_room =
+                 incoming->held->Resize(HeldBytes(*incoming), Clock::now());
+             const auto open = weak.lock();
+             if (!has_room) RefuseBody(open, *incoming, Reason::kMemoryLimit);
            },
        .on_data =
            [this, incoming, weak](std::string_view data) {
-             if (const auto open = weak.lock()) open->Consume(data.size());
-             incoming->is_too_large |=
-                 incoming->body.size() + data.size() > options_.max_body_bytes;
-             if (!incoming->is_too_large) incoming->body.append(data);
+             const auto open = weak.lock();
+             if (open == nullptr) return;
+             open->Consume(data.size());
+             OnBodyData(open, *incoming, data);
            },
        .on_end =
            [this, incoming, weak](const HttpFields&) {
@@ -155,9 +182,52 @@
        .on_writable = nullptr});
 }
 
-void AgentServer::Dispatch(const Http2StreamPtr& stream,
-                           const Incoming& incoming) {
-  if (incoming.path == kSubmitPath && !incoming.is_too_large) {
+void AgentServer::OnBodyData(const Http2StreamPtr& stream, Incoming& incoming,
+                             std::string_view data) {
+  if (incoming.is_refused) return;
+  const TimePoint now = Clock::now();
+  const std::size_t size = incoming.body.size() + data.size();
+  if (size > options_.max_body_bytes) {
+    return RefuseBody(stream, incoming, Reason::kBodyTooLarge);
+  }
+  if (size - incoming.progress_bytes >= kProgressBytes) {
+    incoming.progress_bytes = size;
+    incoming.held->OnProgress(now);
+  }
+  const std::size_t held = HeldBytes(incoming) + kCopiesOfBody * data.size();
+  if (!incoming.held->Resize(held, now)) {
+    return RefuseBody(stream, incoming, Reason::kMemoryLimit);
+  }
+  incoming.body.append(data);
+}
+
+std::size_t AgentServer::HeldBytes(const Incoming& incoming) {
+  return kStreamBytes + incoming.path.size() + incoming.message.size() +
+         kCopiesOfBody * incoming.body.size();
+}
+
+void AgentServer::RefuseBody(const Http2StreamPtr& stream, Incoming& incoming,
+                             Reason reason) {
+  incoming.is_refused = true;
+  std::string().swap(incoming.body);
+  std::string().swap(incoming.message);
+  incoming.held->Set(0);
+  counters_.CountRefusal(reason);
+  Log(LogLevel::kInfo, "body_refused",
+      {{"reason", Name(reason)},
+       {"held_bytes", budget_.bytes()},
+       {"holders", budget_.holders()}});
+  if (stream == nullptr) return;
+  if (reason == Reason::kBodyTooLarge) return stream->Reset();
+  stream->SetHandlers({});
+  SendReply(stream, Encode(SubmitReply{.reason = reason,
+                                       .may_have_run = false,
+                                       .status = gate_.Status(Clock::now())}));
+}
+
+void AgentServer::Dispatch(const Http2StreamPtr& stream, Incoming& incoming) {
+  if (incoming.is_refused) return;
+  if (incoming.path == kSubmitPath) {
     OnSubmit(stream, incoming);
   } else if (incoming.path == kTicketPath) {
     OnTicket(stream, incoming.message);
@@ -216,8 +286,7 @@
   SendReply(stream, Encode(gate_.Status(Clock::now())));
 }
 
-void AgentServer::OnSubmit(const Http2StreamPtr& stream,
-                           const Incoming& incoming) {
+void AgentServer::OnSubmit(const Http2StreamPtr& stream, Incoming& incoming) {
   const auto request = Decode<SubmitRequest>(incoming.message);
   if (!request.ok()) return stream->Reset();
   const TimePoint now = Clock::now();
@@ -225,7 +294,11 @@
   job->id = last_work_ = last_work_.Next();
   job->stream = stream;
   job->request = *request;
-  job->body = incoming.body;
+  // A job isn't evicted: it may have run.
+  job->held = std::make_unique<MemoryBudget::Holder>(budget_, nullptr, now);
+  job->held->Set(incoming.held->bytes());
+  incoming.held->Set(0);
+  job->body = std::move(incoming.body);
   job->deadline = now + request->deadline;
   counters_.Count(Event::kRequests);
   const Gate::Decision decision =
--- a/src/backend/agent_server.h
+++ b/src/backend/agent_server.h
@@ -16,6 +16,7 @@
 #include "net/event_loop.h"
 #include "net/graceful_stop.h"
 #include "net/http_client.h"
+#include "net/memory_budget.h"
 #include "peer/http2_session.h"
 
 namespace mangohold {
@@ -28,6 +29,9 @@
     Endpoint listen;
     std::string backend_url;
     std::size_t max_body_bytes = 4U << 20U;
+    // What the bodies of all streams may hold.
+    MemoryBudget::Options memory = {};
+    int max_connections = 0;  // of entries; 0: no limit
   };
 
   AgentServer(EventLoop& loop, Options options, Counters& counters);
@@ -50,17 +54,25 @@
     std::string path;
     std::string message;
     std::string body;
-    bool is_too_large = false;
+    std::unique_ptr<MemoryBudget::Holder> held;
+    std::size_t progress_bytes = 0;  // of the body at the last progress
+    bool is_refused = false;
   };
   using JobPtr = std::shared_ptr<Job>;
 
   void Accept(const Http2StreamPtr& stream);
-  void Dispatch(const Http2StreamPtr& stream, const Incoming& incoming);
+  void OnBodyData(const Http2StreamPtr& stream, Incoming& incoming,
+                  std::string_view data);
+  static std::size_t HeldBytes(const Incoming& incoming);
+  // Drops a request that is still being read. It has not run.
+  void RefuseBody(const Http2StreamPtr& stream, Incoming& incoming,
+                  Reason reason);
+  void Dispatch(const Http2StreamPtr& stream, Incoming& incoming);
   void OnTicket(const Http2StreamPtr& stream, const std::string& message);
   void OnVoid(const Http2StreamPtr& stream, const std::string& message);
   void RefuseVoided(const std::string& ticket);
   void OnStatus(const Http2StreamPtr& stream, const std::string& message);
-  void OnSubmit(const Http2StreamPtr& stream, const Incoming& incoming);
+  void OnSubmit(const Http2StreamPtr& stream, Incoming& incoming);
 
   void Run(const JobPtr& job);
   void OnBackendHead(const JobPtr& job, int status, const HttpFields& fields);
@@ -80,6 +92,7 @@
   EventLoop& loop_;
   Options options_;
   Counters& counters_;
+  MemoryBudget budget_;  // outlives the streams and jobs
   Gate gate_;
   HttpClient http_;
   BackendMonitor monitor_;
--- a/src/backend/job.h
+++ b/src/backend/job.h
@@ -7,6 +7,7 @@
 #include "backend/gate.h"
 #include "core/clock.h"
 #include "net/http_client.h"
+#include "net/memory_budget.h"
 #include "peer/http2_session.h"
 #include "peer/messages.h"
 
@@ -18,6 +19,7 @@
   Http2StreamPtr stream;  // null once the stream has broken
   SubmitRequest request;
   std::string body;
+  std::unique_ptr<MemoryBudget::Holder> held;  // for the body
   TimePoint deadline;
   bool is_running = false;
   HttpCallId call;  // 0 while no call to the backend server is in progress
--- a/src/caller/entry_server.cc
+++ b/src/caller/entry_server.cc
@@ -76,7 +76,10 @@
       context_(*shared_context_),
       http_(loop.io(),
             {.address = options_.listen,
-             .max_body_bytes = options_.max_body_bytes},
+             .max_connections = options_.max_connections,
+             .max_body_bytes = options_.max_body_bytes,
+             .memory = options_.memory,
+             .counters = &counters},
             [this](HttpRequest request, const Exchange& exchange) {
               Handle(std::move(request), exchange);
             }) {}
--- a/src/caller/entry_server.h
+++ b/src/caller/entry_server.h
@@ -30,6 +30,9 @@
     std::uint64_t seed = 1;
     int max_requests = 2'000;  // requests in progress at this entry
     std::size_t max_body_bytes = 4U << 20U;
+    // What the bodies of all callers may hold.
+    MemoryBudget::Options memory = {};
+    int max_connections = 4096;
     // How long callers may use the address list.
     Millis address_max_age{5'000};
   };
--- a/src/core/outcome.cc
+++ b/src/core/outcome.cc
@@ -49,6 +49,10 @@
     {Reason::kPromptCrashesBackends, "prompt_crashes_backends", 503},
     {Reason::kBackendLimit, "backend_limit", 503},
     {Reason::kRequestCrashesBackends, "request_crashes_backends", 503},
+    {Reason::kBodyTooLarge, "body_too_large", 413},
+    {Reason::kBodyTooSlow, "body_too_slow", 408},
+    {Reason::kMemoryLimit, "memory_limit", 503},
+    {Reason::kConnectionLimit, "connection_limit", 503},
 });
 static_assert(kReasons.size() == static_cast<std::size_t>(Reason::kCount));
 
--- a/src/core/outcome.h
+++ b/src/core/outcome.h
@@ -51,6 +51,10 @@
   kPromptCrashesBackends,
   kBackendLimit,
   kRequestCrashesBackends,
+  kBodyTooLarge,
+  kBodyTooSlow,
+  kMemoryLimit,
+  kConnectionLimit,
   kCount
 };
 
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -4,6 +4,7 @@
 #include "core/log.h"
 #include "core/process_settings.h"
 #include "core/random.h"
+#include "net/connection_limit.h"
 #include "net/endpoint.h"
 #include "net/graceful_stop.h"
 #include "operator/operator_server.h"
@@ -16,14 +17,17 @@
   Counters counters;
   EventLoop control;
   EventLoop traffic;
-  EntryServer server(traffic,
-                     {.instance = settings.instance,
-                      .zone = settings.zone,
-                      .listen = settings.caller_address,
-                      .seed = RandomSeed(),
-                      .max_requests = settings.max_requests,
-                      .address_max_age = settings.address_max_age},
-                     counters);
+  EntryServer server(
+      traffic,
+      {.instance = settings.instance,
+       .zone = settings.zone,
+       .listen = settings.caller_address,
+       .seed = RandomSeed(),
+       .max_requests = settings.max_requests,
+       .memory = MemoryBudget::OptionsFor(settings.memory_mb),
+       .max_connections = ConnectionLimit(settings.max_descriptors),
+       .address_max_age = settings.address_max_age},
+      counters);
   HttpClient http(control.io());
   PlatformClient platform(
       http, {.url = settings.platform_url, .instance = settings.instance},
@@ -54,7 +58,7 @@
                            {.listen = settings.operator_address,
                             .instance = settings.instance,
                             .operators = settings.operators},
-                           node, platform);
+                           node, platform, counters);
   const bool has_started =
       HaveStarted({server.Start(), node.Start(), operators.Start()});
   if (!has_started) return kExitUnavailable;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,11 +1,16 @@
 #include "net/http_server.h"
 
 #include <algorithm>
+#include <map>
 #include <restinio/all.hpp>
 #include <unordered_map>
 #include <vector>
 
+#include "core/log.h"
+#include "net/body_guard.h"
 #include "net/endpoint.h"
+#include "net/guarded_socket.h"
+#include "net/http1_text.h"
 
 namespace mangohold {
 namespace {
@@ -44,7 +49,102 @@
   std::function<void(HttpExchange&)> notify_;
 };
 
+// Bounds what the requests of all connections of a server hold, and refuses
+// those that go beyond before RESTinio keeps their bytes.
+class BodyGuards : public ConnectionGuards {
+ public:
+  explicit BodyGuards(const HttpServer::Options& options)
+      : max_body_bytes_(options.max_body_bytes),
+        counters_(options.counters),
+        budget_(options.memory) {}
+
+  bool Admit(GuardedSocket& socket, std::string_view data) override {
+    Connection& connection = Find(socket);
+    const Reason reason = connection.guard->OnBytes(data, Clock::now());
+    if (reason == Reason::kNone) return true;
+    // An evicted connection has been told before.
+    if (!connection.is_refused) Refuse(connection, reason);
+    return false;
+  }
+
+  void Forget(const GuardedSocket& socket) noexcept override {
+    const auto it = connections_.find(&socket);
+    if (it == connections_.end()) return;
+    const auto peer = by_peer_.find(it->second->peer);
+    const bool is_own =
+        peer != by_peer_.end() && peer->second == it->second.get();
+    if (is_own) by_peer_.erase(peer);
+    connections_.erase(it);
+  }
+
+  // What the request holds that has just been read from `peer`.
+  BodyGuard::Lease TakeWhole(const asio::ip::tcp::endpoint& peer) {
+    const auto it = by_peer_.find(peer);
+    return it == by_peer_.end() ? nullptr : it->second->guard->TakeWhole();
+  }
+
+ private:
+  struct Connection {
+    GuardedSocket* socket = nullptr;
+    asio::ip::tcp::endpoint peer;
+    std::unique_ptr<BodyGuard> guard;
+    bool is_refused = false;
+  };
+
+  Connection& Find(GuardedSocket& socket) {
+    std::unique_ptr<Connection>& found = connections_[&socket];
+    if (found != nullptr) return *found;
+    found = std::make_unique<Connection>();
+    Connection& connection = *found;
+    std::error_code error;  // a peer that has gone has no address
+    connection.socket = &socket;
+    connection.peer = socket.remote_endpoint(error);
+    connection.guard = std::make_unique<BodyGuard>(
+        budget_, max_body_bytes_, [this, &connection](Eviction eviction) {
+          connection.guard->Drop();
+          Refuse(connection, eviction == Eviction::kStalled
+                                 ? Reason::kBodyTooSlow
+                                 : Reason::kMemoryLimit);
+        });
+    by_peer_.insert_or_assign(connection.peer, &connection);
+    return connection;
+  }
+
+  // Sends a last answer, unless another is being written, and ends the
+  // connection, which RESTinio then notices.
+  void Refuse(Connection& connection, Reason reason) {
+    connection.is_refused = true;
+    if (counters_ != nullptr) counters_->CountRefusal(reason);
+    Log(LogLevel::kInfo, "body_refused",
+        {{"reason", Name(reason)},
+         {"held_bytes", budget_.bytes()},
+         {"holders", budget_.holders()}});
+    std::error_code ignored;  // the peer may have gone
+    if (!connection.guard->is_answering()) {
+      HttpFields fields = {{"Content-Length", "0"},
+                           {"Connection", "close"},
+                           {"Mangohold-Reason", std::string(Name(reason))}};
+      const int status = HttpStatus(reason);
+      if (status == kUnavailable) fields.push_back({"Retry-After", "1"});
+      const std::string text = ResponseText(status, fields);
+      connection.socket->non_blocking(true, ignored);
+      connection.socket->write_some(asio::buffer(text), ignored);
+    }
+    connection.socket->shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  }
+
+  static constexpr int kUnavailable = 503;
+
+  std::size_t max_body_bytes_;
+  Counters* counters_;
+  MemoryBudget budget_;
+  std::unordered_map<const GuardedSocket*, std::unique_ptr<Connection>>
+      connections_;
+  std::map<asio::ip::tcp::endpoint, Connection*> by_peer_;
+};
+
 struct ServerTraits : public restinio::default_single_thread_traits_t {
+  using stream_socket_t = GuardedSocket;
   using connection_state_listener_t = CloseListener;
   // NOLINTNEXTLINE(readability-identifier-naming): the library's name
   static constexpr bool use_connection_count_limiter = true;
@@ -74,6 +174,9 @@
 }  // namespace
 
 struct HttpExchange::Impl {
+  // The lease of `held` is freed before the guards that count it.
+  std::shared_ptr<BodyGuards> guards;
+  BodyGuard::Lease held;
   restinio::request_handle_t request;
   std::shared_ptr<bool> close_after_reply;
   std::shared_ptr<int> unwritten;
@@ -94,7 +197,8 @@
   template <typename Response>
   void Complete(Response& response) {
     ++*unwritten;
-    response.done([count = unwritten](const auto& /*error*/) { --*count; });
+    response.done([count = unwritten, keep = guards,
+                   held = held](const auto& /*error*/) { --*count; });
   }
 };
 
@@ -150,15 +254,30 @@
 }
 
 struct HttpServer::State {
+  std::shared_ptr<BodyGuards> guards;
   std::shared_ptr<CloseListener> listener = std::make_shared<CloseListener>();
   std::shared_ptr<bool> close_after_reply = std::make_shared<bool>(false);
   std::shared_ptr<int> unwritten = std::make_shared<int>(0);
   std::unique_ptr<Server> server;
 };
 
+HttpServer::Options HttpServer::SmallRequests(Endpoint address,
+                                              int max_connections,
+                                              Counters& counters) {
+  // A directory question is the largest of them, with less than 1 KiB.
+  constexpr std::size_t kMostBodyBytes = 64U << 10U;
+  constexpr std::size_t kMostHeldBytes = 4U << 20U;
+  return {.address = std::move(address),
+          .max_connections = max_connections,
+          .max_body_bytes = kMostBodyBytes,
+          .memory = {.limit = kMostHeldBytes, .reserve = kMostHeldBytes / 4},
+          .counters = &counters};
+}
+
 HttpServer::HttpServer(asio::io_context& io, const Options& options,
                        Handler handler)
     : state_(std::make_unique<State>()) {
+  state_->guards = std::make_shared<BodyGuards>(options);
   state_->listener->SetNotify([](HttpExchange& exchange) {
     exchange.impl_->answered = true;
     const auto on_closed = std::move(exchange.impl_->on_closed);
@@ -166,9 +285,12 @@
   });
   const auto on_request =
       [listener = state_->listener, close = state_->close_after_reply,
-       unwritten = state_->unwritten, handler = std::move(handler)](
-          const restinio::request_handle_t& request) {
+       unwritten = state_->unwritten, guards = state_->guards,
+       handler =
+           std::move(handler)](const restinio::request_handle_t& request) {
         auto impl = std::make_unique<HttpExchange::Impl>();
+        impl->guards = guards;
+        impl->held = guards->TakeWhole(request->remote_endpoint());
         impl->request = request;
         impl->close_after_reply = close;
         impl->unwritten = unwritten;
@@ -179,6 +301,7 @@
       };
   const HostPort address = ParseEndpoint(options.address);
   restinio::server_settings_t<ServerTraits> settings;
+  settings.set_guards(state_->guards);
   settings.address(address.host)
       .port(address.port)
       .connection_state_listener(state_->listener)
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -8,8 +8,10 @@
 
 #include "absl/status/status.h"
 #include "core/clock.h"
+#include "core/counters.h"
 #include "core/ids.h"
 #include "net/http_message.h"
+#include "net/memory_budget.h"
 
 namespace asio {
 class io_context;
@@ -56,6 +58,9 @@
     int max_connections = 4096;
     std::size_t max_body_bytes = 4U << 20U;
     std::size_t max_field_bytes = 16U << 10U;
+    // What the requests of all connections may hold.
+    MemoryBudget::Options memory = {};
+    Counters* counters = nullptr;  // of refusals; may be null
     // A connection without a complete request for this long is closed.
     Duration idle_timeout = std::chrono::seconds(60);
     // A caller that takes no bytes for this long loses its connection.
@@ -66,6 +71,11 @@
   using Handler =
       std::function<void(HttpRequest, std::shared_ptr<HttpExchange>)>;
 
+  // The options of a server that gets small requests only, such as health and
+  // metrics.
+  static Options SmallRequests(Endpoint address, int max_connections,
+                               Counters& counters);
+
   // `handler` is called on `io`'s thread.
   HttpServer(asio::io_context& io, const Options& options, Handler handler);
   ~HttpServer();
--- a/src/operator/operator_server.cc
+++ b/src/operator/operator_server.cc
@@ -10,6 +10,11 @@
 namespace mangohold {
 namespace {
 
+constexpr int kMostConnections = 64;
+// The largest documents in use have a few KiB.
+constexpr std::size_t kMostDocumentBytes = 1U << 20U;
+constexpr std::size_t kMostHeldBytes = 8U << 20U;
+
 using Json = nlohmann::json;
 
 constexpr std::string_view kTreePrefix = "/v1/tree";
@@ -84,11 +89,17 @@
 }  // namespace
 
 OperatorServer::OperatorServer(EventLoop& loop, Options options,
-                               ConfigReplicator& node, PlatformClient& client)
+                               ConfigReplicator& node, PlatformClient& client,
+                               Counters& counters)
     : options_(std::move(options)),
       node_(node),
       editor_(client),
-      http_(loop.io(), {.address = options_.listen, .max_connections = 64},
+      http_(loop.io(),
+            {.address = options_.listen,
+             .max_connections = kMostConnections,
+             .max_body_bytes = kMostDocumentBytes,
+             .memory = {.limit = kMostHeldBytes, .reserve = kMostHeldBytes / 4},
+             .counters = &counters},
             [this](const HttpRequest& request, const Exchange& exchange) {
               Handle(request, exchange);
             }) {}
--- a/src/operator/operator_server.h
+++ b/src/operator/operator_server.h
@@ -26,7 +26,7 @@
   };
 
   OperatorServer(EventLoop& loop, Options options, ConfigReplicator& node,
-                 PlatformClient& client);
+                 PlatformClient& client, Counters& counters);
 
   absl::Status Start();
 
--- a/src/peer/http2_session.cc
+++ b/src/peer/http2_session.cc
@@ -23,6 +23,7 @@
 // others.
 constexpr std::int32_t kConnectionWindowBytes = 1 << 30;
 constexpr std::uint32_t kMaxStreams = 10'000;
+constexpr Duration kAcceptRetry = std::chrono::milliseconds(100);
 // A ping is sent after this long without data from the peer.
 constexpr Duration kPingInterval = std::chrono::milliseconds(500);
 // A connection is closed after this long without data from the peer.
@@ -518,25 +519,46 @@
 
 struct Http2Server::State : std::enable_shared_from_this<Http2Server::State> {
   State(asio::io_context& io, Http2Session::OnStream accept)
-      : acceptor(io), on_stream(std::move(accept)) {}
+      : acceptor(io), retry_timer(io), on_stream(std::move(accept)) {}
+
+  // A failed accept is repeated after a time: it fails at once again while the
+  // process has no descriptor left.
+  void RetryAccept() {
+    retry_timer.expires_after(kAcceptRetry);
+    retry_timer.async_wait([self = shared_from_this()](const auto& error) {
+      if (!error && self->acceptor.is_open()) self->Accept();
+    });
+  }
 
   void Accept() {
     acceptor.async_accept(
         [self = shared_from_this()](const std::error_code& error,
                                     asio::ip::tcp::socket socket) {
-          if (error) return;
+          if (!self->acceptor.is_open()) return;
+          if (error) return self->RetryAccept();
+          std::erase_if(self->sessions,
+                        [](const auto& session) { return session.expired(); });
+          const bool is_full =
+              self->limit > 0 && self->sessions.size() >= self->limit;
+          if (is_full) {
+            asio::error_code ignored;
+            socket.close(ignored);
+            self->on_refused();
+            return self->Accept();
+          }
           auto impl = std::make_shared<Http2Session::Impl>(std::move(socket),
                                                            self->on_stream);
           impl->Start(/*is_server=*/true);
           self->sessions.push_back(impl);
-          std::erase_if(self->sessions,
-                        [](const auto& session) { return session.expired(); });
           self->Accept();
         });
   }
 
   asio::ip::tcp::acceptor acceptor;
+  asio::steady_timer retry_timer;
   Http2Session::OnStream on_stream;
+  std::size_t limit = 0;  // of connections; 0: none
+  std::function<void()> on_refused;
   std::vector<std::weak_ptr<Http2Session::Impl>> sessions;
 };
 
@@ -550,6 +572,12 @@
   }
 }
 
+void Http2Server::SetConnectionLimit(int limit,
+                                     std::function<void()> on_refused) {
+  state_->limit = static_cast<std::size_t>(limit);
+  state_->on_refused = std::move(on_refused);
+}
+
 absl::Status Http2Server::Listen(const Endpoint& endpoint) {
   const auto target = ToTcpEndpoint(endpoint);
   if (!target) {
@@ -576,6 +604,7 @@
 void Http2Server::StopListening() {
   asio::error_code ignored;
   state_->acceptor.close(ignored);
+  state_->retry_timer.cancel();
 }
 
 }  // namespace mangohold
--- a/src/peer/http2_session.h
+++ b/src/peer/http2_session.h
@@ -119,6 +119,9 @@
   Http2Server(const Http2Server&) = delete;
   Http2Server& operator=(const Http2Server&) = delete;
 
+  // Connections beyond `limit` are closed at once, and `on_refused` is called
+  // for each; 0: no limit.
+  void SetConnectionLimit(int limit, std::function<void()> on_refused);
   // Returns an invalid-argument status for a malformed endpoint and an
   // unavailable status if the address can't be bound.
   absl::Status Listen(const Endpoint& endpoint);
--- a/src/rank_agent_main.cc
+++ b/src/rank_agent_main.cc
@@ -31,7 +31,8 @@
                    .link_bytes_per_s = settings.link_mbps * kBytesPerMegabit},
                   counters);
   HttpServer metrics(
-      loop.io(), {.address = settings.metrics_address, .max_connections = 16},
+      loop.io(),
+      HttpServer::SmallRequests(settings.metrics_address, 16, counters),
       [&counters](const HttpRequest& /*request*/,
                   const std::shared_ptr<HttpExchange>& exchange) {
         exchange->Reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
--- a/src/spread/config_replicator.cc
+++ b/src/spread/config_replicator.cc
@@ -17,6 +17,14 @@
 constexpr Duration kPollGap = std::chrono::milliseconds(10);
 constexpr Duration kPollRetryDelay = std::chrono::milliseconds(200);
 constexpr std::size_t kMaxRequestBytes = 64U << 10U;
+// Of the requests that are being read. A process sends few at a time.
+constexpr std::size_t kMostHeldBytes = 8U << 20U;
+// What a stream holds besides its body, about.
+constexpr std::size_t kStreamBytes = 2U << 10U;
+// The buffer of a body doubles as it grows.
+constexpr std::size_t kCopiesOfBody = 2;
+// Each has a read buffer of 64 KiB; the largest fleet has 700 processes.
+constexpr int kMostConnections = 1'024;
 
 }  // namespace
 
@@ -29,6 +37,7 @@
       handlers_(std::move(handlers)),
       counters_(counters),
       replica_(options_.replica),
+      budget_({.limit = kMostHeldBytes, .reserve = kMostHeldBytes / 4}),
       server_(loop.io(),
               [this](const Http2StreamPtr& stream) { Accept(stream); }),
       random_(RandomSeed()) {}
@@ -37,6 +46,10 @@
 
 absl::Status ConfigReplicator::Start() {
   if (!options_.listen.empty()) {
+    server_.SetConnectionLimit(kMostConnections, [this] {
+      counters_.CountRefusal(Reason::kConnectionLimit);
+      Log(LogLevel::kInfo, "connection_refused", {{"limit", kMostConnections}});
+    });
     absl::Status status = server_.Listen(options_.listen);
     if (!status.ok()) return status;
   }
@@ -52,28 +65,59 @@
 }
 
 void ConfigReplicator::Accept(const Http2StreamPtr& stream) {
-  const auto body = std::make_shared<std::string>();
+  const auto incoming = std::make_shared<Incoming>();
   const std::weak_ptr<Http2Stream> weak = stream;
+  incoming->held = std::make_unique<MemoryBudget::Holder>(
+      budget_,
+      [this, weak](Eviction /*eviction*/) {
+        const auto open = weak.lock();
+        if (open != nullptr) RefuseRequest(open, Reason::kMemoryLimit);
+      },
+      Clock::now());
   stream->SetHandlers({.on_head = nullptr,
                        .on_data =
-                           [body, weak](std::string_view data) {
+                           [this, incoming, weak](std::string_view data) {
                              const auto open = weak.lock();
                              if (open == nullptr) return;
                              open->Consume(data.size());
-                             body->append(data);
-                             const bool is_too_long =
-                                 body->size() > kMaxRequestBytes;
-                             if (is_too_long) open->Reset();
+                             OnData(open, *incoming, data);
                            },
                        .on_end =
-                           [this, body, weak](const HttpFields&) {
+                           [this, incoming, weak](const HttpFields&) {
                              const auto open = weak.lock();
-                             if (open != nullptr) OnRequest(open, *body);
+                             if (open != nullptr) {
+                               OnRequest(open, incoming->body);
+                             }
                            },
                        .on_broken = nullptr,
                        .on_writable = nullptr});
 }
 
+void ConfigReplicator::OnData(const Http2StreamPtr& stream, Incoming& incoming,
+                              std::string_view data) {
+  const TimePoint now = Clock::now();
+  const std::size_t size = incoming.body.size() + data.size();
+  if (size > kMaxRequestBytes) {
+    return RefuseRequest(stream, Reason::kBodyTooLarge);
+  }
+  incoming.held->OnProgress(now);
+  if (!incoming.held->Resize(kStreamBytes + kCopiesOfBody * size, now)) {
+    return RefuseRequest(stream, Reason::kMemoryLimit);
+  }
+  incoming.body.append(data);
+}
+
+// The reset frees what the request holds.
+void ConfigReplicator::RefuseRequest(const Http2StreamPtr& stream,
+                                     Reason reason) {
+  counters_.CountRefusal(reason);
+  Log(LogLevel::kInfo, "body_refused",
+      {{"reason", Name(reason)},
+       {"held_bytes", budget_.bytes()},
+       {"holders", budget_.holders()}});
+  stream->Reset();
+}
+
 void ConfigReplicator::OnRequest(const Http2StreamPtr& stream,
                                  const std::string& body) {
   const auto request = DecodeSyncRequest(body);
--- a/src/spread/config_replicator.h
+++ b/src/spread/config_replicator.h
@@ -7,6 +7,8 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <string>
+#include <string_view>
 #include <vector>
 
 #include "absl/status/status.h"
@@ -14,6 +16,7 @@
 #include "core/counters.h"
 #include "core/random.h"
 #include "net/event_loop.h"
+#include "net/memory_budget.h"
 #include "peer/http2_session.h"
 #include "peer/peer_link.h"
 #include "platform/platform_client.h"
@@ -75,7 +78,16 @@
     TimePoint arrived_at;
   };
 
+  // A request of which a part has arrived.
+  struct Incoming {
+    std::string body;
+    std::unique_ptr<MemoryBudget::Holder> held;
+  };
+
   void Accept(const Http2StreamPtr& stream);
+  void OnData(const Http2StreamPtr& stream, Incoming& incoming,
+              std::string_view data);
+  void RefuseRequest(const Http2StreamPtr& stream, Reason reason);
   void OnRequest(const Http2StreamPtr& stream, const std::string& body);
   void Reply(const HeldRequest& held);
   void ReplyToHeldRequests();
@@ -95,6 +107,7 @@
   Handlers handlers_;
   Counters& counters_;
   ConfigReplica replica_;
+  MemoryBudget budget_;  // of peers' requests; outlives their streams
   Http2Server server_;
   Random random_;
   std::map<Endpoint, PeerLinkPtr> links_;
