--- a/src/core/process_settings.cc
+++ b/src/core/process_settings.cc
@@ -8,6 +8,8 @@
 constexpr Range kLeaveLimitMs = {100, 3'600'000};
 constexpr Range kLinkMbps = {1, 1'000'000};
 constexpr Range kCpuShare = {0, 1'000};
+constexpr Range kMemoryMb = {0, 1'000'000};
+constexpr Range kMaxDescriptors = {0, 10'000'000};
 
 void ReadLogLevel(ObjectReader& reader, LogLevel& target) {
   int level = static_cast<int>(target);
@@ -31,6 +33,8 @@
   ReadProcess(reader, settings);
   reader.OptionalMillis("leave_limit_ms", settings.leave_limit, kLeaveLimitMs);
   reader.Optional("seeds", settings.seeds);
+  reader.Optional("memory_mb", settings.memory_mb, kMemoryMb);
+  reader.Optional("max_descriptors", settings.max_descriptors, kMaxDescriptors);
 }
 
 void ReadEndpoint(ObjectReader& reader, std::string_view name,
@@ -125,9 +129,7 @@
         ReadEndpoint(reader, "directory_address", settings.directory_address);
         reader.Optional("max_connections", settings.max_connections,
                         {1, 1'000'000});
-        reader.Optional("memory_mb", settings.memory_mb, {0, 1'000'000'000});
-        reader.Optional("max_descriptors", settings.max_descriptors,
-                        {0, 1'000'000'000});
+        ReadMachineLimits(reader, settings);
         reader.OptionalMillis("address_max_age_ms", settings.address_max_age,
                               {100, 60'000});
         reader.Optional("most_direct_followers", settings.most_direct_followers,
