--- a/src/core/process_settings.cc
+++ b/src/core/process_settings.cc
@@ -27,14 +27,20 @@
   ReadLogLevel(reader, settings.log_level);
 }
 
+// Reads what the machine has; 0: unknown.
+template <typename Settings>
+void ReadMachineLimits(ObjectReader& reader, Settings& settings) {
+  reader.Optional("memory_mb", settings.memory_mb, kMemoryMb);
+  reader.Optional("max_descriptors", settings.max_descriptors, kMaxDescriptors);
+}
+
 // Reads the members that entries and agents have in common.
 template <typename Settings>
 void ReadCommon(ObjectReader& reader, Settings& settings) {
   ReadProcess(reader, settings);
+  ReadMachineLimits(reader, settings);
   reader.OptionalMillis("leave_limit_ms", settings.leave_limit, kLeaveLimitMs);
   reader.Optional("seeds", settings.seeds);
-  reader.Optional("memory_mb", settings.memory_mb, kMemoryMb);
-  reader.Optional("max_descriptors", settings.max_descriptors, kMaxDescriptors);
 }
 
 void ReadEndpoint(ObjectReader& reader, std::string_view name,
