--- a/src/routing/backend_choice.cc
+++ b/src/routing/backend_choice.cc
@@ -14,6 +14,51 @@
 constexpr double kMinFreeSlots = 0.05;
 // Random noise lets entries break ties in different ways, in requests.
 constexpr double kNoise = 0.1;
+// Weight of all holders of a prefix together, relative to all other backends,
+// if they are idle and the prefix saves as much as one request costs.
+constexpr double kHolderPreference = 4;
+// Part of the holders' slots up to which they are preferred. The rest is for
+// what peers have sent there and this entry does not know yet.
+constexpr double kMaxHolderLoad = 0.6;
+
+// Returns the factors by which a cached prefix raises the weights of the draw;
+// none if it raises none. A backend is preferred as long as the saving exceeds
+// its load above the mean. All of them are preferred alike, in proportion to
+// the room that they have together: weights that fall with a backend's own load
+// more steeply than its free capacity make entries move all at once, by reports
+// that are late.
+std::vector<double> HolderFactors(const BackendCandidates& candidates) {
+  const bool has_saving = std::ranges::any_of(
+      candidates, [](const BackendCandidate& c) { return c.saving > 0; });
+  if (!has_saving) return {};
+  const auto count = static_cast<double>(candidates.size());
+  double mean_cost = 0;
+  for (const BackendCandidate& candidate : candidates) {
+    mean_cost += candidate.cost / count;
+  }
+  const auto is_preferred = [mean_cost](const BackendCandidate& candidate) {
+    return candidate.saving > std::max(0.0, candidate.cost - mean_cost);
+  };
+  double holders = 0;
+  double cost = 0;
+  double slots = 0;
+  for (const BackendCandidate& candidate : candidates) {
+    if (!is_preferred(candidate)) continue;
+    ++holders;
+    cost += candidate.cost;
+    slots += candidate.slots;
+  }
+  if (holders == 0 || slots <= 0) return {};
+  const double room = std::clamp(1 - cost / slots / kMaxHolderLoad, 0.0, 1.0);
+  const double preference =
+      kHolderPreference * room * (count - holders) / holders;
+  std::vector<double> factors;
+  for (const BackendCandidate& candidate : candidates) {
+    const double saving = is_preferred(candidate) ? candidate.saving : 0;
+    factors.push_back(1 + preference * saving);
+  }
+  return factors;
+}
 
 }  // namespace
 
@@ -22,7 +67,8 @@
   std::optional<std::size_t> best;
   double best_cost = std::numeric_limits<double>::max();
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const double cost = candidates[i].cost + random.Unit() * kNoise;
+    const double cost =
+        candidates[i].cost - candidates[i].saving + random.Unit() * kNoise;
     if (cost >= best_cost) continue;
     best = i;
     best_cost = cost;
@@ -32,10 +78,13 @@
 
 std::optional<std::size_t> DrawByFreeCapacity(
     const BackendCandidates& candidates, Random& random) {
+  const std::vector<double> factors = HolderFactors(candidates);
   std::vector<double> weights;
   double sum = 0;
-  for (const BackendCandidate& candidate : candidates) {
-    sum += std::max(kMinFreeSlots, candidate.slots - candidate.cost);
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const double free =
+        std::max(kMinFreeSlots, candidates[i].slots - candidates[i].cost);
+    sum += factors.empty() ? free : free * factors[i];
     weights.push_back(sum);
   }
   const auto drawn = std::ranges::upper_bound(weights, random.Unit() * sum);
