Prefer backend servers that have cached the beginning of a prompt

Requests state the shared parts of their prompt, but the direct way sends them without regard to which server has read these parts before.

The adapter decodes the parts with their token counts, the dispatcher takes the saving as a part of the cost of a server, and learns from the time to the first event. New setting prompt_retention_s (0: off, the default), counters prompt_cache_hits and prompt_tokens_held, the gauge prefix_gain_permille and held_tokens in the line attempt_sent. Entries report nothing of this to each other, and the way through agents keeps its own table.

--- a/bench/routing_bench.cc
+++ b/bench/routing_bench.cc
@@ -1,6 +1,7 @@
 // The time of one routing decision over a fleet's worth of servers.
 #include <benchmark/benchmark.h>
 
+#include "routing/prompt_cache.h"
 #include "routing/router.h"
 
 namespace mangohold {
@@ -42,6 +43,47 @@
 }
 BENCHMARK(BenchChoose)->Args({600, 0})->Args({600, 50})->Args({600, 95});
 
+// A prompt with three shared parts, each of which `state.range(1)` of the
+// servers hold, and the saving at all servers.
+void BenchPromptCache(benchmark::State& state) {
+  const auto count = static_cast<std::uint32_t>(state.range(0));
+  const ServiceName service("model");
+  std::vector<BackendRecord> servers;
+  for (std::uint32_t i = 0; i < count; ++i) {
+    servers.push_back(
+        {.id = InstanceId("backend-" + std::to_string(i)), .service = service});
+  }
+  PromptCache cache({.retention = std::chrono::seconds(60)});
+  cache.SetServices({{.name = service,
+                      .engine = EngineFigures{.memory_tokens = 300'000,
+                                              .read_tokens_per_s = 60'000,
+                                              .usual_prompt_tokens = 800}}});
+  cache.SetServers(servers);
+  const TimePoint now{};
+  PromptPrefix prefix("large");
+  for (std::uint64_t part = 1; part <= 3; ++part) {
+    prefix.Append(PromptPart(part), 500);
+  }
+  AttemptNumber number;
+  for (std::int64_t i = 0; i < state.range(1); ++i) {
+    number = number.Next();
+    cache.OnSent({.number = number,
+                  .server = cache.IndexOf(
+                      servers[static_cast<std::size_t>(i) * 17 % count].id),
+                  .prefix = &prefix,
+                  .prompt_tokens = 2'000},
+                 now);
+    cache.OnResponseStarted(number, now);
+  }
+  for ([[maybe_unused]] auto _ : state) {
+    const auto held = cache.Find(service, prefix, now);
+    double saving = 0;
+    for (std::uint32_t i = 0; i < count; ++i) saving += held.SavingAt(i);
+    benchmark::DoNotOptimize(saving);
+  }
+}
+BENCHMARK(BenchPromptCache)->Args({600, 0})->Args({600, 8})->Args({600, 32});
+
 }  // namespace
 }  // namespace mangohold
 
--- a/src/caller/dialect.h
+++ b/src/caller/dialect.h
@@ -9,6 +9,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "net/http_message.h"
+#include "routing/prompt_prefix.h"
 #include "routing/stated_limit.h"
 
 namespace mangohold {
@@ -23,6 +24,8 @@
   std::optional<int> hinted_answer_tokens;
   // The parts of the prompt that other requests may share, in order.
   std::vector<PromptPart> shared_parts;
+  // The same with their token counts, up to the first part without one.
+  PromptPrefix prefix;
   std::string last_event_id;  // empty: from the beginning
 };
 
--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -149,7 +149,8 @@
        .is_repeatable = job_.route->IsRepeatable(),
        .has_begun = has_begun_,
        .zones = job_.zones,
-       .crash_suspect = crashes_.SuspectedRequest(BootNow())});
+       .crash_suspect = crashes_.SuspectedRequest(BootNow()),
+       .prefix = job_.fields.prefix});
   context_.request_decisions();
 }
 
@@ -161,6 +162,7 @@
   }
   phase_ = Phase::kSent;
   backend_ = *decision.backend;
+  held_tokens_ = decision.held_tokens;
   if (!PassesCrashCheck(BootNow())) {
     return EndAttempt(Dispatcher::Result::kCancelled);
   }
@@ -188,6 +190,11 @@
   sent_at_ = now;
   sent_by_ = context_.view->revision;
   LogSend(now);
+  if (held_tokens_ > 0) {
+    context_.counters.Count(Event::kPromptCacheHits);
+    context_.counters.Count(Event::kPromptTokensHeld,
+                            static_cast<std::uint64_t>(held_tokens_));
+  }
   retries_.OnSend(now);
   crashes_.OnSend(backend, events_.events(), now);
   status_ = 0;
@@ -216,6 +223,7 @@
        {"view_ms_ago", ToMillis(now - context_.view_as_of)},
        {"limit_per_s", limit ? limit->requests_per_s : -1.0},
        {"limit_ms_ago", limit ? ToMillis(limit->age) : 0},
+       {"held_tokens", held_tokens_},
        {"ms", ToMillis(now - job_.message.arrived)}});
 }
 
--- a/src/caller/forward_run.h
+++ b/src/caller/forward_run.h
@@ -110,6 +110,7 @@
   AttemptNumber attempt_;
   std::optional<Reason> retry_reason_;  // of the attempt before; absent: none
   BackendRecord backend_;  // of the attempt in progress, or the last one
+  int held_tokens_ = 0;    // of the prompt, which it should have cached
   BackendConnection::Ptr connection_;
   std::vector<InstanceId> tried_;
   // The first backend server that answered with a failure of its own.
--- a/src/caller/forward_server.cc
+++ b/src/caller/forward_server.cc
@@ -1,6 +1,7 @@
 #include "caller/forward_server.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "core/log.h"
@@ -268,6 +269,9 @@
   const PoisonReport poison = NextPoisonReport(is_full_round, now);
   const auto limits = context_.dispatcher.LimitReports(!is_full_round, now);
   context_.counters.Set(Gauge::kBackendsLimited, context_.dispatcher.limited());
+  context_.counters.Set(
+      Gauge::kPrefixGainPermille,
+      std::lround(context_.dispatcher.prompt_cache().MaxGain() * 1'000));
   for (auto& outgoing : gossip_.NextRound(state, now)) {
     outgoing.message.poison = poison;
     outgoing.message.limits = limits;
--- a/src/core/counters.cc
+++ b/src/core/counters.cc
@@ -40,7 +40,9 @@
                    "sent_to_leaving",
                    "retries_denied",
                    "backend_entries_ignored",
-                   "limits_unreadable"};
+                   "limits_unreadable",
+                   "prompt_cache_hits",
+                   "prompt_tokens_held"};
 
 constexpr std::array<std::string_view, static_cast<int>(Gauge::kCount)>
     kGaugeNames = {"in_flight",
@@ -52,7 +54,8 @@
                    "prompt_parts_blocked",
                    "requests_blocked",
                    "backends_limited",
-                   "retry_tokens"};
+                   "retry_tokens",
+                   "prefix_gain_permille"};
 
 constexpr std::array<std::string_view, static_cast<int>(DepartureWay::kCount)>
     kWayNames = {"store", "watcher", "answer"};
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -40,6 +40,8 @@
   kRetriesDenied,  // by the budget
   kBackendEntriesIgnored,
   kLimitsUnreadable,  // request limits that backend servers stated
+  kPromptCacheHits,   // requests to a server that should hold their beginning
+  kPromptTokensHeld,  // prompt tokens of these that it should hold
   kCount
 };
 
@@ -53,8 +55,9 @@
   kKeptAnswerBytes,
   kPromptPartsBlocked,
   kRequestsBlocked,
-  kBackendsLimited,  // by a request limit that they state
-  kRetryTokens,      // retries that may be made at once, of all services
+  kBackendsLimited,     // by a request limit that they state
+  kRetryTokens,         // retries that may be made at once, of all services
+  kPrefixGainPermille,  // learnt part of the predicted saving that comes true
   kCount
 };
 
--- a/src/core/process_settings.cc
+++ b/src/core/process_settings.cc
@@ -136,6 +136,8 @@
         reader.Optional("retry_window_s", settings.retry_window_s, kSeconds);
         reader.Optional("cold_overrun", settings.cold_overrun, {0, 100});
         reader.Optional("cold_slack", settings.cold_slack, kCount);
+        reader.Optional("prompt_retention_s", settings.prompt_retention_s,
+                        kSeconds);
         reader.Optional("regions", settings.regions);
       });
 }
--- a/src/core/process_settings.h
+++ b/src/core/process_settings.h
@@ -77,6 +77,9 @@
   // some more, in a second.
   double cold_overrun = 1;
   double cold_slack = 0;
+  // Time for which engines are believed to keep the beginning of a prompt after
+  // its last use; 0: they keep none.
+  double prompt_retention_s = 0;
   std::map<std::string, std::string> regions;  // of the zones, by zone
 };
 
--- a/src/direct_entry_main.cc
+++ b/src/direct_entry_main.cc
@@ -53,7 +53,9 @@
        .dispatcher = {.zone = settings.zone,
                       .seed = RandomSeed(),
                       .cold_overrun = settings.cold_overrun,
-                      .cold_slack = settings.cold_slack},
+                      .cold_slack = settings.cold_slack,
+                      .prompt_cache = {.retention = FromSeconds(
+                                           settings.prompt_retention_s)}},
        .budget = {.ratio = settings.retry_ratio,
                   .slack = settings.retry_slack,
                   .window = FromSeconds(settings.retry_window_s)},
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -36,12 +36,21 @@
   return before + kSmoothing * (value - before);
 }
 
+// True if the backend may have lost what it had in memory.
+bool MayHaveCrashed(Dispatcher::Result result) {
+  return result == Dispatcher::Result::kFailed ||
+         result == Dispatcher::Result::kRequestFault ||
+         result == Dispatcher::Result::kUnreachable ||
+         result == Dispatcher::Result::kAddressReused;
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(Options options)
     : options_(std::move(options)),
       random_(options_.seed),
-      limits_(options_.limits) {}
+      limits_(options_.limits),
+      prompt_cache_(options_.prompt_cache) {}
 
 void Dispatcher::SetBackends(const std::vector<BackendRecord>& backends,
                              TimePoint now) {
@@ -69,6 +78,10 @@
     backend.gate->stuck_detector().Forget(item.first);
     return true;
   });
+  prompt_cache_.SetServers(backends);
+  for (auto& [id, backend] : backends_) {
+    backend.cache_index = prompt_cache_.IndexOf(id);
+  }
   UpdateAllQuotas();
 }
 
@@ -77,6 +90,7 @@
   for (const ServiceSpec& service : services) {
     services_[service.name] = service;
   }
+  prompt_cache_.SetServices(services);
   UpdateAllQuotas();
 }
 
@@ -272,13 +286,16 @@
 std::optional<std::size_t> Dispatcher::ChooseAmong(
     const std::vector<Backend*>& eligible, const Query& query, TimePoint now) {
   const double min_gap = MinEventGap(query.service, now);
+  const PromptCache::Held held =
+      prompt_cache_.Find(query.service, query.prefix, now);
   BackendCandidates candidates;
   candidates.reserve(eligible.size());
   for (const Backend* backend : eligible) {
     candidates.push_back({.id = backend->record.id.value(),
                           .cost = CostOf(*backend, query, min_gap, now),
                           .slots = backend->record.slots,
-                          .suspects = backend->own_suspects});
+                          .suspects = backend->own_suspects,
+                          .saving = held.SavingAt(backend->cache_index)});
   }
   if (query.crash_suspect) {
     return ChooseForSuspect(candidates, *query.crash_suspect);
@@ -419,6 +436,14 @@
 
 Dispatcher::Decision Dispatcher::Send(const Query& query, Backend& backend,
                                       TimePoint now) {
+  const int held_tokens =
+      prompt_cache_.OnSent({.number = query.number,
+                            .server = backend.cache_index,
+                            .prefix = &query.prefix,
+                            .prompt_tokens = query.prompt_tokens,
+                            .load = RequestsInProgress(backend, now),
+                            .entries = entry_quota_.entries()},
+                           now);
   ++backend.own_requests;
   backend.own_prefill_tokens += query.prompt_tokens;
   backend.own_suspects += query.crash_suspect ? 1 : 0;
@@ -431,7 +456,9 @@
                          .prefill_tokens = query.prompt_tokens,
                          .is_suspect = query.crash_suspect.has_value(),
                          .at = now};
-  return {.number = query.number, .backend = backend.record};
+  return {.number = query.number,
+          .backend = backend.record,
+          .held_tokens = held_tokens};
 }
 
 Dispatcher::Decision Dispatcher::Refuse(const Query& query, Reason reason,
@@ -556,6 +583,7 @@
 void Dispatcher::OnResponseStarted(AttemptNumber number, TimePoint now) {
   const auto it = sent_.find(number);
   if (it == sent_.end()) return;
+  prompt_cache_.OnResponseStarted(number, now);
   const auto backend = backends_.find(it->second.backend);
   if (backend != backends_.end()) {
     it->second.gate->OnResponseStarted(it->second.backend, it->second.at, now);
@@ -580,6 +608,8 @@
   const Sent sent = it->second;
   sent_.erase(it);
   sent.gate->OnEnded(number);
+  prompt_cache_.OnEnded(number);
+  if (MayHaveCrashed(result)) prompt_cache_.Forget(sent.backend);
   const auto found = backends_.find(sent.backend);
   if (found == backends_.end()) return;
   Backend& backend = found->second;
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -29,6 +29,7 @@
 #include "routing/entry_quota.h"
 #include "routing/expected_wait.h"
 #include "routing/group_gate.h"
+#include "routing/prompt_cache.h"
 #include "routing/sliding_count.h"
 #include "routing/stated_limit.h"
 #include "store/backend_record.h"
@@ -57,6 +58,7 @@
     BackendRateLimits::Options limits;
     Ejection::Options ejection;
     GroupGate::Options gate;
+    PromptCache::Options prompt_cache;
     // Maximum fraction of a service's backends that are ejected at a time.
     double max_ejected_fraction = 0.5;
     // Cost added to backends in other zones, in requests.
@@ -95,12 +97,15 @@
     // without other such requests, so that they don't share the blame again,
     // and all its copies to the same one.
     std::optional<RequestDigest> crash_suspect;
+    PromptPrefix prefix;  // empty: not stated
   };
   struct Decision {
     AttemptNumber number;
     std::optional<BackendRecord> backend;  // absent: the attempt is refused
     Reason reason = Reason::kNone;         // of a refusal
     Millis retry_after{0};                 // of a refusal
+    // Tokens of the prompt that the backend is believed to have cached.
+    int held_tokens = 0;
   };
   enum class Result {
     kServed,
@@ -195,6 +200,7 @@
   std::size_t waiting() const { return waiting_.size(); }
   int sent() const { return static_cast<int>(sent_.size()); }
   std::size_t backends() const { return backends_.size(); }
+  const PromptCache& prompt_cache() const { return prompt_cache_; }
 
  private:
   struct PeerShare {
@@ -222,6 +228,7 @@
     double service_seconds = 0;  // smoothed; 0: none served yet
     // The same for the slow ones: follows a longer time at once.
     double slow_service_seconds = 0;
+    PromptCache::ServerIndex cache_index = PromptCache::kUnknownServer;
   };
   struct Sent {
     InstanceId backend;
@@ -305,6 +312,7 @@
   EntryQuota entry_quota_;
   BackendNotices notices_;
   BackendRateLimits limits_;
+  PromptCache prompt_cache_;
   std::unordered_map<InstanceId, Backend> backends_;
   std::map<ServiceName, std::vector<InstanceId>> by_service_;
   std::map<ServiceName, ServiceSpec> services_;
