--- a/src/core/counters.cc
+++ b/src/core/counters.cc
@@ -41,7 +41,9 @@
                    "retries_denied",
                    "backend_entries_ignored",
                    "limits_unreadable",
-                   "accepts_failed"};
+                   "accepts_failed",
+                   "prompt_cache_hits",
+                   "prompt_tokens_held"};
 
 constexpr std::array<std::string_view, static_cast<int>(Gauge::kCount)>
     kGaugeNames = {"in_flight",
@@ -55,7 +57,8 @@
                    "backends_limited",
                    "retry_tokens",
                    "budget_bytes",
-                   "caller_connections"};
+                   "caller_connections",
+                   "prefix_gain_permille"};
 
 constexpr std::array<std::string_view, static_cast<int>(DepartureWay::kCount)>
     kWayNames = {"store", "watcher", "answer"};
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -41,6 +41,8 @@
   kBackendEntriesIgnored,
   kLimitsUnreadable,  // request limits that backend servers stated
   kAcceptsFailed,
+  kPromptCacheHits,   // requests to a server that should hold their beginning
+  kPromptTokensHeld,  // prompt tokens of these that it should hold
   kCount
 };
 
@@ -58,6 +60,7 @@
   kRetryTokens,      // retries that may be made at once, of all services
   kBudgetBytes,      // held in memory for requests and connections
   kCallerConnections,
+  kPrefixGainPermille,  // learnt part of the predicted saving that comes true
   kCount
 };
 
--- a/src/routing/backend_cost.cc
+++ b/src/routing/backend_cost.cc
@@ -43,10 +43,12 @@
   BackendCandidates candidates;
   candidates.reserve(backends.size());
   for (const TrackedBackend* backend : backends) {
-    candidates.push_back({.id = backend->record.id.value(),
-                          .cost = CostOf(*backend, query, factors, now),
-                          .slots = UsableSlots(*backend, now),
-                          .suspects = backend->own_prefill.suspects});
+    candidates.push_back(
+        {.id = backend->record.id.value(),
+         .cost = CostOf(*backend, query, factors, now),
+         .slots = UsableSlots(*backend, now),
+         .suspects = backend->own_prefill.suspects,
+         .saving = factors.held.SavingAt(backend->cache_index)});
   }
   return candidates;
 }
--- a/src/routing/backend_cost.h
+++ b/src/routing/backend_cost.h
@@ -9,6 +9,7 @@
 #include "routing/backend_choice.h"
 #include "routing/backend_table.h"
 #include "routing/dispatch_query.h"
+#include "routing/prompt_cache.h"
 #include "routing/tracked_backend.h"
 
 namespace mangohold {
@@ -20,6 +21,8 @@
   double min_event_gap = 0;
   ZoneName own_zone;
   double zone_penalty = 0;  // of backends in other zones, in requests
+  // What the backends have cached of the request's prompt.
+  PromptCache::Held held;
 };
 
 // Cost of sending the request to the backend, in units of one request in
--- a/src/routing/dispatch_query.h
+++ b/src/routing/dispatch_query.h
@@ -9,6 +9,7 @@
 #include "core/ids.h"
 #include "core/outcome.h"
 #include "routing/group_gate.h"
+#include "routing/prompt_prefix.h"
 #include "store/backend_record.h"
 
 namespace mangohold {
@@ -42,6 +43,7 @@
   // without other such requests, so that they don't share the blame again,
   // and all its copies to the same one.
   std::optional<RequestDigest> crash_suspect;
+  PromptPrefix prefix;  // empty: not stated
 };
 
 struct DispatchDecision {
@@ -49,6 +51,8 @@
   std::optional<BackendRecord> backend;  // absent: the attempt is refused
   Reason reason = Reason::kNone;         // of a refusal
   Millis retry_after{0};                 // of a refusal
+  // Tokens of the prompt that the backend is believed to have cached.
+  int held_tokens = 0;
 };
 
 }  // namespace mangohold
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -21,25 +21,37 @@
           .max_ejected_fraction = options.max_ejected_fraction};
 }
 
+// True if the backend may have lost what it had in memory.
+bool MayHaveCrashed(Dispatcher::Result result) {
+  return result == Dispatcher::Result::kFailed ||
+         result == Dispatcher::Result::kRequestFault ||
+         result == Dispatcher::Result::kUnreachable ||
+         result == Dispatcher::Result::kAddressReused;
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(Options options)
     : options_(std::move(options)),
       random_(options_.seed),
       limits_(options_.limits),
+      prompt_cache_(options_.prompt_cache),
       table_(TableOptions(options_)) {}
 
 void Dispatcher::SetBackends(const std::vector<BackendRecord>& backends,
                              TimePoint now) {
   table_.SetBackends(backends);
+  prompt_cache_.SetServers(backends);
   for (const BackendRecord& record : backends) {
     notices_.OnListed(record.id, record.stamp.started_ms);
     limits_.OnListed(record.id, record.stamp.started_ms, now);
+    table_.Find(record.id)->cache_index = prompt_cache_.IndexOf(record.id);
   }
 }
 
 void Dispatcher::SetServices(const std::vector<ServiceSpec>& services) {
   table_.SetServices(services);
+  prompt_cache_.SetServices(services);
 }
 
 void Dispatcher::SetEntries(const InstanceId& self,
@@ -124,7 +136,8 @@
       .spec = table_.SpecOf(query.service),
       .min_event_gap = table_.MinEventGap(query.service, now),
       .own_zone = options_.zone,
-      .zone_penalty = options_.zone_penalty};
+      .zone_penalty = options_.zone_penalty,
+      .held = prompt_cache_.Find(query.service, query.prefix, now)};
   const auto candidates = CandidatesFor(query, eligible, factors, now);
   if (query.crash_suspect) {
     return ChooseForSuspect(candidates, *query.crash_suspect);
@@ -139,6 +152,14 @@
                                       TrackedBackend& backend, TimePoint now) {
   const PrefillLoad prefill = {.tokens = query.prompt_tokens,
                                .suspects = query.crash_suspect ? 1 : 0};
+  const int held_tokens =
+      prompt_cache_.OnSent({.number = query.number,
+                            .server = backend.cache_index,
+                            .prefix = &query.prefix,
+                            .prompt_tokens = query.prompt_tokens,
+                            .load = backend.RequestsInProgress(now),
+                            .entries = table_.entry_quota().entries()},
+                           now);
   ++backend.own_requests;
   backend.own_prefill += prefill;
   backend.recent.Add(now);
@@ -149,7 +170,9 @@
                          .gate = backend.gate,
                          .prefill = prefill,
                          .at = now};
-  return {.number = query.number, .backend = backend.record};
+  return {.number = query.number,
+          .backend = backend.record,
+          .held_tokens = held_tokens};
 }
 
 const Dispatcher::Sent* Dispatcher::FindSent(AttemptNumber number) const {
@@ -216,6 +239,7 @@
 void Dispatcher::OnResponseStarted(AttemptNumber number, TimePoint now) {
   const auto it = sent_.find(number);
   if (it == sent_.end()) return;
+  prompt_cache_.OnResponseStarted(number, now);
   Sent& sent = it->second;
   if (TrackedBackend* backend = table_.Find(sent.backend)) {
     sent.gate->OnResponseStarted(sent.backend, sent.at, now);
@@ -229,6 +253,8 @@
   if (ended.empty()) return;
   const Sent& sent = ended.mapped();
   sent.gate->OnEnded(number);
+  prompt_cache_.OnEnded(number);
+  if (MayHaveCrashed(result)) prompt_cache_.Forget(sent.backend);
   TrackedBackend* backend = table_.Find(sent.backend);
   if (backend == nullptr) return;
   --backend->own_requests;
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -27,6 +27,7 @@
 #include "routing/dispatch_query.h"
 #include "routing/ejection.h"
 #include "routing/group_gate.h"
+#include "routing/prompt_cache.h"
 #include "routing/stated_limit.h"
 #include "routing/tracked_backend.h"
 #include "routing/waiting_queue.h"
@@ -48,6 +49,7 @@
     BackendRateLimits::Options limits;
     Ejection::Options ejection;
     GroupGate::Options gate;
+    PromptCache::Options prompt_cache;
     // Maximum fraction of a service's backends that are ejected at a time.
     double max_ejected_fraction = 0.5;
     // Cost added to backends in other zones, in requests.
@@ -150,6 +152,7 @@
   std::size_t waiting() const { return waiting_.size(); }
   int sent() const { return static_cast<int>(sent_.size()); }
   std::size_t backends() const { return table_.size(); }
+  const PromptCache& prompt_cache() const { return prompt_cache_; }
 
  private:
   struct Sent {
@@ -187,6 +190,7 @@
   Random random_;
   BackendNotices notices_;
   BackendRateLimits limits_;
+  PromptCache prompt_cache_;
   BackendTable table_;
   WaitingQueue waiting_;
   std::map<AttemptNumber, Sent> sent_;
--- a/src/routing/tracked_backend.h
+++ b/src/routing/tracked_backend.h
@@ -8,6 +8,7 @@
 #include "routing/backend_quotas.h"
 #include "routing/ejection.h"
 #include "routing/group_gate.h"
+#include "routing/prompt_cache.h"
 #include "routing/sliding_count.h"
 #include "store/backend_record.h"
 
@@ -59,6 +60,7 @@
   BackendQuotas quotas;
   Ejection ejection;
   ServiceTime service_time;
+  PromptCache::ServerIndex cache_index = PromptCache::kUnknownServer;
 
   // Load caused by all entries.
   int RequestsInProgress(TimePoint now) const;
