Add limits by the promised gap and a reserve for urgent requests, off by default

Cause: under heavy load all streams of a group are late, since its passes take longer than the gap that routes call on time, and the most urgent kind is served no better than the least urgent, since each entry orders only its own queue.

Change: routing/pass_limit and routing/priority_reserve lower the slots that an entry takes a backend to have. The settings pass_gap_fraction and priority_reserve turn them on; both are 0, so that every decision is as before.

--- a/src/config/deployment.h
+++ b/src/config/deployment.h
@@ -80,6 +80,8 @@
   int max_connections = 0;  // of all callers of one backend server; 0: unknown
   Millis cold_start{0};
   double cold_per_s = 0;  // requests that a cold backend server bears; 0: any
+  // The shortest `target_gap` of the routes that lead here; 0: none.
+  Millis target_gap{0};
   std::optional<EngineFigures> engine;
 };
 
--- a/src/config/route_table.cc
+++ b/src/config/route_table.cc
@@ -14,10 +14,29 @@
   return out;
 }
 
+bool LeadsTo(const Route& route, const ServiceName& service) {
+  return std::ranges::find(route.shares, service, &RouteShare::service) !=
+         route.shares.end();
+}
+
+// The shortest gap between events that a route to the service calls on time.
+Millis ShortestGap(const Deployment& deployment, const ServiceName& service) {
+  Millis shortest{0};
+  for (const Route& route : deployment.routes) {
+    if (route.target_gap <= Millis(0) || !LeadsTo(route, service)) continue;
+    shortest = shortest == Millis(0) ? route.target_gap
+                                     : std::min(shortest, route.target_gap);
+  }
+  return shortest;
+}
+
 }  // namespace
 
 RouteTable::RouteTable(Deployment deployment)
     : deployment_(std::move(deployment)) {
+  for (ServiceSpec& service : deployment_.services) {
+    service.target_gap = ShortestGap(deployment_, service.name);
+  }
   for (const Route& route : deployment_.routes) {
     routes_[NormalizedHost(route.host)][route.prefix] = &route;
   }
--- a/src/core/process_settings.cc
+++ b/src/core/process_settings.cc
@@ -148,6 +148,9 @@
         reader.Optional("retry_window_s", settings.retry_window_s, kSeconds);
         reader.Optional("cold_overrun", settings.cold_overrun, {0, 100});
         reader.Optional("cold_slack", settings.cold_slack, kCount);
+        reader.Optional("pass_gap_fraction", settings.pass_gap_fraction,
+                        {0, 1});
+        reader.Optional("priority_reserve", settings.priority_reserve, {0, 1});
         reader.Optional("prompt_retention_s", settings.prompt_retention_s,
                         kSeconds);
         reader.Optional("regions", settings.regions);
--- a/src/core/process_settings.h
+++ b/src/core/process_settings.h
@@ -84,6 +84,11 @@
   // some more, in a second.
   double cold_overrun = 1;
   double cold_slack = 0;
+  // Fraction of the longest gap on time between events that a pass of a group
+  // may take, by which requests are limited; 0: they aren't.
+  double pass_gap_fraction = 0;
+  // Fraction of the slots kept for more urgent requests at the most.
+  double priority_reserve = 0;
   // Time for which engines are believed to keep the beginning of a prompt after
   // its last use; 0: they keep none.
   double prompt_retention_s = 0;
--- a/src/direct_entry_main.cc
+++ b/src/direct_entry_main.cc
@@ -55,12 +55,15 @@
        .max_connections = settings.max_connections,
        .memory_mb = settings.memory_mb,
        .max_descriptors = settings.max_descriptors,
-       .dispatcher = {.zone = settings.zone,
-                      .seed = RandomSeed(),
-                      .cold_overrun = settings.cold_overrun,
-                      .cold_slack = settings.cold_slack,
-                      .prompt_cache = {.retention = FromSeconds(
-                                           settings.prompt_retention_s)}},
+       .dispatcher =
+           {.zone = settings.zone,
+            .seed = RandomSeed(),
+            .cold_overrun = settings.cold_overrun,
+            .cold_slack = settings.cold_slack,
+            .pass_limit = {.gap_fraction = settings.pass_gap_fraction},
+            .priority_reserve = {.max_fraction = settings.priority_reserve},
+            .prompt_cache = {.retention =
+                                 FromSeconds(settings.prompt_retention_s)}},
        .budget = {.ratio = settings.retry_ratio,
                   .slack = settings.retry_slack,
                   .window = FromSeconds(settings.retry_window_s)},
--- a/src/routing/backend_cost.cc
+++ b/src/routing/backend_cost.cc
@@ -46,7 +46,7 @@
     candidates.push_back(
         {.id = backend->record.id.value(),
          .cost = CostOf(*backend, query, factors, now),
-         .slots = UsableSlots(*backend, now),
+         .slots = UsableSlots(*backend),
          .suspects = backend->own_prefill.suspects,
          .saving = factors.held.SavingAt(backend->cache_index)});
   }
--- a/src/routing/backend_table.cc
+++ b/src/routing/backend_table.cc
@@ -3,6 +3,18 @@
 #include <algorithm>
 
 namespace mangohold {
+namespace {
+
+// The load of all backends is summed for the limits once in this time.
+constexpr Millis kPassUpdateInterval{50};
+
+// The requests that the ranks of a group have in progress.
+struct GroupLoad {
+  int requests = 0;
+  int ranks = 0;
+};
+
+}  // namespace
 
 void BackendTable::SetBackends(const std::vector<BackendRecord>& backends) {
   by_service_.clear();
@@ -70,6 +82,42 @@
   }
 }
 
+void BackendTable::UpdatePassLimits(TimePoint now) {
+  if (options_.pass_limit.gap_fraction <= 0 || now < next_pass_update_) return;
+  next_pass_update_ = now + kPassUpdateInterval;
+  ObserveGaps(now);
+  for (auto& [id, backend] : backends_) {
+    const BackendRecord& record = backend.record;
+    const ServiceSpec* spec = SpecOf(record.service);
+    const auto limit = pass_limits_.find({record.service, record.group});
+    backend.timely_requests.reset();
+    if (spec == nullptr || !spec->engine || limit == pass_limits_.end()) {
+      continue;
+    }
+    backend.timely_requests = limit->second.MaxRequests(
+        record.slots, *spec->engine, spec->target_gap, now);
+  }
+}
+
+// Tells the limits the gaps of the groups that have streamed events lately.
+void BackendTable::ObserveGaps(TimePoint now) {
+  std::map<GroupKey, GroupLoad> loads;
+  for (const auto& [id, backend] : backends_) {
+    if (!backend.is_listed || backend.gate->GapSeconds(now) <= 0) continue;
+    GroupLoad& load = loads[{backend.record.service, backend.record.group}];
+    load.requests += backend.RequestsInProgress(now);
+    ++load.ranks;
+  }
+  for (const auto& [key, load] : loads) {
+    const ServiceSpec* spec = SpecOf(key.first);
+    if (spec == nullptr || !spec->engine) continue;
+    const double mean = static_cast<double>(load.requests) / load.ranks;
+    pass_limits_.try_emplace(key, options_.pass_limit)
+        .first->second.OnGap(gates_.at(key).GapSeconds(now), mean,
+                             *spec->engine, now);
+  }
+}
+
 void BackendTable::Eject(TrackedBackend& backend, TimePoint now) {
   const auto& group = by_service_[backend.record.service];
   const auto ejected =
--- a/src/routing/backend_table.h
+++ b/src/routing/backend_table.h
@@ -18,6 +18,7 @@
 #include "routing/ejection.h"
 #include "routing/entry_quota.h"
 #include "routing/group_gate.h"
+#include "routing/pass_limit.h"
 #include "routing/tracked_backend.h"
 #include "store/backend_record.h"
 
@@ -31,6 +32,7 @@
     Duration peer_share_ttl = std::chrono::milliseconds(1'500);
     Ejection::Options ejection;
     GroupGate::Options gate;
+    PassLimit::Options pass_limit;
     // Maximum fraction of a service's backends that are ejected at a time.
     double max_ejected_fraction = 0.5;
   };
@@ -56,6 +58,10 @@
   // enough others (see `max_ejected_fraction`) remain to carry the load.
   void Eject(TrackedBackend& backend, TimePoint now);
 
+  // Limits the requests of ranks whose passes would take too long, by the gaps
+  // that were seen lately.
+  void UpdatePassLimits(TimePoint now);
+
   // The backend, or null if it is unknown.
   TrackedBackend* Find(const InstanceId& id);
   const TrackedBackend* Find(const InstanceId& id) const;
@@ -92,6 +98,7 @@
 
   void List(const BackendRecord& record);
   void RemoveUnused();
+  void ObserveGaps(TimePoint now);
   void UpdateQuotas();
 
   Options options_;
@@ -100,6 +107,8 @@
   std::map<ServiceName, std::vector<TrackedBackend*>> by_service_;
   std::map<ServiceName, ServiceSpec> services_;
   std::map<GroupKey, GroupGate> gates_;
+  std::map<GroupKey, PassLimit> pass_limits_;
+  TimePoint next_pass_update_;
 };
 
 }  // namespace mangohold
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -18,6 +18,7 @@
           .peer_share_ttl = options.peer_share_ttl,
           .ejection = options.ejection,
           .gate = options.gate,
+          .pass_limit = options.pass_limit,
           .max_ejected_fraction = options.max_ejected_fraction};
 }
 
@@ -72,9 +73,13 @@
 void Dispatcher::Withdraw(AttemptNumber number) { waiting_.Remove(number); }
 
 std::vector<Dispatcher::Decision> Dispatcher::Decide(TimePoint now) {
+  table_.UpdatePassLimits(now);
   std::vector<Decision> decisions;
   std::map<ServiceName, int> waiting_by_service;
   for (WaitingAttempt& attempt : waiting_.TakeAll(now)) {
+    if (attempt.is_new) {
+      ReserveOf(attempt.query.service).OnArrival(attempt.query.priority, now);
+    }
     int& ahead = waiting_by_service[attempt.query.service];
     if (auto decision = DecideOn(attempt, ahead, now)) {
       decisions.push_back(*std::move(decision));
@@ -123,7 +128,11 @@
 
 TrackedBackend* Dispatcher::Choose(const Query& query, TimePoint now) {
   if (!table_.HasBackends(query.service)) return nullptr;
-  const EligibilityRules rules = {.notices = notices_, .limits = limits_};
+  const EligibilityRules rules = {
+      .notices = notices_,
+      .limits = limits_,
+      .reserved_fraction =
+          ReserveOf(query.service).FractionFor(query.priority, now)};
   const auto eligible = EligibleBackends(table_, query, rules, now);
   const auto chosen = ChooseAmong(eligible, query, now);
   return chosen ? eligible[*chosen] : nullptr;
@@ -148,6 +157,11 @@
                           : DrawByFreeCapacity(candidates, random_);
 }
 
+PriorityReserve& Dispatcher::ReserveOf(const ServiceName& service) {
+  return reserves_.try_emplace(service, options_.priority_reserve)
+      .first->second;
+}
+
 Dispatcher::Decision Dispatcher::Send(const Query& query,
                                       TrackedBackend& backend, TimePoint now) {
   const PrefillLoad prefill = {.tokens = query.prompt_tokens,
@@ -165,6 +179,7 @@
   backend.recent.Add(now);
   limits_.OnSent(backend.record.id, now);
   backend.gate->OnSent(query.number);
+  ReserveOf(query.service).OnSent(query.priority);
   sent_[query.number] = {.backend = backend.record.id,
                          .service = query.service,
                          .gate = backend.gate,
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -27,6 +27,8 @@
 #include "routing/dispatch_query.h"
 #include "routing/ejection.h"
 #include "routing/group_gate.h"
+#include "routing/pass_limit.h"
+#include "routing/priority_reserve.h"
 #include "routing/prompt_cache.h"
 #include "routing/stated_limit.h"
 #include "routing/tracked_backend.h"
@@ -49,6 +51,8 @@
     BackendRateLimits::Options limits;
     Ejection::Options ejection;
     GroupGate::Options gate;
+    PassLimit::Options pass_limit;
+    PriorityReserve::Options priority_reserve;
     PromptCache::Options prompt_cache;
     // Maximum fraction of a service's backends that are ejected at a time.
     double max_ejected_fraction = 0.5;
@@ -178,6 +182,7 @@
   std::optional<std::size_t> ChooseAmong(
       const std::vector<TrackedBackend*>& eligible, const Query& query,
       TimePoint now);
+  PriorityReserve& ReserveOf(const ServiceName& service);
   Decision Send(const Query& query, TrackedBackend& backend, TimePoint now);
   // The attempt if it is in progress, or null.
   const Sent* FindSent(AttemptNumber number) const;
@@ -193,6 +198,7 @@
   PromptCache prompt_cache_;
   BackendTable table_;
   WaitingQueue waiting_;
+  std::map<ServiceName, PriorityReserve> reserves_;
   std::map<AttemptNumber, Sent> sent_;
   std::optional<LeaveTimes> leaving_;
 };
--- a/src/routing/eligibility.cc
+++ b/src/routing/eligibility.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <iterator>
 
+#include "routing/priority_reserve.h"
+
 namespace mangohold {
 namespace {
 
@@ -21,6 +23,13 @@
          backend.quotas.max_per_second;
 }
 
+bool HasFreeSlot(const TrackedBackend& backend, double reserved_fraction,
+                 TimePoint now) {
+  const int slots = UsableSlots(backend);
+  return backend.RequestsInProgress(now) <
+         slots - ReservedSlots(reserved_fraction, slots);
+}
+
 // True if this entry may send the backend a request now, whichever it is.
 bool MayGetRequests(const TrackedBackend& backend,
                     const EligibilityRules& rules, TimePoint now) {
@@ -29,9 +38,7 @@
   if (!backend.gate->MayPass(now)) return false;
   if (IsHeldBackAsSuspect(backend)) return false;
   if (!rules.notices.IsAvailable(id, now)) return false;
-  if (backend.RequestsInProgress(now) >= UsableSlots(backend, now)) {
-    return false;
-  }
+  if (!HasFreeSlot(backend, rules.reserved_fraction, now)) return false;
   if (backend.quotas.max_connections == 0) return false;
   return rules.limits.MaySend(id, now) && HasRateLeft(backend, now);
 }
--- a/src/routing/eligibility.h
+++ b/src/routing/eligibility.h
@@ -16,6 +16,8 @@
 struct EligibilityRules {
   const BackendNotices& notices;
   BackendRateLimits& limits;
+  // Fraction of its slots that a backend keeps free of the request.
+  double reserved_fraction = 0;
 };
 
 // The backends of the request's service to which it may be sent now.
--- a/src/routing/service_wait.cc
+++ b/src/routing/service_wait.cc
@@ -31,7 +31,7 @@
   const InstanceId& id = backend.record.id;
   const auto limit = limits.Find(id, now);
   if (!limit) {
-    capacity.slots += UsableSlots(backend, now);
+    capacity.slots += UsableSlots(backend);
     return;
   }
   capacity.limited_per_s += limit->own_per_s;
--- a/src/routing/tracked_backend.cc
+++ b/src/routing/tracked_backend.cc
@@ -52,8 +52,9 @@
          SumOfPeers(peers, &BackendShare::prefill_tokens, now);
 }
 
-int UsableSlots(const TrackedBackend& backend, TimePoint /*now*/) {
-  return backend.record.slots;
+int UsableSlots(const TrackedBackend& backend) {
+  const int slots = backend.record.slots;
+  return std::min(slots, backend.timely_requests.value_or(slots));
 }
 
 }  // namespace mangohold
--- a/src/routing/tracked_backend.h
+++ b/src/routing/tracked_backend.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 
 #include "core/clock.h"
 #include "core/ids.h"
@@ -58,6 +59,8 @@
   std::map<InstanceId, PeerShare> peers;
   SlidingCount recent{std::chrono::seconds(1)};  // requests sent
   BackendQuotas quotas;
+  // Requests with which its group's passes stay on time; absent: unknown.
+  std::optional<int> timely_requests;
   Ejection ejection;
   ServiceTime service_time;
   PromptCache::ServerIndex cache_index = PromptCache::kUnknownServer;
@@ -69,6 +72,6 @@
 
 // Number of requests that the backend may have in progress, from all entries
 // together. All decisions read the number of slots here.
-int UsableSlots(const TrackedBackend& backend, TimePoint now);
+int UsableSlots(const TrackedBackend& backend);
 
 }  // namespace mangohold
