Let stalled requests give way to new connections

Where every connection of the limit had begun a request and never ended it, a new one was refused for up to idle_timeout_ms, as only idle ones were closed. Now the request that has made no progress for longest, and at least for a second, goes next.

--- a/src/caller/caller_connection.h
+++ b/src/caller/caller_connection.h
@@ -84,7 +84,7 @@
   void Close();
   // No part of a request is in progress, and all is written.
   bool is_idle() const { return phase_ == Phase::kIdle && is_written(); }
-  // When it became idle, if it is.
+  // When it became idle, or when its request last made progress.
   TimePoint phase_began() const { return phase_began_; }
   bool is_closed() const { return phase_ == Phase::kClosed; }
   // A part of a request has been read.
--- a/src/caller/forward_server.cc
+++ b/src/caller/forward_server.cc
@@ -34,6 +34,9 @@
 constexpr int kReservedDescriptors = 200;
 // A caller's connection needs one to a backend server at the most.
 constexpr int kDescriptorsOfCaller = 2;
+// A request that has made no progress for this long may have to give way to a
+// new connection.
+constexpr Millis kStalled{1'000};
 
 int MostConnections(const ForwardServer::Options& options) {
   if (options.max_descriptors == 0) return options.max_connections;
@@ -42,6 +45,21 @@
   return std::clamp(by_descriptors, 1, options.max_connections);
 }
 
+// The one in its phase for longest of those that `may_close`; the end if there
+// is none.
+template <typename Connections, typename Condition>
+auto FindOldest(Connections& connections, Condition may_close) {
+  auto oldest = connections.end();
+  for (auto it = connections.begin(); it != connections.end(); ++it) {
+    if (!may_close(*it)) continue;
+    if (oldest == connections.end() ||
+        (*it)->phase_began() < (*oldest)->phase_began()) {
+      oldest = it;
+    }
+  }
+  return oldest;
+}
+
 }  // namespace
 
 ForwardServer::ForwardServer(EventLoop& loop, Options options,
@@ -143,26 +161,30 @@
   connection->Start();
 }
 
-// Closes the connection that has been idle for longest if there are too many.
+// If there are too many connections, closes the one that has been idle for
+// longest, or else the one whose request has made no progress for longest.
 bool ForwardServer::MakeRoomForConnection() {
   if (std::ssize(connections_) < options_.max_connections) return true;
   std::erase_if(connections_, [](const CallerConnection::Ptr& connection) {
     return connection->is_closed();
   });
   if (std::ssize(connections_) < options_.max_connections) return true;
-  auto oldest = connections_.end();
-  for (auto it = connections_.begin(); it != connections_.end(); ++it) {
-    if (!(*it)->is_idle()) continue;
-    if (oldest == connections_.end() ||
-        (*it)->phase_began() < (*oldest)->phase_began()) {
-      oldest = it;
-    }
+  const TimePoint now = BootNow();
+  const auto is_stalled = [now](const CallerConnection::Ptr& connection) {
+    return connection->is_reading() &&
+           now - connection->phase_began() >= kStalled;
+  };
+  auto oldest = FindOldest(connections_, [](const auto& connection) {
+    return connection->is_idle();
+  });
+  if (oldest == connections_.end()) {
+    oldest = FindOldest(connections_, is_stalled);
   }
   if (oldest == connections_.end()) return false;
   (*oldest)->Close();
   connections_.erase(oldest);
   context_.counters.CountRefusal(Reason::kConnectionLimit);
-  Log(LogLevel::kInfo, "idle_connection_closed",
+  Log(LogLevel::kInfo, "surplus_connection_closed",
       {{"connections", connections_.size()}});
   return true;
 }
--- a/tests/system/direct_memory_test.cc
+++ b/tests/system/direct_memory_test.cc
@@ -111,8 +111,8 @@
   void WriteNext() {
     const std::size_t left = body_.bytes - sent_;
     if (left == 0) return;
-    const auto piece = std::string_view(body_.piece)
-                           .substr(0, std::min(left, body_.piece.size()));
+    std::string_view piece = body_.piece;
+    piece = piece.substr(0, std::min(left, piece.size()));
     sent_ += piece.size();
     Write(piece);
   }
@@ -314,6 +314,26 @@
   std::cout << "open descriptors " << open << "\n";
 }
 
+// Guards against requests that never end and take all connections of callers.
+TEST(DirectMemory, UnendedRequestsLeaveConnectionsFree) {
+  constexpr int kMostDescriptors = 400;
+  DirectSite site({.max_descriptors = kMostDescriptors});
+  site.Start();
+  asio::io_context io;
+  auto sockets = ConnectMany(io, site.CallerAddress(0), 150);
+  for (auto& socket : sockets) {
+    std::error_code ignored;  // some have been closed
+    asio::write(socket,
+                asio::buffer(std::string("POST /again/x HTTP/1.1\r\n"
+                                         "Host: h.example\r\n"
+                                         "Content-Length: 9\r\n\r\nx")),
+                ignored);
+  }
+  std::this_thread::sleep_for(seconds(2));
+  EXPECT_EQ(site.Call("POST", "/again/x", "ordinary", "b").status, 200);
+  EXPECT_LT(OpenDescriptors(site.entry(0).pid()), kMostDescriptors);
+}
+
 // Guards against an entry that tries again and again to accept a connection
 // while it has no descriptor for one.
 TEST(DirectMemory, AcceptWithoutDescriptorsDoesNotSpin) {
