Mend what a newcomer's reading of the limits found

Cause: an agent answered "not run" for a body that it refused even if an earlier submission of its ticket may have run; a connection without a body was charged 16 KiB for one, so that idle connections alone filled the budget of a small machine; a gathered answer stayed charged after it was handed over, and a request that was held back after an attempt could not be evicted; the prompt cache chose by one rule and learnt by another; a draw could be exactly 1.

Change: each as its cause says; comments and documents that were unclear.

--- a/src/backend/agent_server.cc
+++ b/src/backend/agent_server.cc
@@ -62,6 +62,12 @@
          !FieldValue(fields, "Transfer-Encoding").empty();
 }
 
+// Only the gate knows whether an earlier submission of a ticket has run.
+bool MayHaveRun(const std::string& message) {
+  const auto request = Decode<SubmitRequest>(message);
+  return !request.ok() || !request->ticket.empty();
+}
+
 }  // namespace
 
 AgentServer::AgentServer(EventLoop& loop, Options options, Counters& counters)
@@ -209,6 +215,7 @@
 void AgentServer::RefuseBody(const Http2StreamPtr& stream, Incoming& incoming,
                              Reason reason) {
   incoming.is_refused = true;
+  const bool may_have_run = MayHaveRun(incoming.message);
   std::string().swap(incoming.body);
   std::string().swap(incoming.message);
   incoming.held->Set(0);
@@ -221,7 +228,7 @@
   if (reason == Reason::kBodyTooLarge) return stream->Reset();
   stream->SetHandlers({});
   SendReply(stream, Encode(SubmitReply{.reason = reason,
-                                       .may_have_run = false,
+                                       .may_have_run = may_have_run,
                                        .status = gate_.Status(Clock::now())}));
 }
 
--- a/src/backend/agent_server.h
+++ b/src/backend/agent_server.h
@@ -64,7 +64,8 @@
   void OnBodyData(const Http2StreamPtr& stream, Incoming& incoming,
                   std::string_view data);
   static std::size_t HeldBytes(const Incoming& incoming);
-  // Drops a request that is still being read. It has not run.
+  // Drops a request that is still being read. This submission has not run; an
+  // earlier one under its ticket may have.
   void RefuseBody(const Http2StreamPtr& stream, Incoming& incoming,
                   Reason reason);
   void Dispatch(const Http2StreamPtr& stream, Incoming& incoming);
--- a/src/caller/caller_connection.cc
+++ b/src/caller/caller_connection.cc
@@ -34,6 +34,7 @@
 
 // What a body of `bytes` uses.
 std::size_t MemoryOfBody(std::size_t bytes) {
+  if (bytes == 0) return 0;
   const std::size_t steps = (bytes + kStep - 1) / kStep;
   return kStep * (bytes > kSmallBody ? steps : std::bit_ceil(steps));
 }
--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -150,9 +150,9 @@
 }
 
 void ForwardRun::Submit() {
+  held_.Protect(has_begun_ ? Protection::kFull : Protection::kNone);
   if (!PassesCrashCheck(BootNow())) return;
   phase_ = Phase::kWaiting;
-  held_.Protect(has_begun_ ? Protection::kFull : Protection::kNone);
   attempt_ = context_.last_attempt = context_.last_attempt.Next();
   context_.dispatcher.Submit(
       {.number = attempt_,
@@ -181,7 +181,6 @@
                   decision.retry_after);
   }
   phase_ = Phase::kSent;
-  held_.Protect(Protection::kFull);
   backend_ = *decision.backend;
   held_tokens_ = decision.held_tokens;
   if (!PassesCrashCheck(BootNow())) {
@@ -194,6 +193,7 @@
     return GiveUp(policy_.GiveUpOutcome(), Reason::kConfigurationUnknown,
                   kConfirmationRetry);
   }
+  held_.Protect(Protection::kFull);
   Send(backend_);
 }
 
@@ -366,7 +366,9 @@
   relay_ = Relay::kBytes;
   has_begun_ = true;
   caller_->BeginStream(status_, answer_fields_);
-  RelayBytes(std::exchange(body_, {}));
+  const std::string gathered = std::exchange(body_, {});
+  held_.Set(BytesHeld());
+  RelayBytes(gathered);
 }
 
 void ForwardRun::DropAnswer() {
--- a/src/config/route_table.cc
+++ b/src/config/route_table.cc
@@ -19,7 +19,7 @@
          route.shares.end();
 }
 
-// The shortest gap between events that a route to the service calls on time.
+// The shortest target gap of the routes to the service; 0: none states one.
 Millis ShortestGap(const Deployment& deployment, const ServiceName& service) {
   Millis shortest{0};
   for (const Route& route : deployment.routes) {
--- a/src/core/process_settings.h
+++ b/src/core/process_settings.h
@@ -84,10 +84,12 @@
   // some more, in a second.
   double cold_overrun = 1;
   double cold_slack = 0;
-  // Fraction of the longest gap on time between events that a pass of a group
-  // may take, by which requests are limited; 0: they aren't.
+  // Longest time that a pass of a group may take, as a fraction of the shortest
+  // target gap of the routes to its service. Ranks get only so many requests;
+  // 0: no limit.
   double pass_gap_fraction = 0;
-  // Fraction of the slots kept for more urgent requests at the most.
+  // At most this fraction of each backend server's slots stays free for more
+  // urgent requests; 0: none.
   double priority_reserve = 0;
   // Time for which engines are believed to keep the beginning of a prompt after
   // its last use; 0: they keep none.
--- a/src/routing/address_choice.cc
+++ b/src/routing/address_choice.cc
@@ -107,7 +107,7 @@
 // entries begin at different times, so that answers change little by little.
 double Draw(std::string_view id, const AddressQuestion& question,
             Duration interval) {
-  constexpr int kUnusedBits = 11;  // a double holds 53
+  constexpr int kUnusedBits = 12;  // so that a double holds the rest and a half
   const std::uint64_t hash = MixedHash(StableHash(id) ^ question.seed);
   const auto length = static_cast<std::uint64_t>(interval.count());
   const auto now =
--- a/src/routing/backend_table.cc
+++ b/src/routing/backend_table.cc
@@ -90,11 +90,11 @@
     const BackendRecord& record = backend.record;
     const ServiceSpec* spec = SpecOf(record.service);
     const auto limit = pass_limits_.find({record.service, record.group});
-    backend.timely_requests.reset();
+    backend.pass_limit_slots.reset();
     if (spec == nullptr || !spec->engine || limit == pass_limits_.end()) {
       continue;
     }
-    backend.timely_requests = limit->second.MaxRequests(
+    backend.pass_limit_slots = limit->second.MaxRequests(
         record.slots, *spec->engine, spec->target_gap, now);
   }
 }
--- a/src/routing/priority_reserve.h
+++ b/src/routing/priority_reserve.h
@@ -25,7 +25,7 @@
 
   explicit PriorityReserve(Options options) : options_(options) {}
 
-  // A request arrived; 0 is the most urgent priority.
+  // An attempt of a request arrived; 0 is the most urgent priority.
   void OnArrival(int priority, TimePoint now);
   // A request of this priority was sent.
   void OnSent(int priority);
@@ -37,7 +37,9 @@
  private:
   struct Demand {
     SlidingCount arrivals;
-    int overtakes = 0;  // more urgent requests sent since the last of these
+    // More urgent requests sent since the last of these was, whether or not one
+    // was waiting.
+    int overtakes = 0;
   };
   Options options_;
   std::map<int, Demand> by_priority_;
--- a/src/routing/prompt_cache.cc
+++ b/src/routing/prompt_cache.cc
@@ -146,8 +146,8 @@
     const auto holder = std::ranges::find(holders, server, &Holder::server);
     const bool is_held =
         holder != holders.end() && IsHeld(service, *holder, level.tokens, now);
-    if (!is_held) break;
-    tokens = level.tokens;
+    // Holders of a deeper level hold the levels before it too (see Find).
+    if (is_held) tokens = level.tokens;
   }
   return tokens;
 }
--- a/src/routing/tracked_backend.cc
+++ b/src/routing/tracked_backend.cc
@@ -54,7 +54,7 @@
 
 int UsableSlots(const TrackedBackend& backend) {
   const int slots = backend.record.slots;
-  return std::min(slots, backend.timely_requests.value_or(slots));
+  return std::min(slots, backend.pass_limit_slots.value_or(slots));
 }
 
 }  // namespace mangohold
--- a/src/routing/tracked_backend.h
+++ b/src/routing/tracked_backend.h
@@ -59,8 +59,8 @@
   std::map<InstanceId, PeerShare> peers;
   SlidingCount recent{std::chrono::seconds(1)};  // requests sent
   BackendQuotas quotas;
-  // Requests with which its group's passes stay on time; absent: unknown.
-  std::optional<int> timely_requests;
+  // Slots by its group's PassLimit; absent: no limit.
+  std::optional<int> pass_limit_slots;
   Ejection ejection;
   ServiceTime service_time;
   PromptCache::ServerIndex cache_index = PromptCache::kUnknownServer;
