--- a/tests/unit/dispatcher_prefix_test.cc
+++ b/tests/unit/dispatcher_prefix_test.cc
@@ -178,8 +178,9 @@
           .zone = ZoneName("north"),
           .seed = static_cast<std::uint64_t>(i) + 1,
           .prompt_cache = {.retention = options.retention}});
-      entry.SetServices(Services(std::max(1, options.kept_prefixes) *
-                                 (options.prefix_tokens + kOtherTokens)));
+      const std::int64_t kept = std::max(1, options.kept_prefixes);
+      entry.SetServices(
+          Services(kept * (options.prefix_tokens + kOtherTokens)));
       entry.SetBackends(servers_);
       entry.SetEntries(ids[static_cast<std::size_t>(i)], ids);
     }
@@ -194,9 +195,10 @@
     for (; now_ < end; now_ += kTick) {
       RunEvents();
       if (ToMillis(now_.time_since_epoch()) % kReportMs == 0) Report();
-      for (owed += options_.requests_per_s * ToSeconds(kTick); owed >= 1;
-           --owed) {
+      owed += options_.requests_per_s * ToSeconds(kTick);
+      while (owed >= 1) {
         Request();
+        owed -= 1;
       }
     }
     return totals_;
@@ -243,6 +245,7 @@
         }
       }
       std::vector<BackendShare> shares;
+      shares.reserve(sums.size());
       for (const auto& [id, requests] : sums) {
         shares.push_back({.backend = id, .requests = requests});
       }
