Call what a server has of a prompt cached, and memory held

Cause: "held" meant a prompt in a prefix cache, bytes in the memory budget and a request that waits for a verdict, twice in one class; the same bytes were "budget_bytes" in one log line and "held_bytes" in the others.

Measured: names only; the changed files compile.

--- a/bench/routing_bench.cc
+++ b/bench/routing_bench.cc
@@ -76,9 +76,9 @@
     cache.OnResponseStarted(number, now);
   }
   for ([[maybe_unused]] auto _ : state) {
-    const auto held = cache.Find(service, prefix, now);
+    const auto cached = cache.Find(service, prefix, now);
     double saving = 0;
-    for (std::uint32_t i = 0; i < count; ++i) saving += held.SavingAt(i);
+    for (std::uint32_t i = 0; i < count; ++i) saving += cached.SavingAt(i);
     benchmark::DoNotOptimize(saving);
   }
 }
--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -40,7 +40,7 @@
       job_(std::move(job)),
       request_body_(std::make_shared<const std::string>(
           std::exchange(job_.message.body, {}))),
-      held_(
+      memory_(
           context.memory, [this](Eviction) { OnEvicted(); },
           job_.message.arrived),
       policy_({.is_repeatable = job_.route->IsRepeatable(),
@@ -54,7 +54,7 @@
                              : Millis(std::chrono::minutes(1));
   deadline_ = job_.message.arrived +
               std::min(longest, job_.fields.deadline.value_or(longest));
-  held_.Set(BytesHeld());
+  memory_.Set(BytesHeld());
 }
 
 // What a request is, whoever's attempt carries it: the same path, query,
@@ -150,7 +150,7 @@
 }
 
 void ForwardRun::Submit() {
-  held_.Protect(has_begun_ ? Protection::kFull : Protection::kNone);
+  memory_.Protect(has_begun_ ? Protection::kFull : Protection::kNone);
   if (!PassesCrashCheck(BootNow())) return;
   phase_ = Phase::kWaiting;
   attempt_ = context_.last_attempt = context_.last_attempt.Next();
@@ -182,7 +182,7 @@
   }
   phase_ = Phase::kSent;
   backend_ = *decision.backend;
-  held_tokens_ = decision.held_tokens;
+  cached_tokens_ = decision.cached_tokens;
   if (!PassesCrashCheck(BootNow())) {
     return EndAttempt(Dispatcher::Result::kCancelled);
   }
@@ -193,7 +193,7 @@
     return GiveUp(policy_.GiveUpOutcome(), Reason::kConfigurationUnknown,
                   kConfirmationRetry);
   }
-  held_.Protect(Protection::kFull);
+  memory_.Protect(Protection::kFull);
   Send(backend_);
 }
 
@@ -211,10 +211,10 @@
   sent_at_ = now;
   sent_by_ = context_.view->revision;
   LogSend(now);
-  if (held_tokens_ > 0) {
+  if (cached_tokens_ > 0) {
     context_.counters.Count(Event::kPromptCacheHits);
-    context_.counters.Count(Event::kPromptTokensHeld,
-                            static_cast<std::uint64_t>(held_tokens_));
+    context_.counters.Count(Event::kPromptTokensCached,
+                            static_cast<std::uint64_t>(cached_tokens_));
   }
   retries_.OnSend(now);
   crashes_.OnSend(backend, events_.events(), now);
@@ -244,7 +244,7 @@
        {"view_ms_ago", ToMillis(now - context_.view_as_of)},
        {"limit_per_s", limit ? limit->requests_per_s : -1.0},
        {"limit_ms_ago", limit ? ToMillis(limit->age) : 0},
-       {"held_tokens", held_tokens_},
+       {"cached_tokens", cached_tokens_},
        {"ms", ToMillis(now - job_.message.arrived)}});
 }
 
@@ -352,13 +352,13 @@
 
 void ForwardRun::Gather(std::string_view data) {
   const TimePoint now = BootNow();
-  held_.OnProgress(now);
+  memory_.OnProgress(now);
   const std::size_t size = body_.size() + data.size();
   // A growing string holds twice its size for a moment.
   const bool has_room =
-      size <= body_.capacity() || held_.Resize(BytesHeld() + 2 * size, now);
+      size <= body_.capacity() || memory_.Resize(BytesHeld() + 2 * size, now);
   body_.append(data);
-  held_.Set(BytesHeld());
+  memory_.Set(BytesHeld());
   if (has_room && size <= kMostGathered) return;
   // A failure, or what can't go on with a stream that has begun, is not worth
   // more room. Other answers go on from here; they can't be made again.
@@ -367,7 +367,7 @@
   has_begun_ = true;
   caller_->BeginStream(status_, answer_fields_);
   const std::string gathered = std::exchange(body_, {});
-  held_.Set(BytesHeld());
+  memory_.Set(BytesHeld());
   RelayBytes(gathered);
 }
 
@@ -617,7 +617,7 @@
   const TimePoint now = BootNow();
   request_body_ = std::make_shared<const std::string>();
   std::string().swap(body_);  // an assignment would keep the memory
-  held_.Set(0);
+  memory_.Set(0);
   retries_.Release(now);
   const Duration latency = now - job_.message.arrived;
   context_.counters.CountOutcome(outcome);
--- a/src/caller/forward_run.h
+++ b/src/caller/forward_run.h
@@ -107,7 +107,7 @@
   Job job_;  // its message without the body
   // Kept for a retry, and shared with the attempt that sends it.
   std::shared_ptr<const std::string> request_body_;
-  MemoryBudget::Holder held_;
+  MemoryBudget::Holder memory_;
   DirectPolicy policy_;
   RequestRetries retries_;
   CrashWatch crashes_;
@@ -117,7 +117,7 @@
   AttemptNumber attempt_;
   std::optional<Reason> retry_reason_;  // of the attempt before; absent: none
   BackendRecord backend_;  // of the attempt in progress, or the last one
-  int held_tokens_ = 0;    // of the prompt, which it should have cached
+  int cached_tokens_ = 0;  // of the prompt, which it should have cached
   BackendConnection::Ptr connection_;
   std::vector<InstanceId> tried_;
   // The first backend server that answered with a failure of its own.
--- a/src/caller/forward_server.cc
+++ b/src/caller/forward_server.cc
@@ -118,7 +118,7 @@
       {{"reason", Name(reason)},
        {"status", status},
        {"body_bytes", body_bytes},
-       {"budget_bytes", memory_.bytes()}});
+       {"held_bytes", memory_.bytes()}});
 }
 
 absl::Status ForwardServer::Start() {
@@ -195,7 +195,7 @@
   Log(LogLevel::kInfo, "connection_refused",
       {{"reason", Name(reason)},
        {"connections", connections_.size()},
-       {"budget_bytes", memory_.bytes()}});
+       {"held_bytes", memory_.bytes()}});
 }
 
 // The connection stays in the queue of the listening socket, so that another
@@ -328,7 +328,7 @@
   std::erase_if(connections_, [](const CallerConnection::Ptr& connection) {
     return connection->is_closed();
   });
-  context_.counters.Set(Gauge::kBudgetBytes,
+  context_.counters.Set(Gauge::kHeldBytes,
                         static_cast<std::int64_t>(memory_.bytes()));
   context_.counters.Set(Gauge::kCallerConnections, std::ssize(connections_));
   context_.pool.CloseUnused(now, [this](const InstanceId& id) {
--- a/src/core/counters.cc
+++ b/src/core/counters.cc
@@ -43,7 +43,7 @@
                    "limits_unreadable",
                    "accepts_failed",
                    "prompt_cache_hits",
-                   "prompt_tokens_held"};
+                   "prompt_tokens_cached"};
 
 constexpr std::array<std::string_view, static_cast<int>(Gauge::kCount)>
     kGaugeNames = {"in_flight",
@@ -56,7 +56,7 @@
                    "requests_blocked",
                    "backends_limited",
                    "retry_tokens",
-                   "budget_bytes",
+                   "held_bytes",
                    "caller_connections",
                    "prefix_gain_permille"};
 
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -41,8 +41,8 @@
   kBackendEntriesIgnored,
   kLimitsUnreadable,  // request limits that backend servers stated
   kAcceptsFailed,
-  kPromptCacheHits,   // requests to a server that should hold their beginning
-  kPromptTokensHeld,  // prompt tokens of these that it should hold
+  kPromptCacheHits,     // requests to a server that should hold their beginning
+  kPromptTokensCached,  // prompt tokens of these that it should hold
   kCount
 };
 
@@ -58,7 +58,7 @@
   kRequestsBlocked,
   kBackendsLimited,  // by a request limit that they state
   kRetryTokens,      // retries that may be made at once, of all services
-  kBudgetBytes,      // held in memory for requests and connections
+  kHeldBytes,        // held in memory for requests and connections
   kCallerConnections,
   kPrefixGainPermille,  // learnt part of the predicted saving that comes true
   kCount
--- a/src/routing/backend_cost.cc
+++ b/src/routing/backend_cost.cc
@@ -48,7 +48,7 @@
          .cost = CostOf(*backend, query, factors, now),
          .slots = UsableSlots(*backend),
          .suspects = backend->own_prefill.suspects,
-         .saving = factors.held.SavingAt(backend->cache_index)});
+         .saving = factors.cached.SavingAt(backend->cache_index)});
   }
   return candidates;
 }
--- a/src/routing/backend_cost.h
+++ b/src/routing/backend_cost.h
@@ -22,7 +22,7 @@
   ZoneName own_zone;
   double zone_penalty = 0;  // of backends in other zones, in requests
   // What the backends have cached of the request's prompt.
-  PromptCache::Held held;
+  PromptCache::CachedTokens cached;
 };
 
 // Cost of sending the request to the backend, in units of one request in
--- a/src/routing/dispatch_query.h
+++ b/src/routing/dispatch_query.h
@@ -52,7 +52,7 @@
   Reason reason = Reason::kNone;         // of a refusal
   Millis retry_after{0};                 // of a refusal
   // Tokens of the prompt that the backend is believed to have cached.
-  int held_tokens = 0;
+  int cached_tokens = 0;
 };
 
 }  // namespace mangohold
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -146,7 +146,7 @@
       .min_event_gap = table_.MinEventGap(query.service, now),
       .own_zone = options_.zone,
       .zone_penalty = options_.zone_penalty,
-      .held = prompt_cache_.Find(query.service, query.prefix, now)};
+      .cached = prompt_cache_.Find(query.service, query.prefix, now)};
   const auto candidates = CandidatesFor(query, eligible, factors, now);
   if (query.crash_suspect) {
     return ChooseForSuspect(candidates, *query.crash_suspect);
@@ -166,7 +166,7 @@
                                       TrackedBackend& backend, TimePoint now) {
   const PrefillLoad prefill = {.tokens = query.prompt_tokens,
                                .suspects = query.crash_suspect ? 1 : 0};
-  const int held_tokens =
+  const int cached_tokens =
       prompt_cache_.OnSent({.number = query.number,
                             .server = backend.cache_index,
                             .prefix = &query.prefix,
@@ -187,7 +187,7 @@
                          .at = now};
   return {.number = query.number,
           .backend = backend.record,
-          .held_tokens = held_tokens};
+          .cached_tokens = cached_tokens};
 }
 
 const Dispatcher::Sent* Dispatcher::FindSent(AttemptNumber number) const {
--- a/src/routing/prompt_cache.cc
+++ b/src/routing/prompt_cache.cc
@@ -102,8 +102,8 @@
 
 // A server with a full memory is assumed to push out what was used least
 // recently.
-bool PromptCache::IsHeld(const Service& service, const Holder& holder,
-                         int tokens, TimePoint now) const {
+bool PromptCache::IsCached(const Service& service, const Holder& holder,
+                           int tokens, TimePoint now) const {
   const Server& server = servers_[holder.server];
   if (holder.generation != server.generation) return false;
   if (holder.used + options_.retention < now) return false;
@@ -114,29 +114,30 @@
 
 // Deeper levels come later and replace what the ones before them say. The
 // holders of a deeper level hold the levels before it too.
-PromptCache::Held PromptCache::Find(const ServiceName& service,
-                                    const PromptPrefix& prefix,
-                                    TimePoint now) const {
-  Held held;
-  if (!is_on() || prefix.empty()) return held;
+PromptCache::CachedTokens PromptCache::Find(const ServiceName& service,
+                                            const PromptPrefix& prefix,
+                                            TimePoint now) const {
+  CachedTokens cached;
+  if (!is_on() || prefix.empty()) return cached;
   const Service* known = ServiceOf(service);
-  if (known == nullptr || known->gain.gain() <= 0) return held;
-  held.cost_per_token_ = known->cost_per_token * known->gain.gain();
+  if (known == nullptr || known->gain.gain() <= 0) return cached;
+  cached.cost_per_token_ = known->cost_per_token * known->gain.gain();
   for (std::size_t i = 0; i < LevelsOf(prefix); ++i) {
     const PromptPrefix::Level& level = prefix.levels()[i];
     const auto it = by_key_.find(level.key);
     if (it == by_key_.end()) break;
     for (const Holder& holder : it->second->holders) {
-      if (!IsHeld(*known, holder, level.tokens, now)) continue;
-      held.tokens_.resize(servers_.size());
-      held.tokens_[holder.server] = level.tokens;
+      if (!IsCached(*known, holder, level.tokens, now)) continue;
+      cached.tokens_.resize(servers_.size());
+      cached.tokens_[holder.server] = level.tokens;
     }
   }
-  return held;
+  return cached;
 }
 
-int PromptCache::HeldTokens(const Service& service, ServerIndex server,
-                            const PromptPrefix& prefix, TimePoint now) const {
+int PromptCache::CachedTokensAt(const Service& service, ServerIndex server,
+                                const PromptPrefix& prefix,
+                                TimePoint now) const {
   int tokens = 0;
   for (std::size_t i = 0; i < LevelsOf(prefix); ++i) {
     const PromptPrefix::Level& level = prefix.levels()[i];
@@ -144,10 +145,10 @@
     if (it == by_key_.end()) break;
     const auto& holders = it->second->holders;
     const auto holder = std::ranges::find(holders, server, &Holder::server);
-    const bool is_held =
-        holder != holders.end() && IsHeld(service, *holder, level.tokens, now);
+    const bool is_cached = holder != holders.end() &&
+                           IsCached(service, *holder, level.tokens, now);
     // Holders of a deeper level hold the levels before it too (see Find).
-    if (is_held) tokens = level.tokens;
+    if (is_cached) tokens = level.tokens;
   }
   return tokens;
 }
@@ -160,16 +161,17 @@
   const int prompt_tokens = std::max(
       {0, request.prompt_tokens,
        request.prefix->empty() ? 0 : request.prefix->levels().back().tokens});
-  const int held = HeldTokens(*service, request.server, *request.prefix, now);
+  const int cached =
+      CachedTokensAt(*service, request.server, *request.prefix, now);
   sent_[request.number] = {.server = request.server,
                            .generation = server.generation,
                            .prefix = *request.prefix,
                            .prompt_tokens = prompt_tokens,
-                           .held_tokens = held,
+                           .cached_tokens = cached,
                            .load = request.load,
                            .entries = std::max(1, request.entries),
                            .at = now};
-  return held;
+  return cached;
 }
 
 void PromptCache::OnResponseStarted(AttemptNumber number, TimePoint now) {
@@ -182,8 +184,9 @@
   Learn(sent, now);
   const Service* service = ServiceOf(server.service);
   if (service == nullptr) return;
-  server.tokens_taken += sent.entries * (sent.prompt_tokens - sent.held_tokens +
-                                         service->usual_answer_tokens);
+  server.tokens_taken +=
+      sent.entries *
+      (sent.prompt_tokens - sent.cached_tokens + service->usual_answer_tokens);
   const Holder holder = {.server = sent.server,
                          .generation = sent.generation,
                          .used = now,
@@ -200,7 +203,7 @@
   const double per_token = service->second.seconds_per_token;
   service->second.gain.Add({.prefill_seconds = sent.prompt_tokens * per_token,
                             .load = static_cast<double>(sent.load),
-                            .saved_seconds = sent.held_tokens * per_token,
+                            .saved_seconds = sent.cached_tokens * per_token,
                             .observed_seconds = ToSeconds(now - sent.at)});
 }
 
--- a/src/routing/prompt_cache.h
+++ b/src/routing/prompt_cache.h
@@ -9,7 +9,7 @@
 // holds. Other entries are assumed to send as much as this one. A wrong belief
 // costs at most the prefill time that it was expected to save.
 //
-// The saving is the prefill time of the held tokens at the published rate,
+// The saving is the prefill time of the cached tokens at the published rate,
 // times a gain that is learnt for each service (see PrefixGain).
 #pragma once
 
@@ -47,7 +47,7 @@
   static constexpr ServerIndex kUnknownServer = ~ServerIndex{0};
 
   // What the servers hold of one prompt.
-  class Held {
+  class CachedTokens {
    public:
     int TokensAt(ServerIndex server) const {
       return server < tokens_.size() ? tokens_[server] : 0;
@@ -79,8 +79,8 @@
   void SetServers(const std::vector<BackendRecord>& servers);
   ServerIndex IndexOf(const InstanceId& id) const;
 
-  Held Find(const ServiceName& service, const PromptPrefix& prefix,
-            TimePoint now) const;
+  CachedTokens Find(const ServiceName& service, const PromptPrefix& prefix,
+                    TimePoint now) const;
 
   // Returns the number of tokens that the server is believed to hold.
   int OnSent(const Request& request, TimePoint now);
@@ -127,7 +127,7 @@
     std::uint64_t generation = 0;
     PromptPrefix prefix;
     int prompt_tokens = 0;
-    int held_tokens = 0;
+    int cached_tokens = 0;
     int load = 0;
     int entries = 1;
     TimePoint at;
@@ -135,12 +135,12 @@
 
   bool is_on() const { return options_.retention > Duration(0); }
   const Service* ServiceOf(const ServiceName& name) const;
-  bool IsHeld(const Service& service, const Holder& holder, int tokens,
-              TimePoint now) const;
+  bool IsCached(const Service& service, const Holder& holder, int tokens,
+                TimePoint now) const;
   // Number of levels of the prefix that are looked at.
   std::size_t LevelsOf(const PromptPrefix& prefix) const;
-  int HeldTokens(const Service& service, ServerIndex server,
-                 const PromptPrefix& prefix, TimePoint now) const;
+  int CachedTokensAt(const Service& service, ServerIndex server,
+                     const PromptPrefix& prefix, TimePoint now) const;
   void Learn(const Sent& sent, TimePoint now);
   void Remember(std::uint64_t key, const Holder& holder);
   Prefix& Touch(std::uint64_t key);
--- a/tests/unit/dispatcher_prefix_test.cc
+++ b/tests/unit/dispatcher_prefix_test.cc
@@ -107,7 +107,7 @@
   for (int i = 0; i < 20; ++i) {
     const auto decision = Send(prefix_);
     EXPECT_EQ(ServerOf(decision), holder);
-    EXPECT_EQ(decision.held_tokens, kPrefixTokens);
+    EXPECT_EQ(decision.cached_tokens, kPrefixTokens);
     End();
   }
 }
@@ -118,7 +118,7 @@
   Load(holder, 2);
   const auto decision = Send(prefix_);
   EXPECT_NE(ServerOf(decision), holder);
-  EXPECT_EQ(decision.held_tokens, 0);
+  EXPECT_EQ(decision.cached_tokens, 0);
 }
 
 // Guards against requests that wait for a holder while others have room.
@@ -140,7 +140,7 @@
   const InstanceId holder = MakeHolder();
   EXPECT_EQ(ServerOf(Send(prefix_)), holder);
   End(Dispatcher::Result::kFailed);
-  for (int i = 0; i < 4; ++i) EXPECT_EQ(Send(prefix_).held_tokens, 0);
+  for (int i = 0; i < 4; ++i) EXPECT_EQ(Send(prefix_).cached_tokens, 0);
 }
 
 // Engines that keep the latest prefixes, or none, with entries that learn of
--- a/tests/unit/prompt_cache_test.cc
+++ b/tests/unit/prompt_cache_test.cc
@@ -54,11 +54,11 @@
   int Serve(int server, const PromptPrefix& prefix,
             milliseconds wait = milliseconds(100), int entries = 1,
             int tokens = kPromptTokens) {
-    const int held = Send(server, prefix, entries, tokens);
+    const int cached = Send(server, prefix, entries, tokens);
     now_ += wait;
     cache_.OnResponseStarted(last_, now_);
     cache_.OnEnded(last_);
-    return held;
+    return cached;
   }
   int Send(int server, const PromptPrefix& prefix, int entries = 1,
            int tokens = kPromptTokens) {
@@ -128,11 +128,11 @@
 // of which costs as much as a request.
 TEST_F(PromptCacheTest, ConvertsTheSavingToRequests) {
   Serve(0, Prefix({1}));
-  const auto held = cache_.Find(kModel, Prefix({1}), now_);
-  EXPECT_DOUBLE_EQ(held.SavingAt(cache_.IndexOf(Server(0))),
+  const auto cached = cache_.Find(kModel, Prefix({1}), now_);
+  EXPECT_DOUBLE_EQ(cached.SavingAt(cache_.IndexOf(Server(0))),
                    2 * cache_.MaxGain());
-  EXPECT_EQ(held.SavingAt(cache_.IndexOf(Server(1))), 0);
-  EXPECT_EQ(held.SavingAt(PromptCache::kUnknownServer), 0);
+  EXPECT_EQ(cached.SavingAt(cache_.IndexOf(Server(1))), 0);
+  EXPECT_EQ(cached.SavingAt(PromptCache::kUnknownServer), 0);
 }
 
 TEST_F(PromptCacheTest, ForgetsByAge) {
@@ -201,8 +201,8 @@
 // rest of the prompt and the answer, and renew the belief.
 TEST_F(PromptCacheTest, KeepsWhatIsUsed) {
   for (int i = 0; i < 100; ++i) {
-    const int held = Serve(0, Prefix({1}));
-    EXPECT_EQ(held, i == 0 ? 0 : kSharedTokens);
+    const int cached = Serve(0, Prefix({1}));
+    EXPECT_EQ(cached, i == 0 ? 0 : kSharedTokens);
     Serve(0, Prefix({100 + i}));
   }
 }
