Drop an unused parameter of the cost of a backend

Cause: CostOf took the request and didn't read it, and was public for one caller. Change: it is private to backend_cost; its comment says what it leaves out.

--- a/src/routing/backend_cost.cc
+++ b/src/routing/backend_cost.cc
@@ -26,10 +26,11 @@
           .failure_rate = backend.ejection.failure_rate()};
 }
 
-}  // namespace
-
-double CostOf(const TrackedBackend& backend, const DispatchQuery& /*query*/,
-              const CostFactors& factors, TimePoint now) {
+// Cost of one more request at the backend, in units of one request in progress
+// there. What a cached prefix saves is apart from it: the choices subtract or
+// weigh that.
+double CostOf(const TrackedBackend& backend, const CostFactors& factors,
+              TimePoint now) {
   const bool is_engine = factors.spec != nullptr && factors.spec->engine;
   const EngineFigures* engine = is_engine ? &*factors.spec->engine : nullptr;
   const BackendLoad load = LoadOf(backend, factors.min_event_gap, now);
@@ -37,15 +38,16 @@
   return LoadCost(load, engine) + (is_near ? 0 : factors.zone_penalty);
 }
 
-BackendCandidates CandidatesFor(const DispatchQuery& query,
-                                const std::vector<TrackedBackend*>& backends,
+}  // namespace
+
+BackendCandidates CandidatesFor(const std::vector<TrackedBackend*>& backends,
                                 const CostFactors& factors, TimePoint now) {
   BackendCandidates candidates;
   candidates.reserve(backends.size());
   for (const TrackedBackend* backend : backends) {
     candidates.push_back(
         {.id = backend->record.id.value(),
-         .cost = CostOf(*backend, query, factors, now),
+         .cost = CostOf(*backend, factors, now),
          .slots = UsableSlots(*backend),
          .suspects = backend->own_prefill.suspects,
          .saving = factors.cached.SavingAt(backend->cache_index)});
--- a/src/routing/backend_cost.h
+++ b/src/routing/backend_cost.h
@@ -8,7 +8,6 @@
 #include "core/ids.h"
 #include "routing/backend_choice.h"
 #include "routing/backend_table.h"
-#include "routing/dispatch_query.h"
 #include "routing/prompt_cache.h"
 #include "routing/tracked_backend.h"
 
@@ -25,13 +24,8 @@
   PromptCache::CachedTokens cached;
 };
 
-// Cost of sending the request to the backend, in units of one request in
-// progress there. All choices by cost read it here.
-double CostOf(const TrackedBackend& backend, const DispatchQuery& query,
-              const CostFactors& factors, TimePoint now);
-// The backends as candidates for the request, in the same order.
-BackendCandidates CandidatesFor(const DispatchQuery& query,
-                                const std::vector<TrackedBackend*>& backends,
+// The backends as candidates for one request, in the same order.
+BackendCandidates CandidatesFor(const std::vector<TrackedBackend*>& backends,
                                 const CostFactors& factors, TimePoint now);
 
 }  // namespace mangohold
