Count only new requests as demand for reserved slots

Cause: retries of urgent requests raised the reserve just when backends fail, so that less urgent requests waited for slots that nobody needed. Change: DispatchQuery::is_retry; the reserve counts first attempts only.

--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -167,6 +167,7 @@
        .expected_events = has_begun_ ? 0 : ExpectedEvents(),
        .tried = tried_,
        .is_repeatable = job_.route->IsRepeatable(),
+       .is_retry = policy_.sends() > 0,
        .has_begun = has_begun_,
        .zones = job_.zones,
        .crash_suspect = crashes_.SuspectedRequest(BootNow()),
--- a/src/routing/dispatch_query.h
+++ b/src/routing/dispatch_query.h
@@ -35,6 +35,8 @@
   // A repeatable (idempotent) request waits for further backends to be listed
   // once it has tried all.
   bool is_repeatable = true;
+  // An earlier attempt of the request was sent.
+  bool is_retry = false;
   // The caller has a part of the response; another backend is to go on.
   bool has_begun = false;
   // Zones in which the request may run; empty: any.
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -77,7 +77,7 @@
   std::vector<Decision> decisions;
   std::map<ServiceName, int> waiting_by_service;
   for (WaitingAttempt& attempt : waiting_.TakeAll(now)) {
-    if (attempt.is_new) {
+    if (attempt.is_new && !attempt.query.is_retry) {
       ReserveOf(attempt.query.service).OnArrival(attempt.query.priority, now);
     }
     int& ahead = waiting_by_service[attempt.query.service];
@@ -147,7 +147,7 @@
       .own_zone = options_.zone,
       .zone_penalty = options_.zone_penalty,
       .cached = prompt_cache_.Find(query.service, query.prefix, now)};
-  const auto candidates = CandidatesFor(query, eligible, factors, now);
+  const auto candidates = CandidatesFor(eligible, factors, now);
   if (query.crash_suspect) {
     return ChooseForSuspect(candidates, *query.crash_suspect);
   }
--- a/src/routing/priority_reserve.h
+++ b/src/routing/priority_reserve.h
@@ -25,7 +25,7 @@
 
   explicit PriorityReserve(Options options) : options_(options) {}
 
-  // An attempt of a request arrived; 0 is the most urgent priority.
+  // A new request arrived; 0 is the most urgent priority.
   void OnArrival(int priority, TimePoint now);
   // A request of this priority was sent.
   void OnSent(int priority);
