--- a/src/net/connection_limit.h
+++ b/src/net/connection_limit.h
@@ -5,23 +5,23 @@
 
 namespace mangohold {
 
-inline constexpr int kMostConnections = 4'096;
+inline constexpr int kDefaultMaxConnections = 4'096;
 
 // Of the callers of an entry; `max_descriptors` 0: unknown.
 inline int ConnectionLimit(int max_descriptors) {
   // For files, and for connections to the servers of the largest fleet, 600.
   constexpr int kReserve = 800;
   constexpr int kLeast = 64;
-  if (max_descriptors == 0) return kMostConnections;
-  return std::clamp(max_descriptors - kReserve, kLeast, kMostConnections);
+  if (max_descriptors == 0) return kDefaultMaxConnections;
+  return std::clamp(max_descriptors - kReserve, kLeast, kDefaultMaxConnections);
 }
 
-// Of the entries at an agent, each with a read buffer of 64 KiB and one that
-// is written; 0: no limit.
+// Of the entries at an agent, each with a read buffer of 64 KiB and one that is
+// written; 0 for a setting: unknown.
 inline int SessionLimit(int memory_mb, int max_descriptors) {
   constexpr int kSessionsPerMb = 2;  // a quarter of the memory at the most
   const int by_memory =
-      memory_mb == 0 ? kMostConnections : kSessionsPerMb * memory_mb;
+      memory_mb == 0 ? kDefaultMaxConnections : kSessionsPerMb * memory_mb;
   return std::min(by_memory, ConnectionLimit(max_descriptors));
 }
 
