Split the long functions of the prompt cache, the draw and the body guard

Cause: SetServers, HolderFactors and OnBytes each did two or three things in 35 to 45 lines, and a constant told how it was tuned. Change: Update, Add, MeanCost, IsPreferred, HolderPreference and FinishRequest; the reason of the constant in one line.

--- a/src/net/body_guard.cc
+++ b/src/net/body_guard.cc
@@ -123,18 +123,21 @@
       reading_.reset();
       return Reason::kMemoryLimit;
     }
-    if (!parser_->is_done) continue;
-    // A request that has been handed out isn't evicted: it may have run.
-    auto whole = std::make_shared<MemoryBudget::Holder>(budget_, nullptr, now);
-    const std::size_t bytes = reading_->bytes();
-    reading_.reset();
-    whole->Set(bytes);
-    whole_.push_back(std::move(whole));
-    parser_->Reset();
+    if (parser_->is_done) FinishRequest(now);
   }
   return Reason::kNone;
 }
 
+// A request that has been handed out isn't evicted: it may have run.
+void BodyGuard::FinishRequest(TimePoint now) {
+  auto whole = std::make_shared<MemoryBudget::Holder>(budget_, nullptr, now);
+  const std::size_t bytes = reading_->bytes();
+  reading_.reset();
+  whole->Set(bytes);
+  whole_.push_back(std::move(whole));
+  parser_->Reset();
+}
+
 std::size_t BodyGuard::HeldBytes() const {
   const std::size_t read = kCopiesWhileRead * message_bytes_;
   const std::size_t whole =
--- a/src/net/body_guard.h
+++ b/src/net/body_guard.h
@@ -39,6 +39,7 @@
  private:
   struct Parser;
 
+  void FinishRequest(TimePoint now);
   std::size_t HeldBytes() const;
 
   MemoryBudget& budget_;
--- a/src/routing/backend_choice.cc
+++ b/src/routing/backend_choice.cc
@@ -21,40 +21,51 @@
 // what peers have sent there and this entry does not know yet.
 constexpr double kMaxHolderLoad = 0.6;
 
-// Returns the factors by which a cached prefix raises the weights of the draw;
-// none if it raises none. A backend is preferred as long as the saving exceeds
-// its load above the mean. All of them are preferred alike, in proportion to
-// the room that they have together: weights that fall with a backend's own load
-// more steeply than its free capacity make entries move all at once, by reports
-// that are late.
-std::vector<double> HolderFactors(const BackendCandidates& candidates) {
-  const bool has_saving = std::ranges::any_of(
-      candidates, [](const BackendCandidate& c) { return c.saving > 0; });
-  if (!has_saving) return {};
-  const auto count = static_cast<double>(candidates.size());
-  double mean_cost = 0;
-  for (const BackendCandidate& candidate : candidates) {
-    mean_cost += candidate.cost / count;
-  }
-  const auto is_preferred = [mean_cost](const BackendCandidate& candidate) {
-    return candidate.saving > std::max(0.0, candidate.cost - mean_cost);
-  };
+double MeanCost(const BackendCandidates& candidates) {
+  double sum = 0;
+  for (const BackendCandidate& candidate : candidates) sum += candidate.cost;
+  return sum / static_cast<double>(candidates.size());
+}
+
+// True if the cached prefix saves more than the backend's load above the mean
+// costs.
+bool IsPreferred(const BackendCandidate& candidate, double mean_cost) {
+  return candidate.saving > std::max(0.0, candidate.cost - mean_cost);
+}
+
+// Factor by which the weight of each preferred backend rises for a saving of
+// one request. All of them are preferred alike, in proportion to the room that
+// they have together.
+double HolderPreference(const BackendCandidates& candidates, double mean_cost) {
   double holders = 0;
   double cost = 0;
   double slots = 0;
   for (const BackendCandidate& candidate : candidates) {
-    if (!is_preferred(candidate)) continue;
+    if (!IsPreferred(candidate, mean_cost)) continue;
     ++holders;
     cost += candidate.cost;
     slots += candidate.slots;
   }
-  if (holders == 0 || slots <= 0) return {};
+  if (holders == 0 || slots <= 0) return 0;
   const double room = std::clamp(1 - cost / slots / kMaxHolderLoad, 0.0, 1.0);
-  const double preference =
-      kHolderPreference * room * (count - holders) / holders;
+  const auto others = static_cast<double>(candidates.size()) - holders;
+  return kHolderPreference * room * others / holders;
+}
+
+// Returns the factors by which a cached prefix raises the weights of the draw;
+// none if it raises none.
+std::vector<double> HolderFactors(const BackendCandidates& candidates) {
+  const bool has_saving = std::ranges::any_of(
+      candidates, [](const BackendCandidate& c) { return c.saving > 0; });
+  if (!has_saving) return {};
+  const double mean_cost = MeanCost(candidates);
+  const double preference = HolderPreference(candidates, mean_cost);
+  if (preference <= 0) return {};
   std::vector<double> factors;
+  factors.reserve(candidates.size());
   for (const BackendCandidate& candidate : candidates) {
-    const double saving = is_preferred(candidate) ? candidate.saving : 0;
+    const double saving =
+        IsPreferred(candidate, mean_cost) ? candidate.saving : 0;
     factors.push_back(1 + preference * saving);
   }
   return factors;
--- a/src/routing/prefix_gain.cc
+++ b/src/routing/prefix_gain.cc
@@ -6,9 +6,8 @@
 namespace mangohold {
 namespace {
 
-// Number of the latest samples that count. A saving of 13 ms (800 tokens at
-// 61.2 tokens per ms) among times that vary by 50 ms is then known to about a
-// quarter.
+// Number of the latest samples that count: enough to tell a saving of a quarter
+// of the noise.
 constexpr double kWindow = 500;
 // Samples of either kind before the estimate replaces the initial gain.
 constexpr int kMinSamples = 20;
--- a/src/routing/prompt_cache.cc
+++ b/src/routing/prompt_cache.cc
@@ -41,32 +41,39 @@
 
 void PromptCache::SetServers(const std::vector<BackendRecord>& servers) {
   if (!is_on()) return;
-  std::unordered_map<InstanceId, ServerIndex> before;
-  before.swap(index_);
+  std::unordered_map<InstanceId, ServerIndex> missing;
+  missing.swap(index_);
   std::vector<const BackendRecord*> unknown;
   for (const BackendRecord& record : servers) {
-    const auto known = before.find(record.id);
-    if (known == before.end()) {
+    const auto known = missing.extract(record.id);
+    if (known.empty()) {
       unknown.push_back(&record);
       continue;
     }
-    Server& server = servers_[known->second];
-    const bool has_started = record.stamp.started_ms && server.started_ms
+    index_[record.id] = known.mapped();
+    Update(servers_[known.mapped()], record);
+  }
+  for (const auto& [id, index] : missing) servers_[index] = Server();
+  Add(unknown);
+}
+
+void PromptCache::Update(Server& server, const BackendRecord& record) {
+  const bool has_start = record.stamp.started_ms && server.started_ms;
+  const bool has_restarted = has_start
                                  ? record.stamp.started_ms != server.started_ms
                                  : record.created != server.created;
-    if (has_started) server.generation = ++last_generation_;
-    if (record.stamp.started_ms) server.started_ms = record.stamp.started_ms;
-    server.created = record.created;
-    server.service = record.service;
-    index_.insert(*known);
-    before.erase(known);
-  }
+  if (has_restarted) server.generation = ++last_generation_;
+  if (record.stamp.started_ms) server.started_ms = record.stamp.started_ms;
+  server.created = record.created;
+  server.service = record.service;
+}
+
+void PromptCache::Add(const std::vector<const BackendRecord*>& records) {
   std::vector<ServerIndex> free;
-  for (const auto& [id, index] : before) servers_[index] = Server();
   for (ServerIndex i = 0; i < servers_.size(); ++i) {
     if (servers_[i].id.empty()) free.push_back(i);
   }
-  for (const BackendRecord* record : unknown) {
+  for (const BackendRecord* record : records) {
     if (index_.contains(record->id)) continue;
     if (free.empty()) {
       free.push_back(static_cast<ServerIndex>(servers_.size()));
--- a/src/routing/prompt_cache.h
+++ b/src/routing/prompt_cache.h
@@ -133,6 +133,10 @@
     TimePoint at;
   };
 
+  // Takes over what the record says of a known server.
+  void Update(Server& server, const BackendRecord& record);
+  // Adds servers, at indexes that are free.
+  void Add(const std::vector<const BackendRecord*>& records);
   bool is_on() const { return options_.retention > Duration(0); }
   const Service* ServiceOf(const ServiceName& name) const;
   bool IsCached(const Service& service, const Holder& holder, int tokens,
