--- a/src/backend/agent_server.h
+++ b/src/backend/agent_server.h
@@ -17,6 +17,7 @@
 #include "net/graceful_stop.h"
 #include "net/http_client.h"
 #include "net/memory_budget.h"
+#include "peer/http2_endpoints.h"
 #include "peer/http2_session.h"
 
 namespace mangohold {
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/random.h"
+#include "peer/http2_endpoints.h"
 
 namespace mangohold {
 namespace {
--- a/src/spread/config_replicator.h
+++ b/src/spread/config_replicator.h
@@ -17,6 +17,7 @@
 #include "core/random.h"
 #include "net/event_loop.h"
 #include "net/memory_budget.h"
+#include "peer/http2_endpoints.h"
 #include "peer/http2_session.h"
 #include "peer/peer_link.h"
 #include "platform/platform_client.h"
--- a/tests/system/request_bodies_test.cc
+++ b/tests/system/request_bodies_test.cc
@@ -17,6 +17,7 @@
 #include "direct_site.h"
 #include "harness.h"
 #include "net/endpoint.h"
+#include "peer/http2_endpoints.h"
 #include "peer/http2_session.h"
 #include "peer/messages.h"
 #include "raw_caller.h"
