--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "caller/answer_notices.h"
 #include "caller/answer_status.h"
-#include "core/cryptographic_hash.h"
 #include "core/log.h"
 #include "net/http1_text.h"
 
@@ -19,12 +19,6 @@
 // Answers up to this size are gathered before they go on, so that a broken one
 // can be made again elsewhere.
 constexpr std::size_t kMostGathered = 1U << 20U;
-// Callers of a stream leave when nothing comes for the longest of these.
-constexpr Millis kLeastPatience{2'000};
-constexpr int kTargetsOfPatience = 4;
-constexpr int kGapsOfPatience = 8;
-// Time that a backend server needs at the least to begin its answer.
-constexpr Millis kAnswerTime{150};
 constexpr Millis kConfirmationRetry{500};
 // Callers of an entry that leaves come back to another one.
 constexpr Millis kLeavingRetry{100};
@@ -47,25 +41,12 @@
                .max_attempts = job_.route->max_attempts}),
       retries_(context, job_.fields.id, job_.service),
       crashes_(context, job_.fields.id, job_.fields.shared_parts,
-               [this] { return Digest(); }),
-      events_(job_.fields.last_event_id) {
-  const Millis longest = job_.route->timeout.count() > 0
-                             ? job_.route->timeout
-                             : Millis(std::chrono::minutes(1));
-  deadline_ = job_.message.arrived +
-              std::min(longest, job_.fields.deadline.value_or(longest));
+               [this] { return DigestOf(job_, *request_body_); }),
+      events_(job_.fields.last_event_id),
+      deadline_(DeadlineOf(job_)) {
   memory_.Set(BytesHeld());
 }
 
-// What a request is, whoever's attempt carries it: the same path, query,
-// workspace and body. Its id and deadline are new each time.
-RequestDigest ForwardRun::Digest() const {
-  const std::string workspace =
-      job_.workspace == nullptr ? "" : job_.workspace->name.value();
-  return RequestDigest(CryptographicHash(
-      {job_.message.method, job_.message.target, workspace, *request_body_}));
-}
-
 std::size_t ForwardRun::BytesHeld() const {
   return request_body_->size() + body_.capacity();
 }
@@ -96,42 +77,6 @@
   Submit();
 }
 
-int ForwardRun::Priority() const {
-  return job_.workspace != nullptr && job_.workspace->priority
-             ? *job_.workspace->priority
-             : job_.route->priority;
-}
-
-// The time after which the first byte would find the caller gone, or leave no
-// time for the answer.
-TimePoint ForwardRun::GiveUpTime() const {
-  const Route& route = *job_.route;
-  TimePoint give_up = deadline_;
-  if (route.kind == RouteKind::kStream) {
-    const Millis patience =
-        std::max({kLeastPatience, route.target_latency * kTargetsOfPatience,
-                  route.target_gap * kGapsOfPatience});
-    give_up = std::min(give_up, job_.message.arrived + patience);
-  }
-  return give_up - kAnswerTime;
-}
-
-// The events that the answer is expected to have still, from the caller's hint
-// or from what is usual for the service.
-double ForwardRun::ExpectedEvents() const {
-  if (job_.route->kind != RouteKind::kStream) return 0;
-  const ServiceSpec* service = job_.routes->FindService(job_.service);
-  if (service == nullptr || !service->engine) return 0;
-  const EngineFigures& engine = *service->engine;
-  double tokens = job_.fields.hinted_answer_tokens
-                      ? *job_.fields.hinted_answer_tokens
-                      : engine.usual_answer_tokens;
-  if (job_.fields.most_answer_tokens) {
-    tokens = std::min<double>(tokens, *job_.fields.most_answer_tokens);
-  }
-  return tokens / std::max(1, engine.steps_per_pass);
-}
-
 // Refuses the request if it, or a part of its prompt, crashes backend servers.
 // Holds it back while that is open. Returns true if it may be sent now.
 bool ForwardRun::PassesCrashCheck(TimePoint now) {
@@ -157,14 +102,14 @@
   context_.dispatcher.Submit(
       {.number = attempt_,
        .service = job_.service,
-       .priority = Priority(),
+       .priority = PriorityOf(job_),
        .workspace =
            job_.workspace == nullptr ? WorkspaceName() : job_.workspace->name,
        .prompt_tokens = job_.fields.prompt_tokens.value_or(0),
-       .start_deadline = has_begun_ ? deadline_ : GiveUpTime(),
+       .start_deadline = has_begun_ ? deadline_ : GiveUpTimeOf(job_, deadline_),
        .deadline = deadline_,
        .target_start = job_.message.arrived + job_.route->target_latency,
-       .expected_events = has_begun_ ? 0 : ExpectedEvents(),
+       .expected_events = has_begun_ ? 0 : ExpectedEventsOf(job_),
        .tried = tried_,
        .is_repeatable = job_.route->IsRepeatable(),
        .is_retry = policy_.sends() > 0,
@@ -259,7 +204,7 @@
        .workspace = job_.workspace == nullptr
                         ? std::nullopt
                         : std::optional(job_.workspace->name),
-       .priority = std::clamp(Priority(), 0, kMostPriority),
+       .priority = std::clamp(PriorityOf(job_), 0, kMostPriority),
        .last_event_id = events_.last_id(),
        .drops_key = job_.routes->needs_keys()});
   const bool has_body =
@@ -292,47 +237,17 @@
   status_ = status;
   answer_fields_ = context_.dialect.Return(fields);
   answer_ = context_.dialect.DecodeAnswer(status, fields);
-  TakeNotice(BootNow());
-  TakeLimit(BootNow());
+  TakeNotices(context_, answer_,
+              {.backend = backend_.id,
+               .request = job_.fields.id,
+               .sent_at = sent_at_,
+               .sent_by = sent_by_},
+              BootNow());
   const bool is_stream =
       job_.route->kind == RouteKind::kStream && IsEventStream(status, fields);
   relay_ = is_stream ? Relay::kEvents : Relay::kWhole;
 }
 
-// An answer that says that its backend server is leaving. The line tells
-// whether this entry could have known so when it sent the request.
-void ForwardRun::TakeNotice(TimePoint now) {
-  const auto known = context_.dispatcher.LeavingSince(backend_.id);
-  context_.dispatcher.OnNotice(backend_.id, answer_.is_leaving, answer_.quiet,
-                               now);
-  if (!answer_.is_leaving) return;
-  const bool was_known = known && *known < sent_at_;
-  if (!known) context_.counters.CountDeparture(DepartureWay::kAnswer);
-  if (was_known) context_.counters.Count(Event::kSentToLeaving);
-  Log(was_known ? LogLevel::kWarning : LogLevel::kInfo, "backend_leaving",
-      {{"backend", backend_.id.value()},
-       {"request", job_.fields.id.value()},
-       {"way", Name(DepartureWay::kAnswer)},
-       {"news", static_cast<int>(!known)},
-       {"sent_ms_ago", ToMillis(now - sent_at_)},
-       {"known_ms_ago", known ? ToMillis(now - *known) : 0},
-       {"sent_by_revision", sent_by_.number()},
-       {"revision", context_.view->revision.number()}});
-}
-
-// What the head of an answer says of the request rate that its backend server
-// bears. Another one at its address says nothing of it.
-void ForwardRun::TakeLimit(TimePoint now) {
-  if (answer_.is_other_instance) return;
-  if (answer_.limit.kind == StatedLimit::Kind::kUnreadable) {
-    context_.counters.Count(Event::kLimitsUnreadable);
-    Log(LogLevel::kWarning, "backend_limit_unreadable",
-        {{"backend", backend_.id.value()},
-         {"request", job_.fields.id.value()}});
-  }
-  context_.dispatcher.OnStatedLimit(backend_.id, answer_.limit, sent_at_, now);
-}
-
 void ForwardRun::OnBackendBody(std::string_view data) {
   if (phase_ != Phase::kSent) return;
   if (!has_bytes_) {
--- a/src/caller/forward_run.h
+++ b/src/caller/forward_run.h
@@ -10,6 +10,7 @@
 #include "caller/caller_connection.h"
 #include "caller/crash_watch.h"
 #include "caller/forward_context.h"
+#include "caller/forward_job.h"
 #include "caller/request_retries.h"
 #include "net/graceful_stop.h"
 #include "routing/direct_policy.h"
@@ -20,16 +21,7 @@
 class ForwardRun : public BackendListener,
                    public std::enable_shared_from_this<ForwardRun> {
  public:
-  // A request whose route and workspace are known.
-  struct Job {
-    CallerMessage message;
-    RequestFields fields;
-    RouteTablePtr routes;  // keeps `route` and `workspace` alive
-    const Route* route = nullptr;
-    const Workspace* workspace = nullptr;  // null without a key
-    ServiceName service;
-    std::vector<ZoneName> zones;  // where it may run; empty: everywhere
-  };
+  using Job = ForwardJob;
 
   ForwardRun(ForwardContext& context, CallerConnection::Ptr caller, Job job);
 
@@ -68,8 +60,6 @@
     kBytes    // as they come; no other attempt can go on
   };
 
-  RequestDigest Digest() const;
-  // What this request holds in memory has changed.
   std::size_t BytesHeld() const;
   void OnEvicted();
   void Submit();
@@ -77,12 +67,7 @@
   void RefuseIfBlocked(TimePoint now);
   void Send(const BackendRecord& backend);
   void LogSend(TimePoint now) const;
-  void TakeNotice(TimePoint now);
-  void TakeLimit(TimePoint now);
   HttpFields FieldsFor(const BackendRecord& backend, TimePoint now) const;
-  TimePoint GiveUpTime() const;
-  double ExpectedEvents() const;
-  int Priority() const;
   void RelayBytes(std::string_view data);
   void RelayEvents(std::string_view events);
   void Gather(std::string_view data);
@@ -112,8 +97,8 @@
   RequestRetries retries_;
   CrashWatch crashes_;
   EventSplitter events_;
-  Phase phase_ = Phase::kWaiting;
   TimePoint deadline_;
+  Phase phase_ = Phase::kWaiting;
   AttemptNumber attempt_;
   std::optional<Reason> retry_reason_;  // of the attempt before; absent: none
   BackendRecord backend_;  // of the attempt in progress, or the last one
