Keep a service empty after its last backend has failed

Cause: Eject made an empty group for a service without backends, so that it counted as one with backends until the next list, and requests were refused as deadline_unreachable instead of waiting for a new backend. Change: the group is looked up; a test that fails without it by its assertion on the queue.

--- a/src/routing/backend_table.cc
+++ b/src/routing/backend_table.cc
@@ -119,7 +119,7 @@
 }
 
 void BackendTable::Eject(TrackedBackend& backend, TimePoint now) {
-  const auto& group = by_service_[backend.record.service];
+  const auto group = BackendsOf(backend.record.service);
   const auto ejected =
       std::ranges::count_if(group, [now](const TrackedBackend* other) {
         return other->ejection.IsEjected(now);
--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -496,6 +496,22 @@
   EXPECT_FALSE(dispatcher_.MayStillSend(attempt, now_)) << "left by notice";
 }
 
+// Guards against a service that counts as one with backends after its last one
+// has left and then failed: requests were refused instead of waiting for a new
+// backend.
+TEST_F(DispatcherTest, FailureOfTheLastBackendLeavesItsServiceEmpty) {
+  SendOne(kDesk);
+  const AttemptNumber sent = last_;
+  std::erase_if(backends_, [](const BackendRecord& backend) {
+    return backend.service == kDesk;
+  });
+  dispatcher_.SetBackends(backends_);
+  dispatcher_.OnEnded(sent, Dispatcher::Result::kUnreachable, now_);
+  Submit(kDesk);
+  EXPECT_TRUE(Decide().empty());
+  EXPECT_EQ(dispatcher_.waiting(), 1);
+}
+
 // A backend whose record expires and returns while requests are in progress
 // there must keep their count. Otherwise it looks idle and attracts all new
 // requests.
