Log what a refusal or a failure of a backend server rests on

Change: one line, backend_status, for each head that is no success, with the server's word, the id, the sends before and the connection's earlier requests; counters of refusals that are believed and of statuses that are withheld. No decision changes.

--- a/src/backend/backend_connection.cc
+++ b/src/backend/backend_connection.cc
@@ -52,6 +52,8 @@
 
 void BackendConnection::Send(Exchange exchange) {
   exchange_ = std::move(exchange);
+  ++requests_;
+  if (phase_ == Phase::kIdle) idle_before_ = BootNow() - idle_since_;
   carried_.push_back(exchange_.id);
   if (carried_.size() > kMaxCarried) carried_.pop_front();
   may_have_sent_ = false;
--- a/src/backend/backend_connection.h
+++ b/src/backend/backend_connection.h
@@ -2,6 +2,7 @@
 // at a time, without pipelining.
 #pragma once
 
+#include <algorithm>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <deque>
@@ -77,6 +78,10 @@
   // True if the request was sent on this connection recently. A late copy of
   // its earlier response couldn't be told from the response to a repeat.
   bool HasCarried(const RequestId& id) const;
+  // Requests sent on this connection before the one in progress, or the last.
+  int earlier_requests() const { return std::max(0, requests_ - 1); }
+  // How long it had been idle when that one was sent.
+  Duration idle_before() const { return idle_before_; }
 
  private:
   enum class Phase { kNew, kConnecting, kBusy, kIdle, kClosed };
@@ -110,6 +115,8 @@
   bool is_message_complete_ = false;  // set by the parser
   bool keeps_alive_ = true;
   TimePoint idle_since_;
+  Duration idle_before_{0};
+  int requests_ = 0;
   Millis idle_timeout_{0};
   std::deque<RequestId> carried_;  // the latest ones
 };
--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -243,11 +243,29 @@
                .sent_at = sent_at_,
                .sent_by = sent_by_},
               BootNow());
+  if (!IsSuccess(status)) LogHead();
   const bool is_stream =
       job_.route->kind == RouteKind::kStream && IsEventStream(status, fields);
   relay_ = is_stream ? Relay::kEvents : Relay::kWhole;
 }
 
+// What a refusal or a failure rests on: the backend server's own word, and
+// whether the answer can belong to an earlier request of the connection.
+void ForwardRun::LogHead() const {
+  Log(LogLevel::kInfo, "backend_status",
+      {{"request", job_.fields.id.value()},
+       {"backend", backend_.id.value()},
+       {"status", status_},
+       {"says_not_run", static_cast<int>(answer_.is_certainly_not_run)},
+       {"has_id", static_cast<int>(answer_.id.has_value())},
+       {"repeatable", static_cast<int>(job_.route->IsRepeatable())},
+       {"send", policy_.sends()},
+       {"runs_before", policy_.runs()},
+       {"earlier_requests", connection_->earlier_requests()},
+       {"idle_ms_before", ToMillis(connection_->idle_before())},
+       {"sent_ms_ago", ToMillis(BootNow() - sent_at_)}});
+}
+
 void ForwardRun::OnBackendBody(std::string_view data) {
   if (phase_ != Phase::kSent) return;
   if (!has_bytes_) {
@@ -335,6 +353,7 @@
 
 void ForwardRun::OnWholeAnswer() {
   if (IsCertainlyNotRun()) {
+    context_.counters.Count(Event::kRefusalsBelieved);
     EndAttempt(answer_.is_other_instance ? Dispatcher::Result::kAddressReused
                                          : Dispatcher::Result::kRejected);
     return OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendRefused);
@@ -375,6 +394,7 @@
   }
   if (!job_.route->IsRepeatable() && PromisesNotRun(status_)) {
     // The backend server's status would promise what it doesn't say.
+    context_.counters.Count(Event::kStatusesWithheld);
     return GiveUp(Outcome::kUnknown, Reason::kBackendFailed, Millis(0));
   }
   if (job_.message.method == "HEAD") {
--- a/src/core/counters.cc
+++ b/src/core/counters.cc
@@ -32,6 +32,8 @@
                    "backend_reports_lost",
                    "backend_connects",
                    "foreign_answers",
+                   "statuses_withheld",
+                   "refusals_believed",
                    "streams_resumed",
                    "log_lines_dropped",
                    "orders",
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -31,6 +31,10 @@
   kBackendReportsLost,
   kBackendConnects,
   kForeignAnswers,
+  // Statuses of backend servers that would have promised a caller what their
+  // server doesn't say.
+  kStatusesWithheld,
+  kRefusalsBelieved,  // answers that say that the request hasn't run
   kStreamsResumed,
   kLogLinesDropped,
   kOrders,
