Let stand-ins of backend servers answer with any status after a run

Cause: no stand-in ran a request and then answered with a status that promises the contrary, so that neither tests nor the soak could show what an entry makes of it. Change: BackendStandin::SetStatus, with a body of any size, whole or cut.

--- a/tests/direct_site.cc
+++ b/tests/direct_site.cc
@@ -1,5 +1,6 @@
 #include "direct_site.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -66,6 +67,13 @@
   thread_.join();
 }
 
+void BackendStandin::SetStatus(int status, std::size_t bytes, bool is_cut) {
+  status_ = status;
+  status_bytes_ = bytes;
+  is_status_cut_ = is_cut;
+  manner_ = Manner::kStatus;
+}
+
 void BackendStandin::SetLimit(const std::string& per_s) {
   const std::lock_guard lock(mutex_);
   limit_ = per_s.empty() ? "" : "Server-Limit: " + per_s + "\r\n";
@@ -197,6 +205,9 @@
         co_await connection.Send(Whole(200, id, body));
       }
       break;
+    case Manner::kStatus:
+      co_await SendStatus(id, connection);
+      break;
     case Manner::kHang:
       if (co_await connection.IsClosedWithin(milliseconds(20'000))) {
         ++cancelled_;
@@ -205,6 +216,21 @@
   }
 }
 
+asio::awaitable<void> BackendStandin::SendStatus(
+    const std::string& id, standin::Connection& connection) {
+  // The body's beginning names its request.
+  std::string body = id + ":";
+  body.resize(std::max(body.size(), status_bytes_.load()), 's');
+  const std::string whole = Whole(status_, id, body);
+  if (!is_status_cut_) {
+    co_await connection.Send(whole);
+    co_return;
+  }
+  co_await connection.Send(whole.substr(0, whole.size() - body.size() / 2));
+  co_await standin::Sleep(milliseconds(10));
+  connection.Drop();
+}
+
 asio::awaitable<void> BackendStandin::RefuseOnceMore(
     const std::string& id, const std::string& body,
     standin::Connection& connection) {
--- a/tests/direct_site.h
+++ b/tests/direct_site.h
@@ -48,6 +48,7 @@
   kCloseUnasked,    // 200, and the connection closes 5 ms later
   kHuge,            // 200 with 7 MiB
   kWork,            // 200 after the time of `SetWork`
+  kStatus,          // runs the request and answers as `SetStatus` says
   kHang             // no answer at all
 };
 
@@ -70,6 +71,10 @@
     work_ = work;
     manner_ = Manner::kWork;
   }
+  // From now on it runs each request and answers with this status, without the
+  // word that it hasn't run, and a body of so many bytes. A cut answer ends in
+  // its middle.
+  void SetStatus(int status, std::size_t bytes, bool is_cut = false);
   // The request limit that its answers state from now on; empty: none.
   void SetLimit(const std::string& per_s);
   // Requests that it ran, by request id.
@@ -84,6 +89,8 @@
  private:
   asio::awaitable<void> Handle(HttpRequest request,
                                standin::Connection& connection);
+  asio::awaitable<void> SendStatus(const std::string& id,
+                                   standin::Connection& connection);
   asio::awaitable<void> RefuseOnceMore(const std::string& id,
                                        const std::string& body,
                                        standin::Connection& connection);
@@ -98,6 +105,9 @@
   std::atomic<Manner> manner_ = Manner::kAnswer;
   std::atomic<std::chrono::milliseconds> work_{};
   std::atomic<int> cancelled_ = 0;
+  std::atomic<int> status_ = 200;  // of kStatus
+  std::atomic<std::size_t> status_bytes_ = 0;
+  std::atomic<bool> is_status_cut_ = false;
   mutable std::mutex mutex_;
   std::string limit_;
   std::map<std::string, int> runs_;
