Decide at an answer's head what its caller may be told

Callers saw: 408 or 429 for work that may run once and that had run, if the answer was larger than an entry gathers, or while the memory budget had no room; they repeat such work, so that it ran twice. Cause: Deliver turned a status that promises into 502 unless the backend server itself said that the request hadn't run, but Gather began large answers without asking. Class: a decision that one path takes and another passes by. Change: caller/answer_relay holds the answer in progress and is the only one that passes a backend server's status on. Its way is decided at the head: whole, event by event, as it comes, or withheld. A large refusal is believed as a small one is, and others are asked.

--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -16,9 +16,6 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 constexpr int kMostPriority = 9;
-// Answers up to this size are gathered before they go on, so that a broken one
-// can be made again elsewhere.
-constexpr std::size_t kMostGathered = 1U << 20U;
 constexpr Millis kConfirmationRetry{500};
 // Callers of an entry that leaves come back to another one.
 constexpr Millis kLeavingRetry{100};
@@ -42,13 +39,15 @@
       retries_(context, job_.fields.id, job_.service),
       crashes_(context, job_.fields.id, job_.fields.shared_parts,
                [this] { return DigestOf(job_, *request_body_); }),
-      events_(job_.fields.last_event_id),
+      relay_(caller_,
+             {.is_repeatable = job_.route->IsRepeatable(),
+              .is_stream = job_.route->kind == RouteKind::kStream,
+              .is_head = job_.message.method == "HEAD",
+              .last_event_id = job_.fields.last_event_id,
+              .request_bytes = request_body_->size()},
+             memory_),
       deadline_(DeadlineOf(job_)) {
-  memory_.Set(BytesHeld());
-}
-
-std::size_t ForwardRun::BytesHeld() const {
-  return request_body_->size() + body_.capacity();
+  memory_.Set(request_body_->size());
 }
 
 // Others need the memory. Called only while no attempt is in progress.
@@ -95,7 +94,7 @@
 }
 
 void ForwardRun::Submit() {
-  memory_.Protect(has_begun_ ? Protection::kFull : Protection::kNone);
+  memory_.Protect(relay_.has_begun() ? Protection::kFull : Protection::kNone);
   if (!PassesCrashCheck(BootNow())) return;
   phase_ = Phase::kWaiting;
   attempt_ = context_.last_attempt = context_.last_attempt.Next();
@@ -106,14 +105,15 @@
        .workspace =
            job_.workspace == nullptr ? WorkspaceName() : job_.workspace->name,
        .prompt_tokens = job_.fields.prompt_tokens.value_or(0),
-       .start_deadline = has_begun_ ? deadline_ : GiveUpTimeOf(job_, deadline_),
+       .start_deadline =
+           relay_.has_begun() ? deadline_ : GiveUpTimeOf(job_, deadline_),
        .deadline = deadline_,
        .target_start = job_.message.arrived + job_.route->target_latency,
-       .expected_events = has_begun_ ? 0 : ExpectedEventsOf(job_),
+       .expected_events = relay_.has_begun() ? 0 : ExpectedEventsOf(job_),
        .tried = tried_,
        .is_repeatable = job_.route->IsRepeatable(),
        .is_retry = policy_.sends() > 0,
-       .has_begun = has_begun_,
+       .has_begun = relay_.has_begun(),
        .zones = job_.zones,
        .crash_suspect = crashes_.SuspectedRequest(BootNow()),
        .prefix = job_.fields.prefix});
@@ -163,10 +163,8 @@
                             static_cast<std::uint64_t>(cached_tokens_));
   }
   retries_.OnSend(now);
-  crashes_.OnSend(backend, events_.events(), now);
-  status_ = 0;
-  body_.clear();
-  relay_ = Relay::kWhole;
+  crashes_.OnSend(backend, relay_.events(), now);
+  relay_.BeginAttempt();
   has_bytes_ = false;
   last_event_at_.reset();
   std::string request = RequestText(job_.message.method, job_.message.target,
@@ -205,7 +203,7 @@
                         ? std::nullopt
                         : std::optional(job_.workspace->name),
        .priority = std::clamp(PriorityOf(job_), 0, kMostPriority),
-       .last_event_id = events_.last_id(),
+       .last_event_id = relay_.last_event_id(),
        .drops_key = job_.routes->needs_keys()});
   const bool has_body =
       !request_body_->empty() ||
@@ -234,8 +232,6 @@
 }
 
 void ForwardRun::OnBackendHead(int status, const HttpFields& fields) {
-  status_ = status;
-  answer_fields_ = context_.dialect.Return(fields);
   answer_ = context_.dialect.DecodeAnswer(status, fields);
   TakeNotices(context_, answer_,
               {.backend = backend_.id,
@@ -243,10 +239,11 @@
                .sent_at = sent_at_,
                .sent_by = sent_by_},
               BootNow());
+  relay_.OnHead(status, context_.dialect.Return(fields), answer_);
+  const bool is_withheld = relay_.way() == AnswerRelay::Way::kWithheld &&
+                           !relay_.is_certainly_not_run();
+  if (is_withheld) context_.counters.Count(Event::kStatusesWithheld);
   if (!IsSuccess(status)) LogHead();
-  const bool is_stream =
-      job_.route->kind == RouteKind::kStream && IsEventStream(status, fields);
-  relay_ = is_stream ? Relay::kEvents : Relay::kWhole;
 }
 
 // What a refusal or a failure rests on: the backend server's own word, and
@@ -255,7 +252,7 @@
   Log(LogLevel::kInfo, "backend_status",
       {{"request", job_.fields.id.value()},
        {"backend", backend_.id.value()},
-       {"status", status_},
+       {"status", relay_.status()},
        {"says_not_run", static_cast<int>(answer_.is_certainly_not_run)},
        {"has_id", static_cast<int>(answer_.id.has_value())},
        {"repeatable", static_cast<int>(job_.route->IsRepeatable())},
@@ -272,70 +269,36 @@
     has_bytes_ = true;
     context_.dispatcher.OnResponseStarted(attempt_, BootNow());
   }
-  switch (relay_) {
-    case Relay::kWhole:
-      return Gather(data);
-    case Relay::kEvents:
-      RelayEvents(events_.Feed(data));
-      if (events_.is_oversized()) DropAnswer();
-      return;
-    case Relay::kBytes:
-      return RelayBytes(data);
-  }
-}
-
-void ForwardRun::Gather(std::string_view data) {
-  const TimePoint now = BootNow();
-  memory_.OnProgress(now);
-  const std::size_t size = body_.size() + data.size();
-  // A growing string holds twice its size for a moment.
-  const bool has_room =
-      size <= body_.capacity() || memory_.Resize(BytesHeld() + 2 * size, now);
-  body_.append(data);
-  memory_.Set(BytesHeld());
-  if (has_room && size <= kMostGathered) return;
-  // A failure, or what can't go on with a stream that has begun, is not worth
-  // more room. Other answers go on from here; they can't be made again.
-  if (has_begun_ || status_ >= kLeastFailure) return DropAnswer();
-  relay_ = Relay::kBytes;
-  has_begun_ = true;
-  caller_->BeginStream(status_, answer_fields_);
-  const std::string gathered = std::exchange(body_, {});
-  memory_.Set(BytesHeld());
-  RelayBytes(gathered);
-}
-
-void ForwardRun::DropAnswer() {
-  const auto connection = connection_;
-  connection->Cancel();
-  OnBackendFailure(ExchangeFailure::kBroken);
-}
-
-void ForwardRun::RelayBytes(std::string_view data) {
-  caller_->WriteStream(data);
+  const int events_before = relay_.events();
+  const AnswerRelay::Result result = relay_.OnBody(data, BootNow());
+  if (relay_.events() > events_before) OnEvents();
+  if (result == AnswerRelay::Result::kWorthless) return DropAnswer();
   if (caller_->is_congested()) connection_->Pause();
 }
 
-void ForwardRun::RelayEvents(std::string_view events) {
-  if (events.empty()) return;
+void ForwardRun::OnEvents() {
   const TimePoint now = BootNow();
   if (last_event_at_) {
     context_.dispatcher.OnEventGap(attempt_, now - *last_event_at_, now);
   }
   last_event_at_ = now;
-  if (!has_begun_) {
-    has_begun_ = true;
-    caller_->BeginStream(status_, answer_fields_);
+  crashes_.OnEvents(relay_.events(), now);
+}
+
+// The rest of the answer isn't read. A refusal has been understood by now.
+void ForwardRun::DropAnswer() {
+  connection_->Cancel();
+  if (!relay_.is_certainly_not_run()) {
+    return OnBackendFailure(ExchangeFailure::kBroken);
   }
-  RelayBytes(events);
-  crashes_.OnEvents(events_.events(), now);
+  connection_ = nullptr;
+  OnNotRun();
 }
 
 void ForwardRun::OnBackendEnd() {
   if (phase_ != Phase::kSent) return;
   // A stream that ends inside an event has been broken off.
-  const bool is_broken = relay_ == Relay::kEvents && events_.is_inside_event();
-  if (is_broken) {
+  if (relay_.is_cut()) {
     connection_->Cancel();
     return OnBackendFailure(ExchangeFailure::kBroken);
   }
@@ -344,23 +307,19 @@
   OnWholeAnswer();
 }
 
-// An answer that doesn't say to which request it belongs promises nothing for
-// work that must run once at most.
-bool ForwardRun::IsCertainlyNotRun() const {
-  return answer_.is_certainly_not_run &&
-         (answer_.id || job_.route->IsRepeatable());
+void ForwardRun::OnNotRun() {
+  context_.counters.Count(Event::kRefusalsBelieved);
+  EndAttempt(answer_.is_other_instance ? Dispatcher::Result::kAddressReused
+                                       : Dispatcher::Result::kRejected);
+  OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendRefused);
 }
 
 void ForwardRun::OnWholeAnswer() {
-  if (IsCertainlyNotRun()) {
-    context_.counters.Count(Event::kRefusalsBelieved);
-    EndAttempt(answer_.is_other_instance ? Dispatcher::Result::kAddressReused
-                                         : Dispatcher::Result::kRejected);
-    return OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendRefused);
-  }
-  const bool cannot_go_on = has_begun_ && relay_ == Relay::kWhole;
-  const bool is_failure = status_ >= kLeastFailure || cannot_go_on;
-  crashes_.OnWholeAnswer(IsSuccess(status_), BootNow());
+  if (relay_.is_certainly_not_run()) return OnNotRun();
+  const bool cannot_go_on =
+      relay_.has_begun() && relay_.way() == AnswerRelay::Way::kWhole;
+  const bool is_failure = relay_.status() >= kLeastFailure || cannot_go_on;
+  crashes_.OnWholeAnswer(IsSuccess(relay_.status()), BootNow());
   EndAttempt(is_failure ? JudgeFailure() : Dispatcher::Result::kServed);
   if (is_failure && policy_.OnFailed() == DirectPolicy::Next::kSendAgain &&
       retries_.Reserve(BootNow())) {
@@ -380,35 +339,18 @@
                   : Dispatcher::Result::kFailed;
 }
 
-// Passes the whole answer on. A stream that has begun ends here.
+// Passes the whole answer on, if the caller can be told it.
 void ForwardRun::Deliver() {
-  if (has_begun_) {
-    if (relay_ == Relay::kWhole) {
-      // A resumed stream met another answer: its head is with the caller
-      // already.
-      return GiveUp(Outcome::kUnknown, Reason::kBackendFailed, Millis(0));
-    }
-    if (relay_ == Relay::kEvents) caller_->WriteStream(events_.Finish());
-    caller_->EndStream();
-    return Finish(Outcome::kAnswered, Reason::kNone, status_);
-  }
-  if (!job_.route->IsRepeatable() && PromisesNotRun(status_)) {
-    // The backend server's status would promise what it doesn't say.
-    context_.counters.Count(Event::kStatusesWithheld);
-    return GiveUp(Outcome::kUnknown, Reason::kBackendFailed, Millis(0));
-  }
-  if (job_.message.method == "HEAD") {
-    caller_->ReplyHead(status_, answer_fields_, "0");
-  } else {
-    caller_->Reply(status_, answer_fields_, body_);
+  if (relay_.Deliver()) {
+    return Finish(Outcome::kAnswered, Reason::kNone, relay_.status());
   }
-  Finish(Outcome::kAnswered, Reason::kNone, status_);
+  GiveUp(Outcome::kUnknown, Reason::kBackendFailed, Millis(0));
 }
 
 void ForwardRun::OnBackendFailure(ExchangeFailure failure) {
   if (phase_ != Phase::kSent) return;
   connection_ = nullptr;
-  events_.DropPartial();
+  relay_.DropPartialEvent();
   const TimePoint now = BootNow();
   if (failure == ExchangeFailure::kNotSent) retries_.OnNotSent(now);
   if (failure == ExchangeFailure::kNotSent && !IsStillWanted()) {
@@ -420,16 +362,15 @@
     EndAttempt(Dispatcher::Result::kUnreachable);
     return OnAttemptFailed(policy_.OnNotRun(), Reason::kBackendUnreachable);
   }
-  crashes_.OnBroken(events_.events(), now);
+  crashes_.OnBroken(relay_.events(), now);
   EndAttempt(Dispatcher::Result::kFailed);
   OnAttemptFailed(policy_.OnFailed(), Reason::kBackendFailed);
 }
 
 void ForwardRun::OnAttemptFailed(DirectPolicy::Next next, Reason reason) {
   const TimePoint now = BootNow();
-  const bool may_go_on = !has_begun_ || relay_ != Relay::kBytes;
   const bool sends_again = next == DirectPolicy::Next::kSendAgain &&
-                           may_go_on && now < deadline_ &&
+                           relay_.MayGoOnElsewhere() && now < deadline_ &&
                            retries_.Reserve(now);
   Log(LogLevel::kInfo, "attempt_failed",
       {{"request", job_.fields.id.value()},
@@ -444,7 +385,7 @@
   const bool may_ask_again =
       reason == Reason::kBackendRefused && job_.route->IsRepeatable();
   if (!may_ask_again) tried_.push_back(backend_.id);
-  if (has_begun_) context_.counters.Count(Event::kStreamsResumed);
+  if (relay_.has_begun()) context_.counters.Count(Event::kStreamsResumed);
   Submit();
 }
 
@@ -487,7 +428,7 @@
 void ForwardRun::LeaveStuckBackend() {
   const auto connection = std::exchange(connection_, nullptr);
   if (connection != nullptr) connection->Cancel();
-  events_.DropPartial();
+  relay_.DropPartialEvent();
   EndAttempt(Dispatcher::Result::kStuck);
   OnAttemptFailed(policy_.OnFailed(), Reason::kBackendStuck);
 }
@@ -495,9 +436,9 @@
 // Ends a request that can't be answered: with its reason, or, where the answer
 // has begun, by a reset.
 void ForwardRun::GiveUp(Outcome outcome, Reason reason, Millis retry_after) {
-  if (has_begun_) {
+  if (relay_.has_begun()) {
     caller_->Abort();
-    return Finish(Outcome::kUnknown, reason, status_);
+    return Finish(Outcome::kUnknown, reason, relay_.status());
   }
   int status = kUnavailable;
   if (outcome == Outcome::kUnknown) {
@@ -525,10 +466,10 @@
   switch (phase_) {
     case Phase::kHeld:
     case Phase::kWaiting:
-      ++(has_begun_ ? owed.begun : owed.waiting);
+      ++(relay_.has_begun() ? owed.begun : owed.waiting);
       break;
     case Phase::kSent:
-      ++(has_begun_ ? owed.begun : owed.sent);
+      ++(relay_.has_begun() ? owed.begun : owed.sent);
       break;
     case Phase::kFinished:
       break;
@@ -552,7 +493,7 @@
   phase_ = Phase::kFinished;
   const TimePoint now = BootNow();
   request_body_ = std::make_shared<const std::string>();
-  std::string().swap(body_);  // an assignment would keep the memory
+  relay_.Free();
   memory_.Set(0);
   retries_.Release(now);
   const Duration latency = now - job_.message.arrived;
@@ -567,7 +508,7 @@
        {"status", status},
        {"backend", backend_.id.value()},
        {"sends", policy_.sends()},
-       {"events", events_.events()},
+       {"events", relay_.events()},
        {"ms", ToMillis(latency)}});
 }
 
--- a/src/caller/forward_run.h
+++ b/src/caller/forward_run.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "backend/backend_connection.h"
+#include "caller/answer_relay.h"
 #include "caller/caller_connection.h"
 #include "caller/crash_watch.h"
 #include "caller/forward_context.h"
@@ -14,7 +15,6 @@
 #include "caller/request_retries.h"
 #include "net/graceful_stop.h"
 #include "routing/direct_policy.h"
-#include "routing/event_splitter.h"
 
 namespace mangohold {
 
@@ -53,14 +53,7 @@
     kSent,
     kFinished
   };
-  // How the bytes of an answer reach the caller.
-  enum class Relay {
-    kWhole,   // gathered until the answer is whole
-    kEvents,  // event by event; another attempt can go on with the next one
-    kBytes    // as they come; no other attempt can go on
-  };
 
-  std::size_t BytesHeld() const;
   void OnEvicted();
   void Submit();
   bool PassesCrashCheck(TimePoint now);
@@ -69,12 +62,11 @@
   void LogSend(TimePoint now) const;
   void LogHead() const;
   HttpFields FieldsFor(const BackendRecord& backend, TimePoint now) const;
-  void RelayBytes(std::string_view data);
-  void RelayEvents(std::string_view events);
-  void Gather(std::string_view data);
+  // The caller got further events of a stream.
+  void OnEvents();
   // Gives up the answer in progress, as if its connection had broken.
   void DropAnswer();
-  bool IsCertainlyNotRun() const;
+  void OnNotRun();
   void OnWholeAnswer();
   Dispatcher::Result JudgeFailure();
   void Deliver();
@@ -97,7 +89,7 @@
   DirectPolicy policy_;
   RequestRetries retries_;
   CrashWatch crashes_;
-  EventSplitter events_;
+  AnswerRelay relay_;
   TimePoint deadline_;
   Phase phase_ = Phase::kWaiting;
   AttemptNumber attempt_;
@@ -111,14 +103,8 @@
   TimePoint sent_at_;
   Revision sent_by_;  // the view by which the backend server was chosen
   std::optional<TimePoint> last_event_at_;  // of this attempt
-  // The answer in progress.
-  int status_ = 0;
-  HttpFields answer_fields_;
-  AnswerFields answer_;
-  std::string body_;
-  Relay relay_ = Relay::kWhole;  // of this attempt
-  bool has_begun_ = false;       // the caller has got the head of the answer
-  bool has_bytes_ = false;       // this attempt has brought bytes of the answer
+  AnswerFields answer_;                     // what the answer in progress says
+  bool has_bytes_ = false;  // this attempt has brought bytes of its answer
 };
 
 }  // namespace mangohold
