Read a kept connection again after the answer that was paused

Callers saw: after an answer slightly larger than an entry gathers, the next request on the same kept connection ran and got 504 after its whole deadline. Cause: the answer's end was in the same read as the bytes that made the caller congested. The pause outlived its answer: nothing read the idle connection, and the next Send cleared the flag without starting a read. Class: state of one response kept in its connection. Change: a pause ends with its response, so that an idle connection is always read, and the close of its server is noticed too. CallerConnection has no such state: its two states without a read end with EndAnswer, which reads again, and with the close of the connection.

--- a/src/backend/backend_connection.cc
+++ b/src/backend/backend_connection.cc
@@ -56,7 +56,6 @@
   if (carried_.size() > kMaxCarried) carried_.pop_front();
   may_have_sent_ = false;
   has_sent_request_ = false;
-  is_paused_ = false;
   parser_.Reset(exchange_.is_head);
   if (phase_ == Phase::kNew) return Connect();
   phase_ = Phase::kBusy;
@@ -184,8 +183,11 @@
 void BackendConnection::OnMessageEnd() { is_message_complete_ = true; }
 
 // The connection is reused only if the whole request has been sent. If the
-// response came earlier, unsent bytes would precede the next request.
+// response came earlier, unsent bytes would precede the next request. A pause
+// ends with its response: an idle connection is read, so that its close is
+// noticed and the next response arrives.
 void BackendConnection::FinishResponse() {
+  is_paused_ = false;
   const auto listener = std::exchange(exchange_.listener, nullptr);
   if (keeps_alive_ && has_sent_request_) {
     phase_ = Phase::kIdle;
--- a/src/backend/backend_connection.h
+++ b/src/backend/backend_connection.h
@@ -67,7 +67,7 @@
   // Cancels the request in progress by closing the connection. The listener
   // gets no further call.
   void Cancel();
-  // Stops and resumes reading of the response.
+  // Stops and resumes reading of the response in progress.
   void Pause();
   void Resume();
 
--- a/tests/direct_site.cc
+++ b/tests/direct_site.cc
@@ -15,6 +15,7 @@
 constexpr int kEvents = 10;
 constexpr int kBroken = 5;
 constexpr std::size_t kHugeBytes = 7U << 20U;
+constexpr std::size_t kSlightlyTooLargeBytes = 1'050'000;
 constexpr char kId[] = "X-Mangohold-Request-Id";
 
 std::string Event(int id) {
@@ -190,6 +191,10 @@
     case Manner::kHuge:
       co_await connection.Send(Whole(200, id, std::string(kHugeBytes, 'h')));
       break;
+    case Manner::kSlightlyTooLarge:
+      co_await connection.Send(
+          Whole(200, id, std::string(kSlightlyTooLargeBytes, 'l')));
+      break;
     case Manner::kWork:
       if (co_await connection.IsClosedWithin(work_)) {
         ++cancelled_;
--- a/tests/direct_site.h
+++ b/tests/direct_site.h
@@ -47,8 +47,11 @@
   kLateReject,      // 503, not run, after 400 ms
   kCloseUnasked,    // 200, and the connection closes 5 ms later
   kHuge,            // 200 with 7 MiB
-  kWork,            // 200 after the time of `SetWork`
-  kHang             // no answer at all
+  // 200 with slightly more than an entry gathers, whose end comes together with
+  // the bytes that are too many.
+  kSlightlyTooLarge,
+  kWork,  // 200 after the time of `SetWork`
+  kHang   // no answer at all
 };
 
 // The ten events of a whole stream.
