Give up a backend server that sends without end what is no answer

Callers saw: where a backend server sent interim answers, or answers to another request, without end, a request that may be repeated was held until its deadline and got 504, although another backend server was sound. Cause: such messages were dropped one by one, and nothing counted them. Class: input of a peer that is skipped without a bound. Change: in one exchange at most 16 of them, and 1 MiB of them, are skipped. Past that the exchange has failed as one that may have run; the backend server is judged, and work that may be repeated goes elsewhere at once.

--- a/src/backend/backend_connection.cc
+++ b/src/backend/backend_connection.cc
@@ -24,6 +24,10 @@
 constexpr Millis kIdleTimeoutMargin{600};
 constexpr int kFirstFinalStatus = 200;
 constexpr std::size_t kMaxCarried = 16;
+// Of interim and foreign responses in one exchange. A late copy of a whole
+// answer passes; a server that sends more isn't about to answer.
+constexpr std::size_t kMaxStrayBytes = 1U << 20U;
+constexpr int kMaxStrayResponses = 16;
 
 // The "timeout" of the Keep-Alive field less the margin, or the default if the
 // field states none.
@@ -56,6 +60,10 @@
   if (carried_.size() > kMaxCarried) carried_.pop_front();
   may_have_sent_ = false;
   has_sent_request_ = false;
+  stray_bytes_ = 0;
+  stray_responses_ = 0;
+  is_foreign_ = false;
+  is_interim_ = false;
   parser_.Reset(exchange_.is_head);
   if (phase_ == Phase::kNew) return Connect();
   phase_ = Phase::kBusy;
@@ -144,9 +152,11 @@
 void BackendConnection::Consume(std::string_view data) {
   while (!data.empty() && phase_ == Phase::kBusy) {
     is_message_complete_ = false;
-    data.remove_prefix(parser_.Feed(data));
+    const std::size_t used = parser_.Feed(data);
+    data.remove_prefix(used);
     if (phase_ != Phase::kBusy) return;
     if (parser_.has_failed()) return Fail();
+    if (!TakeStray(used)) return FailWith(ExchangeFailure::kNoAnswer);
     if (!is_message_complete_) continue;
     if (is_foreign_ || is_interim_) {
       parser_.Reset(exchange_.is_head);
@@ -159,6 +169,14 @@
   }
 }
 
+bool BackendConnection::TakeStray(std::size_t bytes) {
+  if (!is_foreign_ && !is_interim_) return true;
+  stray_bytes_ += bytes;
+  if (is_message_complete_) ++stray_responses_;
+  return stray_bytes_ <= kMaxStrayBytes &&
+         stray_responses_ <= kMaxStrayResponses;
+}
+
 void BackendConnection::OnHead(Http1Head head) {
   is_interim_ = head.status < kFirstFinalStatus;
   if (is_interim_) return;
@@ -199,13 +217,17 @@
 }
 
 void BackendConnection::Fail() {
+  FailWith(may_have_sent_ ? ExchangeFailure::kBroken
+                          : ExchangeFailure::kNotSent);
+}
+
+void BackendConnection::FailWith(ExchangeFailure failure) {
   if (phase_ == Phase::kClosed) return;
   const auto listener = std::exchange(exchange_.listener, nullptr);
   const bool was_busy = phase_ == Phase::kBusy || phase_ == Phase::kConnecting;
   Close();
   if (was_busy && listener != nullptr) {
-    listener->OnBackendFailure(may_have_sent_ ? ExchangeFailure::kBroken
-                                              : ExchangeFailure::kNotSent);
+    listener->OnBackendFailure(failure);
   }
 }
 
--- a/src/backend/backend_connection.h
+++ b/src/backend/backend_connection.h
@@ -21,7 +21,8 @@
 // How far an exchange got that failed before its response was complete.
 enum class ExchangeFailure {
   kNotSent,  // no byte was sent: the backend server can't have seen the request
-  kBroken    // the request may have been executed
+  kBroken,   // the request may have been executed
+  kNoAnswer  // too much came that is no answer to it; it may have been executed
 };
 
 // Receives the events of one exchange with a backend server. OnBackendEnd or
@@ -77,6 +78,9 @@
   // True if the request was sent on this connection recently. A late copy of
   // its earlier response couldn't be told from the response to a repeat.
   bool HasCarried(const RequestId& id) const;
+  // What has come since the request was sent and is no answer to it.
+  std::size_t stray_bytes() const { return stray_bytes_; }
+  int stray_responses() const { return stray_responses_; }
 
  private:
   enum class Phase { kNew, kConnecting, kBusy, kIdle, kClosed };
@@ -91,7 +95,11 @@
   void OnRead(const std::error_code& error, std::string_view bytes);
   void Consume(std::string_view data);
   void FinishResponse();
+  // Counts a part of a response that is not for this request. False if there
+  // is too much of it.
+  bool TakeStray(std::size_t bytes);
   void Fail();
+  void FailWith(ExchangeFailure failure);
   void Close();
 
   asio::ip::tcp::socket socket_;
@@ -107,6 +115,8 @@
   bool is_paused_ = false;
   bool is_foreign_ = false;  // the current response is not for this request
   bool is_interim_ = false;  // the current response has a 1xx status
+  std::size_t stray_bytes_ = 0;
+  int stray_responses_ = 0;
   bool is_message_complete_ = false;  // set by the parser
   bool keeps_alive_ = true;
   TimePoint idle_since_;
--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -387,6 +387,7 @@
 
 void ForwardRun::OnBackendFailure(ExchangeFailure failure) {
   if (phase_ != Phase::kSent) return;
+  if (failure == ExchangeFailure::kNoAnswer) LogNoAnswer();
   connection_ = nullptr;
   events_.DropPartial();
   const TimePoint now = BootNow();
@@ -405,6 +406,16 @@
   OnAttemptFailed(policy_.OnFailed(), Reason::kBackendFailed);
 }
 
+void ForwardRun::LogNoAnswer() const {
+  context_.counters.Count(Event::kExchangesWithoutAnswer);
+  Log(LogLevel::kWarning, "backend_sent_no_answer",
+      {{"request", job_.fields.id.value()},
+       {"backend", backend_.id.value()},
+       {"bytes", connection_->stray_bytes()},
+       {"responses", connection_->stray_responses()},
+       {"sent_ms_ago", ToMillis(BootNow() - sent_at_)}});
+}
+
 void ForwardRun::OnAttemptFailed(DirectPolicy::Next next, Reason reason) {
   const TimePoint now = BootNow();
   const bool may_go_on = !has_begun_ || relay_ != Relay::kBytes;
--- a/src/caller/forward_run.h
+++ b/src/caller/forward_run.h
@@ -67,6 +67,7 @@
   void RefuseIfBlocked(TimePoint now);
   void Send(const BackendRecord& backend);
   void LogSend(TimePoint now) const;
+  void LogNoAnswer() const;
   HttpFields FieldsFor(const BackendRecord& backend, TimePoint now) const;
   void RelayBytes(std::string_view data);
   void RelayEvents(std::string_view events);
--- a/src/core/counters.cc
+++ b/src/core/counters.cc
@@ -32,6 +32,7 @@
                    "backend_reports_lost",
                    "backend_connects",
                    "foreign_answers",
+                   "exchanges_without_answer",
                    "streams_resumed",
                    "log_lines_dropped",
                    "orders",
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -31,6 +31,7 @@
   kBackendReportsLost,
   kBackendConnects,
   kForeignAnswers,
+  kExchangesWithoutAnswer,  // given up, as too much came that was no answer
   kStreamsResumed,
   kLogLinesDropped,
   kOrders,
--- a/tests/direct_site.cc
+++ b/tests/direct_site.cc
@@ -36,6 +36,17 @@
          body;
 }
 
+// Until the peer closes.
+asio::awaitable<void> SendWithoutEnd(std::string text,
+                                     standin::Connection& connection) {
+  bool is_closed = false;
+  while (!is_closed) {
+    co_await connection.Send(text);
+    is_closed = co_await connection.IsClosedWithin(milliseconds(5));
+  }
+  connection.Drop();
+}
+
 }  // namespace
 
 std::string AllEvents() {
@@ -191,6 +202,12 @@
     case Manner::kHuge:
       co_await connection.Send(Whole(200, id, std::string(kHugeBytes, 'h')));
       break;
+    case Manner::kEndlessInterim:
+      co_await SendWithoutEnd("HTTP/1.1 102 Standin\r\n\r\n", connection);
+      break;
+    case Manner::kEndlessForeign:
+      co_await SendWithoutEnd(Whole(200, "somebody", "foreign"), connection);
+      break;
     case Manner::kSlightlyTooLarge:
       co_await connection.Send(
           Whole(200, id, std::string(kSlightlyTooLargeBytes, 'l')));
--- a/tests/direct_site.h
+++ b/tests/direct_site.h
@@ -47,6 +47,10 @@
   kLateReject,      // 503, not run, after 400 ms
   kCloseUnasked,    // 200, and the connection closes 5 ms later
   kHuge,            // 200 with 7 MiB
+  // Two kinds of what is no answer, without end: interim answers, and answers
+  // to another request.
+  kEndlessInterim,
+  kEndlessForeign,
   // 200 with slightly more than an entry gathers, whose end comes together with
   // the bytes that are too many.
   kSlightlyTooLarge,
--- a/tests/system/direct_answers_test.cc
+++ b/tests/system/direct_answers_test.cc
@@ -20,5 +20,30 @@
   EXPECT_EQ(site.Call("POST", "/once/x", "second", "b").status, 200);
 }
 
+// One of two backend servers sends what is no answer, without end, as `manner`
+// says: requests that may be repeated are served by the other one.
+void ExpectServiceBesideNoAnswers(Manner manner) {
+  constexpr int kCalls = 8;
+  DirectSite site({.backends = 2});
+  site.Start();
+  site.backend(0).SetManner(manner);
+  for (int i = 0; i < kCalls; ++i) {
+    EXPECT_EQ(site.Call("POST", "/again/x", "id" + std::to_string(i)).status,
+              200);
+  }
+  EXPECT_GT(site.backend(0).runs_in_all(), 0);
+}
+
+// Guards against a request that is held until its deadline by a backend server
+// which sends interim answers without end.
+TEST(DirectWay, InterimAnswersWithoutEndAreAFailure) {
+  ExpectServiceBesideNoAnswers(Manner::kEndlessInterim);
+}
+
+// The same with answers to another request.
+TEST(DirectWay, ForeignAnswersWithoutEndAreAFailure) {
+  ExpectServiceBesideNoAnswers(Manner::kEndlessForeign);
+}
+
 }  // namespace
 }  // namespace mangohold::testing
