--- a/src/caller/forward_run.h
+++ b/src/caller/forward_run.h
@@ -61,6 +61,7 @@
   void Send(const BackendRecord& backend);
   void LogSend(TimePoint now) const;
   void LogHead() const;
+  void LogNoAnswer() const;
   HttpFields FieldsFor(const BackendRecord& backend, TimePoint now) const;
   // The caller got further events of a stream.
   void OnEvents();
--- a/src/core/counters.cc
+++ b/src/core/counters.cc
@@ -34,6 +34,7 @@
                    "foreign_answers",
                    "statuses_withheld",
                    "refusals_believed",
+                   "exchanges_without_answer",
                    "streams_resumed",
                    "log_lines_dropped",
                    "orders",
