Bound what the answer to a call of a process may hold

Operators saw: a faulty engine sent bytes that were no answer, without end; the machine that had called it kept them all and ran out of memory. Cause: Fetch appended whatever came, for as long as its call lasted. Class: a peer's bytes kept without a bound. It serves the agents' reports, counts, lists and orders, the backend monitor, zone watchers, entry control, the store's and the callers' clients. Change: each call states the most that its answer's body may hold (MaxBody, no default but for command-line tools), and all heads of one call, interim ones and trailers included, have one bound. Past it the transfer is broken off, logged (answer_too_large, with server and path), counted, and ends as kTooLarge, which may have been acted on. A store's watch that is too large is read page by page, as one whose history is lost. An agent takes a request's answer with too large a head for a failure.

--- a/bench/load_tool.cc
+++ b/bench/load_tool.cc
@@ -74,7 +74,7 @@
          .fields = {{"Mangohold-Workspace", "sales"},
                     {"Content-Type", "application/json"}},
          .body = R"({"prompt": "Three bedrooms above the harbour"})"},
-        [this, at](const HttpResponse& response) {
+        kMaxToolBody, [this, at](const HttpResponse& response) {
           if (response.status == 200) {
             target_.latencies_ms.push_back(ToSeconds(Clock::now() - at) * 1e3);
           } else {
--- a/src/agent_main.cc
+++ b/src/agent_main.cc
@@ -53,7 +53,7 @@
        .max_connections =
            SessionLimit(settings.memory_mb, settings.max_descriptors)},
       counters);
-  HttpClient http(control.io());
+  HttpClient http(control.io(), &counters);
   PlatformClient platform(
       http, {.url = settings.platform_url, .instance = settings.instance},
       counters);
--- a/src/backend/agent_server.cc
+++ b/src/backend/agent_server.cc
@@ -76,7 +76,7 @@
       counters_(counters),
       budget_(options_.memory),
       gate_(options_.gate),
-      http_(loop.io()),
+      http_(loop.io(), &counters),
       monitor_(loop, http_, {.url = options_.backend_url},
                {.on_cold = [this] { BecomeCold(); },
                 .on_suspect = [this] { gate_.Suspect(); },
@@ -396,7 +396,7 @@
     FinishJob(job, WorkResult::kRefused, false, Reason::kBackendUnreachable);
   } else if (result == HttpResult::kTimedOut) {
     FinishJob(job, WorkResult::kFailed, false, Reason::kDeadlineExceeded);
-  } else if (result == HttpResult::kBroken ||
+  } else if (result == HttpResult::kBroken || result == HttpResult::kTooLarge ||
              (job->has_head && !job->is_framed)) {
     BecomeCold();
     monitor_.CheckNow();
--- a/src/backend/backend_monitor.cc
+++ b/src/backend/backend_monitor.cc
@@ -8,6 +8,8 @@
 namespace mangohold {
 namespace {
 
+constexpr MaxBody kMaxReport{64U << 10U};
+
 // Nothing if the response is no complete report.
 std::optional<BackendReport> ToReport(const HttpResponse& response) {
   if (response.result != HttpResult::kComplete || response.status != 200) {
@@ -52,10 +54,11 @@
   is_polling_ = true;
   HttpCall call{.url = options_.url + "/load",
                 .timeout = 2 * options_.interval};
-  Fetch(http_, std::move(call), [this](const HttpResponse& response) {
-    is_polling_ = false;
-    OnResponse(response);
-  });
+  Fetch(http_, std::move(call), kMaxReport,
+        [this](const HttpResponse& response) {
+          is_polling_ = false;
+          OnResponse(response);
+        });
 }
 
 // A server may close an idle connection without having restarted, so the next
--- a/src/caller/caller_client.cc
+++ b/src/caller/caller_client.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Millis kLeastPause{50};
+// Entries gather answers of up to 4 MiB.
+constexpr MaxBody kMaxAnswer{8U << 20U};
 constexpr std::string_view kErrorEvent = "event: mangohold-error";
 // Conditions that pass, so that coming back is worth while.
 constexpr int kTooManyRequests = 429;
@@ -49,7 +51,7 @@
     HttpCall call{.url = "http://" + source.value() + "/v1/entries",
                   .connect_timeout = options.connect_timeout,
                   .timeout = std::chrono::seconds(1)};
-    Fetch(http, std::move(call),
+    Fetch(http, std::move(call), kMaxAnswer,
           [self = shared_from_this(),
            then = std::move(then)](const HttpResponse& response) {
             self->TakeList(response);
@@ -93,7 +95,8 @@
   std::vector<Endpoint> failed;
   ClientResult result;
   HttpFields head;
-  std::string tail;  // the end of a streamed answer, to see an error event
+  HttpCallId http_call;  // of the submission in progress
+  std::string tail;      // the end of a streamed answer, to see an error event
 
   void Begin() {
     state->Refresh([self = shared_from_this()] {
@@ -141,7 +144,7 @@
     HttpCall out = NewCall("/v1/tickets", entry);
     out.method = "POST";
     out.body = nlohmann::json{{"service", call.service.value()}}.dump();
-    Fetch(state->http, std::move(out),
+    Fetch(state->http, std::move(out), kMaxAnswer,
           [self = shared_from_this(), entry](const HttpResponse& response) {
             self->OnTicket(entry, response);
           });
@@ -186,7 +189,7 @@
     result.body.clear();
     result.http_status = 0;
     head.clear();
-    state->http.Start(
+    http_call = state->http.Start(
         std::move(out),
         {.on_head =
              [self = shared_from_this()](int status, const HttpFields& fields) {
@@ -205,6 +208,9 @@
 
   void OnData(std::string_view data) {
     if (!IsAnswer() || !on_data) {
+      if (result.body.size() + data.size() > kMaxAnswer.bytes) {
+        return state->http.RejectAsTooLarge(http_call, kMaxAnswer.bytes);
+      }
       result.body.append(data);
       return;
     }
--- a/src/caller/entry_control.cc
+++ b/src/caller/entry_control.cc
@@ -14,6 +14,8 @@
 constexpr Millis kLeaseTtl{6'000};
 constexpr Millis kLeaseRenewal{2'000};
 constexpr Millis kPeerTimeout{800};
+// The store's items are up to 1 MiB large.
+constexpr MaxBody kMaxDeployment{2U << 20U};
 constexpr char kDeploymentPath[] = "/deployment";
 constexpr int kMostAdminConnections = 256;
 
@@ -165,7 +167,7 @@
         {.url = "http://" + peer.admin.value() + kDeploymentPath,
          .connect_timeout = kPeerTimeout,
          .timeout = kPeerTimeout},
-        [this](const HttpResponse& response) {
+        kMaxDeployment, [this](const HttpResponse& response) {
           is_fetching_ = false;
           const bool is_usable = response.result == HttpResult::kComplete &&
                                  response.status == 200;
--- a/src/core/counters.cc
+++ b/src/core/counters.cc
@@ -35,6 +35,7 @@
                    "statuses_withheld",
                    "refusals_believed",
                    "exchanges_without_answer",
+                   "answers_too_large",
                    "streams_resumed",
                    "log_lines_dropped",
                    "orders",
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -34,8 +34,9 @@
   // Statuses of backend servers that would have promised a caller what their
   // server doesn't say.
   kStatusesWithheld,
-  kRefusalsBelieved,  // answers that say that the request hasn't run
+  kRefusalsBelieved,        // answers that say that the request hasn't run
   kExchangesWithoutAnswer,  // given up, as too much came that was no answer
+  kAnswersTooLarge,         // to calls of this process itself
   kStreamsResumed,
   kLogLinesDropped,
   kOrders,
--- a/src/direct_entry_main.cc
+++ b/src/direct_entry_main.cc
@@ -87,7 +87,7 @@
                  [&to_control, peer] { to_control->FetchDeployment(peer); });
            }},
       dialect, counters);
-  HttpClient http(control.io());
+  HttpClient http(control.io(), &counters);
   platform::StoreClient store(http, {.url = settings.platform_url}, counters);
   EntryControl entry(
       control, store, http,
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -28,7 +28,7 @@
        .max_connections = ConnectionLimit(settings.max_descriptors),
        .address_max_age = settings.address_max_age},
       counters);
-  HttpClient http(control.io());
+  HttpClient http(control.io(), &counters);
   PlatformClient platform(
       http, {.url = settings.platform_url, .instance = settings.instance},
       counters);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -6,12 +6,20 @@
 #include <map>
 #include <unordered_map>
 
+#include "core/log.h"
 #include "net/event_loop.h"
 
 namespace mangohold {
 namespace {
 
 constexpr long kPooledConnections = 64;  // NOLINT(google-runtime-int)
+// Of all heads of one call; servers of the field send a few KiB.
+constexpr std::size_t kMaxHeadBytes = 64U << 10U;
+
+// The server and the path of a URL, without the query.
+std::string_view WithoutQuery(std::string_view url) {
+  return url.substr(0, url.find('?'));
+}
 
 void InitCurlOnce() {
   static const CURLcode result = curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -30,6 +38,8 @@
     HttpHandlers handlers;
     HttpFields response_fields;
     int status = 0;
+    std::size_t head_bytes = 0;
+    bool is_too_large = false;
     bool head_ended = false;  // by its empty line
     bool head_done = false;   // handed on
     bool paused = false;
@@ -48,7 +58,8 @@
     bool writing = false;
   };
 
-  explicit State(asio::io_context& io_context) : io(io_context), timer(io) {
+  State(asio::io_context& io_context, Counters* event_counters)
+      : io(io_context), timer(io), counters(event_counters) {
     InitCurlOnce();
     multi = curl_multi_init();
     curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &State::OnSocket);
@@ -160,7 +171,9 @@
     curl_easy_getinfo(owned->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
     HttpResult result = HttpResult::kBroken;
     // libcurl takes a head for whole that ends with its connection.
-    if (code == CURLE_OK && owned->head_ended) {
+    if (owned->is_too_large) {
+      result = HttpResult::kTooLarge;
+    } else if (code == CURLE_OK && owned->head_ended) {
       DeliverHead(*owned);
       result = HttpResult::kComplete;
     } else if (sent_bytes == 0) {
@@ -179,9 +192,25 @@
     }
   }
 
+  void Reject(Transfer& transfer, std::string_view part, std::size_t limit) {
+    transfer.is_too_large = true;
+    if (counters != nullptr) counters->Count(Event::kAnswersTooLarge);
+    Log(LogLevel::kWarning, "answer_too_large",
+        {{"url", WithoutQuery(transfer.call.url)},
+         {"part", part},
+         {"limit_bytes", limit},
+         {"status", transfer.status}});
+  }
+
+  // A return value other than the size ends the transfer.
   static std::size_t OnField(char* data, std::size_t size, std::size_t count,
                              void* self) {
     auto& transfer = *static_cast<Transfer*>(self);
+    transfer.head_bytes += size * count;
+    if (transfer.head_bytes > kMaxHeadBytes) {
+      transfer.owner->Reject(transfer, "head", kMaxHeadBytes);
+      return 0;
+    }
     std::string_view line(data, size * count);
     while (line.ends_with('\n') || line.ends_with('\r')) line.remove_suffix(1);
     if (line.empty()) transfer.head_ended = true;
@@ -211,7 +240,7 @@
     if (!transfer.cancelled && transfer.handlers.on_data) {
       transfer.handlers.on_data({data, size * count});
     }
-    return size * count;
+    return transfer.is_too_large ? CURL_WRITEFUNC_ERROR : size * count;
   }
 
   void Add(std::unique_ptr<Transfer> owned) {
@@ -256,14 +285,15 @@
 
   asio::io_context& io;
   asio::steady_timer timer;
+  Counters* counters;
   CURLM* multi = nullptr;
   HttpCallId last_id;
   std::map<HttpCallId, std::unique_ptr<Transfer>> transfers;
   std::unordered_map<curl_socket_t, std::shared_ptr<Watch>> watches;
 };
 
-HttpClient::HttpClient(asio::io_context& io)
-    : state_(std::make_shared<State>(io)) {}
+HttpClient::HttpClient(asio::io_context& io, Counters* counters)
+    : state_(std::make_shared<State>(io, counters)) {}
 
 HttpClient::~HttpClient() = default;
 
@@ -312,30 +342,43 @@
   });
 }
 
-HttpCallId Fetch(HttpClient& client, HttpCall call,
+void HttpClient::RejectAsTooLarge(HttpCallId id, std::size_t limit) {
+  const auto it = state_->transfers.find(id);
+  if (it != state_->transfers.end()) state_->Reject(*it->second, "body", limit);
+}
+
+HttpCallId Fetch(HttpClient& client, HttpCall call, MaxBody max_body,
                  std::function<void(HttpResponse)> on_response) {
   auto response = std::make_shared<HttpResponse>();
-  return client.Start(
-      std::move(call),
-      {.on_head =
-           [response](int status, const HttpFields& fields) {
-             response->status = status;
-             response->fields = fields;
-           },
-       .on_data =
-           [response](std::string_view data) { response->body.append(data); },
-       .on_done =
-           [response, on_response = std::move(on_response)](HttpResult result) {
-             response->result = result;
-             on_response(std::move(*response));
-           }});
+  const auto id = std::make_shared<HttpCallId>();
+  return *id = client.Start(
+             std::move(call),
+             {.on_head =
+                  [response](int status, const HttpFields& fields) {
+                    response->status = status;
+                    response->fields = fields;
+                  },
+              .on_data =
+                  [&client, response, id, max_body](std::string_view data) {
+                    if (response->body.size() + data.size() > max_body.bytes) {
+                      return client.RejectAsTooLarge(*id, max_body.bytes);
+                    }
+                    response->body.append(data);
+                  },
+              .on_done =
+                  [response,
+                   on_response = std::move(on_response)](HttpResult result) {
+                    response->result = result;
+                    if (result == HttpResult::kTooLarge) response->body.clear();
+                    on_response(std::move(*response));
+                  }});
 }
 
-HttpResponse FetchAndWait(HttpCall call) {
+HttpResponse FetchAndWait(HttpCall call, MaxBody max_body) {
   EventLoop loop;
   HttpClient http(loop.io());
   HttpResponse out;
-  Fetch(http, std::move(call), [&](HttpResponse response) {
+  Fetch(http, std::move(call), max_body, [&](HttpResponse response) {
     out = std::move(response);
     loop.Stop();
   });
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "core/clock.h"
+#include "core/counters.h"
 #include "core/ids.h"
 #include "net/http_message.h"
 
@@ -36,7 +37,9 @@
   kComplete,  // the whole response arrived
   kNotSent,   // no byte of the request left this process
   kTimedOut,  // the time was up: the server may have acted on the request
-  kBroken     // anything else: the server may have acted on the request
+  // More came than the call takes: the server may have acted on the request.
+  kTooLarge,
+  kBroken  // anything else: the server may have acted on the request
 };
 
 struct HttpHandlers {
@@ -47,10 +50,13 @@
 
 using HttpCallId = Number<struct HttpCallIdTag>;
 
-// All calls belong to the event loop's thread.
+// All calls belong to the event loop's thread. The heads of one call's answers,
+// interim ones and trailers included, are bounded; the body is the caller's to
+// bound.
 class HttpClient {
  public:
-  explicit HttpClient(asio::io_context& io);
+  // `counters`, if any, count what was too large; they have to outlive this.
+  explicit HttpClient(asio::io_context& io, Counters* counters = nullptr);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
@@ -61,6 +67,9 @@
   // Stops and resumes reading of the response.
   void Pause(HttpCallId id);
   void Resume(HttpCallId id);
+  // Breaks off a call whose answer has more than `limit` bytes. Called from
+  // inside its `on_data`; the call ends as kTooLarge.
+  void RejectAsTooLarge(HttpCallId id, std::size_t limit);
 
  private:
   struct State;
@@ -75,10 +84,19 @@
   std::string body;
 };
 
-// Starts `call` and gives the whole response to `on_response`.
-HttpCallId Fetch(HttpClient& client, HttpCall call,
+// The most that the body of a response may hold.
+struct MaxBody {
+  std::size_t bytes = 0;
+};
+
+// What command-line tools take at the most.
+inline constexpr MaxBody kMaxToolBody{64U << 20U};
+
+// Starts `call` and gives the whole response to `on_response`. A larger body
+// ends the call as kTooLarge; what came of it is dropped.
+HttpCallId Fetch(HttpClient& client, HttpCall call, MaxBody max_body,
                  std::function<void(HttpResponse)> on_response);
 // Runs `call` to its end on an event loop of its own; for command-line tools.
-HttpResponse FetchAndWait(HttpCall call);
+HttpResponse FetchAndWait(HttpCall call, MaxBody max_body = kMaxToolBody);
 
 }  // namespace mangohold
--- a/src/peer/zone_watchers.cc
+++ b/src/peer/zone_watchers.cc
@@ -13,6 +13,8 @@
 // The watcher and the standby.
 constexpr std::size_t kServingPerZone = 2;
 constexpr Millis kConnectTimeout{300};
+// Changes of some seconds. Past it the store is asked itself, page by page.
+constexpr MaxBody kMaxRelayed{8U << 20U};
 
 }  // namespace
 
@@ -73,6 +75,7 @@
         {.url = url,
          .connect_timeout = kConnectTimeout,
          .timeout = poll_timeout_},
+        kMaxRelayed,
         [this, id = watcher->id,
          on_events = std::move(on_events)](const HttpResponse& response) {
           const bool is_whole = response.result == HttpResult::kComplete &&
--- a/src/platform/platform_client.cc
+++ b/src/platform/platform_client.cc
@@ -5,6 +5,9 @@
 namespace mangohold {
 namespace {
 
+// The settings of a whole deployment, of all its workspaces.
+constexpr MaxBody kMaxAnswer{32U << 20U};
+
 using Json = nlohmann::json;
 
 DocumentVersion ToDocument(const Json& item) {
@@ -79,7 +82,7 @@
   call.url = options_.url + call.url;
   call.fields.push_back({"Mangohold-Instance", options_.instance.value()});
   counters_.Count(Event::kPlatformCalls);
-  Fetch(http_, std::move(call),
+  Fetch(http_, std::move(call), kMaxAnswer,
         [this, on_response = std::move(on_response)](HttpResponse response) {
           const bool is_failure = response.result != HttpResult::kComplete ||
                                   response.status >= 500;
--- a/src/rank_agent_main.cc
+++ b/src/rank_agent_main.cc
@@ -17,7 +17,7 @@
 int Run(const RankAgentSettings& settings, const std::string& file) {
   Counters counters;
   EventLoop loop;
-  HttpClient http(loop.io());
+  HttpClient http(loop.io(), &counters);
   platform::StoreClient store(http, {.url = settings.platform_url}, counters);
   platform::EngineClient engine(http, counters);
   RankAgent agent(loop, store, engine,
--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -65,6 +65,16 @@
   pid_ = -1;
 }
 
+double Process::peak_memory_mb() const {
+  std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
+  std::string name;
+  double kilobytes = 0;
+  while (file >> name) {
+    if (name == "VmHWM:" && file >> kilobytes) return kilobytes / 1024;
+  }
+  return 0;
+}
+
 bool Process::is_running() { return WaitForExit(Duration::zero()) < 0; }
 
 int Process::WaitForExit(Duration limit) {
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -30,6 +30,8 @@
   int WaitForExit(Duration limit);
   bool is_running();
   pid_t pid() const { return pid_; }
+  // The largest memory that it has had, in MB.
+  double peak_memory_mb() const;
 
  private:
   pid_t pid_ = -1;
--- a/tests/standins/rank_group.cc
+++ b/tests/standins/rank_group.cc
@@ -66,6 +66,11 @@
   ranks_[rank].is_reachable = is_reachable;
 }
 
+void RankGroup::SetEndless(int rank, bool is_endless) {
+  const std::lock_guard lock(mutex_);
+  ranks_[rank].is_endless = is_endless;
+}
+
 void RankGroup::SetLate(const std::string& operation, int percent,
                         std::chrono::milliseconds lateness) {
   const std::lock_guard lock(mutex_);
@@ -227,10 +232,12 @@
   int status = 200;
   std::string body;
   bool has_answer = true;
+  bool is_endless = false;
   {
     const std::lock_guard lock(mutex_);
+    is_endless = ranks_[rank].is_endless;
     has_answer = ranks_[rank].is_reachable;
-    if (!has_answer) {
+    if (!has_answer || is_endless) {
       // Nothing is carried out either.
     } else if (request.path == "/mangohold/report") {
       body = ReportOf(rank);
@@ -253,6 +260,11 @@
       status = kNotFound;
     }
   }
+  if (is_endless) {
+    co_await connection.Send("HTTP/1.1 200 OK\r\n\r\n");
+    // Ends by the error of a write once the peer has closed.
+    while (true) co_await connection.Send(std::string(64U << 10U, ' '));
+  }
   if (!has_answer) {
     constexpr std::chrono::milliseconds kPatience(2'000);
     co_await connection.IsClosedWithin(kPatience);
--- a/tests/standins/rank_group.h
+++ b/tests/standins/rank_group.h
@@ -41,6 +41,9 @@
   // The rank's engine answers nothing, as if its machine stood still.
   void SetReachable(int rank, bool is_reachable);
 
+  // The rank's engine answers everything by bytes without end.
+  void SetEndless(int rank, bool is_endless);
+
   // From now on, of 100 orders of this kind so many get no answer and are
   // carried out `lateness` later.
   void SetLate(const std::string& operation, int percent,
@@ -76,6 +79,7 @@
     std::uint64_t held = 0;
     std::vector<double> counts;
     bool is_reachable = true;
+    bool is_endless = false;
   };
 
   asio::awaitable<void> Handle(int rank, HttpRequest request,
--- a/tests/system/direct_memory_test.cc
+++ b/tests/system/direct_memory_test.cc
@@ -123,17 +123,6 @@
   std::size_t sent_ = 0;
 };
 
-// The largest memory that a process has had, in MB.
-double PeakMemoryMb(pid_t pid) {
-  std::ifstream file("/proc/" + std::to_string(pid) + "/status");
-  std::string name;
-  double value = 0;
-  while (file >> name) {
-    if (name == "VmHWM:" && file >> value) return value / 1024;
-  }
-  return 0;
-}
-
 int OpenDescriptors(pid_t pid) {
   int count = 0;
   const std::string path = "/proc/" + std::to_string(pid) + "/fd";
@@ -193,7 +182,7 @@
   io.run_for(kHeldFor);
   ASSERT_TRUE(site.entry(0).is_running());
   EXPECT_EQ(site.Call("POST", "/again/x", "ordinary", "b").status, 200);
-  const double peak = PeakMemoryMb(site.entry(0).pid());
+  const double peak = site.entry(0).peak_memory_mb();
   EXPECT_LT(peak, kMemoryMb);
   EXPECT_GT(peak, 0);
   std::cout << "peak memory " << peak << " MB\n";
--- a/tests/system/rank_agent_test.cc
+++ b/tests/system/rank_agent_test.cc
@@ -113,10 +113,13 @@
   std::uint64_t NewestTerm() const { return NewestLeading().second; }
 
   bool HasStoppedLeading(int rank) const {
+    return HasLogged(rank, "leading_ended");
+  }
+  bool HasLogged(int rank, const std::string& event) const {
     std::ifstream file(LogOf(rank));
     std::stringstream text;
     text << file.rdbuf();
-    return text.str().find("leading_ended") != std::string::npos;
+    return text.str().find(event) != std::string::npos;
   }
   bool HasKeptDemand() const { return store_->Has("demand/g"); }
   bool IsEven() const { return group_->skew() < kNearlyEven; }
@@ -241,6 +244,24 @@
   EXPECT_EQ(site.group().split_passes(), 0);
 }
 
+// Guards against an agent that keeps what its faulty engine sends without end,
+// until its machine has no memory left.
+TEST(RankAgent, AnEngineThatAnswersWithoutEndDoesntFillItsAgent) {
+  constexpr double kMachineMb = 112;
+  constexpr int kFaulty = 1;
+  RankSite site(0);
+  ASSERT_TRUE(WaitFor([&] { return site.IsEven(); }));
+  site.group().SetEndless(kFaulty, true);
+  std::this_thread::sleep_for(seconds(2));
+  EXPECT_TRUE(site.agent(kFaulty).is_running());
+  EXPECT_LT(site.agent(kFaulty).peak_memory_mb(), kMachineMb);
+  EXPECT_TRUE(site.HasLogged(kFaulty, "answer_too_large"));
+  site.group().SetEndless(kFaulty, false);
+  site.group().SetPopularity(kShifted);
+  ASSERT_TRUE(WaitFor([&] { return site.IsEven(); }));
+  EXPECT_EQ(site.group().split_passes(), 0);
+}
+
 // The machine of the leader stands still right after its hold, with the engine
 // beside it, while orders come late.
 TEST(RankAgent, AHoldIsReleasedWhenItsLeaderStandsStill) {
