Take an answer no further once its caller was evicted for it

The request ends inside Gather, and the answer's drop then calls its connection, which is gone. Cause: MemoryBudget::Resize calls back before it returns, and the caller of Resize went on with what that had ended. Class: re-entrance that isn't checked. The other callers of Resize hold no state across it (CallerConnection::HoldBody refuses; HasRoom is called before the connection starts). The whole path on real processes was not reproduced.

--- a/src/caller/answer_relay.cc
+++ b/src/caller/answer_relay.cc
@@ -70,6 +70,8 @@
   // A growing string holds twice its size for a moment.
   const bool has_room =
       size <= body_.capacity() || memory_.Resize(BytesHeld() + 2 * size, now);
+  // Room may have been made at the cost of this request's own caller.
+  if (caller_->is_closed()) return Result::kKept;
   body_.append(data);
   memory_.Set(BytesHeld());
   if (has_room && size <= kMostGathered) return Result::kKept;
--- a/tests/unit/answer_relay_test.cc
+++ b/tests/unit/answer_relay_test.cc
@@ -3,6 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <asio.hpp>
+#include <memory>
+#include <string>
 
 namespace mangohold {
 namespace {
@@ -42,5 +45,27 @@
             Way::kEvents);
 }
 
+// Guards against an entry that ends by itself: the room for a failure's body is
+// made by closing the connection of the caller that waits for it, which ends
+// the request while its answer is being taken.
+TEST(AnswerRelay, AnEvictedCallersAnswerIsTakenNoFurther) {
+  constexpr std::size_t kRoom = 1'000;
+  asio::io_context io;
+  MemoryBudget budget({.limit = kRoom, .small = 0, .patience = Duration(0)});
+  const CallerConnection::Host host{.memory = budget};
+  const auto caller =
+      std::make_shared<CallerConnection>(asio::ip::tcp::socket(io), host);
+  MemoryBudget::Holder answer(budget, nullptr, BootNow());
+  AnswerRelay relay(caller, {}, answer);
+  relay.OnHead(500, {}, {});
+  MemoryBudget::Holder callers(
+      budget, [&](Eviction) { caller->Close(); }, BootNow());
+  callers.Set(kRoom);
+  EXPECT_EQ(relay.OnBody(std::string(2 * kRoom, 'b'), BootNow()),
+            AnswerRelay::Result::kKept);
+  EXPECT_TRUE(caller->is_closed());
+  EXPECT_EQ(answer.bytes(), 0U);
+}
+
 }  // namespace
 }  // namespace mangohold
