--- a/tests/soak/direct_soak_test.cc
+++ b/tests/soak/direct_soak_test.cc
@@ -3,7 +3,8 @@
 // restarts and changes in series that overlap. Callers send work that may run
 // once only, and repeat a piece of work where they were promised that it hasn't
 // run. MANGOHOLD_SOAK_SEEDS ("1", or "3-50") and MANGOHOLD_SOAK_S (of each)
-// choose a longer run, MANGOHOLD_SOAK_ENTRIES more entries;
+// choose a longer run (a seed chooses the draws; threads and processes take
+// their own time), MANGOHOLD_SOAK_ENTRIES more entries;
 // MANGOHOLD_SOAK_REPORT_ONLY prints the counts and checks nothing, for programs
 // of earlier days (MANGOHOLD_ENTRY_PROGRAM).
 #include <gtest/gtest.h>
@@ -104,6 +105,7 @@
     Expect(verdict.pieces_run_twice, "piece of work run twice");
     Expect(verdict.foreign_answers, "answer of another request");
     Expect(verdict.answers_without_run, "answered, but not run");
+    Expect(verdict.unasked_runs, "run, but sent by nobody");
     EXPECT_GT(verdict.answered, 0);
     EXPECT_EQ(own_ends_, 0);
     // A machine has its memory for more than the entry.
@@ -143,13 +145,16 @@
         troubles_.Summary().c_str());
   }
 
-  // The parts in which a request is sent. Some bodies are as large as they may
-  // be; some come in chunks.
-  std::vector<std::string> NewRequest(const std::string& id) {
+  // Some bodies are as large as they may be.
+  std::size_t NewBodySize() {
     const bool is_large = Below(8) == 0;
+    return static_cast<std::size_t>(1 +
+                                    Below(is_large ? kMaxBodyBytes : 4'000));
+  }
+
+  // The parts in which a request is sent. Some bodies come in chunks.
+  std::vector<std::string> NewRequest(const std::string& id, std::size_t size) {
     const bool is_chunked = Below(4) == 0;
-    const auto size =
-        static_cast<std::size_t>(1 + Below(is_large ? kMaxBodyBytes : 4'000));
     const std::string body(size, 'b');
     std::string head =
         "POST /once/x HTTP/1.1\r\nHost: h.example\r\n"
@@ -192,17 +197,34 @@
   CallResult CallOnce(KeptCaller& connection, const std::string& piece,
                       int attempt, const Endpoint& address) {
     const std::string id = piece + "-" + std::to_string(attempt);
-    CallResult result = connection.Call(address, NewRequest(id));
+    const std::size_t size = NewBodySize();
+    CallResult result = connection.Call(address, NewRequest(id, size));
     if (result.status == 504) ++late_;
     ledger_.Add({.id = id,
                  .piece = piece,
                  .end = result.end,
                  .status = result.status,
-                 .is_own_answer = result.status != 200 ||
-                                  result.body.starts_with(id + ":")});
+                 .is_own_answer = IsOwnAnswer(result, id, size)});
     return result;
   }
 
+  // Backend servers answer with the request's id, and its body or another of a
+  // few sizes.
+  static bool IsOwnAnswer(const CallResult& result, const std::string& id,
+                          std::size_t request_size) {
+    if (result.has_more) return false;
+    if (result.status != 200 || result.end != CallEnd::kAnswered) return true;
+    const std::string name = id + ":";
+    if (!result.body.starts_with(name)) return false;
+    const std::string rest = result.body.substr(name.size());
+    if (rest == std::string(request_size, 'b')) return true;
+    const bool is_own_size =
+        std::ranges::any_of(kOwnBodyBytes, [&](std::size_t bytes) {
+          return result.body.size() == std::max(name.size(), bytes);
+        });
+    return is_own_size && rest == std::string(rest.size(), 's');
+  }
+
   // An entry that has ended, although nobody ended it.
   void NoteEnd(int entry) {
     Process& process = site_.entry(entry);
--- a/tests/soak/kept_caller.cc
+++ b/tests/soak/kept_caller.cc
@@ -57,7 +57,7 @@
 
 void KeptCaller::OnHead(Http1Head head) {
   is_interim_ = head.status < kFirstFinalStatus;
-  result_.status = head.status;
+  if (!is_interim_) result_.status = head.status;
   stays_open_ = head.keeps_alive;
 }
 
@@ -91,7 +91,10 @@
       left.remove_prefix(parser_.Feed(left));
       if (parser_.has_failed()) return CallEnd::kCut;
       if (!is_whole_) continue;
-      if (!is_interim_) return CallEnd::kAnswered;
+      if (!is_interim_) {
+        result_.has_more = !left.empty();
+        return CallEnd::kAnswered;
+      }
       parser_.Reset();
     }
   }
@@ -112,7 +115,6 @@
   // An answer may have come before the end of the request.
   result_.end = has_written ? ReadAnswer() : CallEnd::kNotSent;
   const bool is_answered = result_.end == CallEnd::kAnswered;
-  if (!is_answered) result_.status = 0;
   if (!is_answered || !stays_open_ || has_failed) Close();
   return std::exchange(result_, {});
 }
--- a/tests/soak/kept_caller.h
+++ b/tests/soak/kept_caller.h
@@ -27,8 +27,9 @@
 
 struct CallResult {
   CallEnd end = CallEnd::kNotConnected;
-  int status = 0;    // of a whole answer
-  std::string body;  // of a whole answer
+  int status = 0;  // of the answer's head; 0: none came
+  std::string body;
+  bool has_more = false;  // bytes came behind the answer
 };
 
 class KeptCaller : private Http1Sink {
--- a/tests/soak/site_troubles.cc
+++ b/tests/soak/site_troubles.cc
@@ -9,16 +9,13 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::array<std::string_view, 11> kTroubleNames = {
-    "cut",   "stall",   "stall_requests", "stall_answers", "reset",
-    "drain", "replace", "deployment",     "route_gone",    "zone_out",
-    "mend"};
+constexpr std::array<std::string_view, SiteTroubles::kTroubles> kTroubleNames =
+    {"cut",   "stall",   "stall_requests", "stall_answers", "reset",
+     "drain", "replace", "deployment",     "route_gone",    "zone_out",
+     "mend"};
 
 // Statuses that a backend server may give to what it has run.
 constexpr std::array kOwnStatuses = {200, 408, 429, 503};
-// Bodies: small, as many bytes as end together with those that are too many to
-// be gathered, and too large.
-constexpr std::array<std::size_t, 3> kBodyBytes = {0, 1'050'000, 2U << 20U};
 
 constexpr std::array kManners = {
     Manner::kAnswer,       Manner::kAnswer,       Manner::kAnswer,
@@ -62,7 +59,7 @@
   }
   backend.SetStatus(
       kOwnStatuses[static_cast<std::size_t>(Below(kOwnStatuses.size()))],
-      kBodyBytes[static_cast<std::size_t>(Below(kBodyBytes.size()))],
+      kOwnBodyBytes[static_cast<std::size_t>(Below(kOwnBodyBytes.size()))],
       /*is_cut=*/Below(3) == 0);
 }
 
--- a/tests/soak/site_troubles.h
+++ b/tests/soak/site_troubles.h
@@ -16,6 +16,11 @@
 // Backend servers of a soak. All but the last one are reached by relays; the
 // last one changes in the list.
 inline constexpr int kSoakBackends = 4;
+// Sizes of the answers that backend servers give by a status of their own. An
+// entry gathers 1 MiB: the end of the second one comes in the read that goes
+// beyond that.
+inline constexpr std::array<std::size_t, 3> kOwnBodyBytes = {0, 1'050'000,
+                                                             2U << 20U};
 
 class SiteTroubles {
  public:
@@ -29,7 +34,6 @@
   // Each trouble with its count.
   std::string Summary() const;
 
- private:
   enum class Trouble {
     kCut,            // both sides see it
     kStall,          // held back in both directions, and let go later
@@ -44,6 +48,9 @@
     kMend,
     kCount
   };
+  static constexpr auto kTroubles = static_cast<std::size_t>(Trouble::kCount);
+
+ private:
   // Keeps the draws of this class apart from the soak's own.
   static constexpr std::uint64_t kOwnSequence = 0x5eed;
 
@@ -57,7 +64,7 @@
   DirectSite& site_;
   Random random_;
   std::vector<std::unique_ptr<Relay>> links_;
-  std::array<int, static_cast<std::size_t>(Trouble::kCount)> counts_{};
+  std::array<int, kTroubles> counts_{};
   int version_ = 1;
 };
 
--- a/tests/soak/work_ledger.h
+++ b/tests/soak/work_ledger.h
@@ -16,7 +16,7 @@
   std::string id;
   std::string piece;
   CallEnd end = CallEnd::kNotConnected;
-  int status = 0;  // of a whole answer
+  int status = 0;  // of its answer's head
   bool is_own_answer = true;
 };
 
@@ -33,6 +33,7 @@
   std::vector<std::string> pieces_run_twice;
   std::vector<std::string> foreign_answers;  // a 200 with another's body
   std::vector<std::string> answers_without_run;
+  std::vector<std::string> unasked_runs;  // of requests that nobody sent
   // How calls ended that got no whole answer: how many, and how many of them
   // had run.
   std::map<CallEnd, std::pair<int, int>> ends;
