Log the memory that a process counts on, and state it as a gauge

An entry or agent without memory_mb holds whatever its callers send: 300 callers with unfinished bodies of 4 MiB took 1,202 MB of an entry. Nothing at the process says which figure it works by.

core/machine_memory reads what the machine (/proc/meminfo) and the control groups of the process (memory.max of version 2, memory.limit_in_bytes of version 1, the own group and those above) report. Each entry and agent, on both ways, logs memory_in_force at its start with what is stated, what both report and what is in force, and has the gauge memory_in_force_mb. The figure in force is still the stated one: no change of behaviour.

--- a/src/agent_main.cc
+++ b/src/agent_main.cc
@@ -4,6 +4,7 @@
 #include "backend/agent_server.h"
 #include "core/daemon.h"
 #include "core/log.h"
+#include "core/machine_memory.h"
 #include "core/process_settings.h"
 #include "core/random.h"
 #include "net/connection_limit.h"
@@ -37,6 +38,7 @@
 
 int Run(const AgentSettings& settings) {
   Counters counters;
+  const int memory_mb = PutMemoryInForce({.mb = settings.memory_mb}, counters);
   EventLoop control;
   EventLoop traffic;
   AgentServer server(
@@ -49,9 +51,8 @@
                 .confirmation_limit = settings.confirmation_limit},
        .listen = settings.peer_address,
        .backend_url = settings.backend_url,
-       .memory = MemoryBudget::OptionsFor(settings.memory_mb),
-       .max_connections =
-           SessionLimit(settings.memory_mb, settings.max_descriptors)},
+       .memory = MemoryBudget::OptionsFor(memory_mb),
+       .max_connections = SessionLimit(memory_mb, settings.max_descriptors)},
       counters);
   HttpClient http(control.io(), &counters);
   PlatformClient platform(
--- a/src/core/counters.cc
+++ b/src/core/counters.cc
@@ -62,7 +62,8 @@
                    "retry_tokens",
                    "held_bytes",
                    "caller_connections",
-                   "prefix_gain_permille"};
+                   "prefix_gain_permille",
+                   "memory_in_force_mb"};
 
 constexpr std::array<std::string_view, static_cast<int>(DepartureWay::kCount)>
     kWayNames = {"store", "watcher", "answer"};
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -67,6 +67,7 @@
   kHeldBytes,        // held in memory for requests and connections
   kCallerConnections,
   kPrefixGainPermille,  // learnt part of the predicted saving that comes true
+  kMemoryInForceMb,     // 0: no limit
   kCount
 };
 
--- a/src/direct_entry_main.cc
+++ b/src/direct_entry_main.cc
@@ -3,6 +3,7 @@
 #include "caller/forward_server.h"
 #include "core/allocator.h"
 #include "core/daemon.h"
+#include "core/machine_memory.h"
 #include "core/process_settings.h"
 #include "core/random.h"
 #include "net/graceful_stop.h"
@@ -37,6 +38,7 @@
 int Run(const DirectEntrySettings& settings, const std::string& file) {
   ReturnLargeBlocksAtOnce();
   Counters counters;
+  const int memory_mb = PutMemoryInForce({.mb = settings.memory_mb}, counters);
   EventLoop control;
   EventLoop traffic;
   const platform::Headers dialect;
@@ -53,7 +55,7 @@
       traffic,
       {.listen = settings.caller_address,
        .max_connections = settings.max_connections,
-       .memory_mb = settings.memory_mb,
+       .memory_mb = memory_mb,
        .max_descriptors = settings.max_descriptors,
        .dispatcher =
            {.zone = settings.zone,
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -2,6 +2,7 @@
 #include "caller/entry_server.h"
 #include "core/daemon.h"
 #include "core/log.h"
+#include "core/machine_memory.h"
 #include "core/process_settings.h"
 #include "core/random.h"
 #include "net/connection_limit.h"
@@ -15,6 +16,7 @@
 
 int Run(const EntrySettings& settings) {
   Counters counters;
+  const int memory_mb = PutMemoryInForce({.mb = settings.memory_mb}, counters);
   EventLoop control;
   EventLoop traffic;
   EntryServer server(
@@ -24,7 +26,7 @@
        .listen = settings.caller_address,
        .seed = RandomSeed(),
        .max_requests = settings.max_requests,
-       .memory = MemoryBudget::OptionsFor(settings.memory_mb),
+       .memory = MemoryBudget::OptionsFor(memory_mb),
        .max_connections = ConnectionLimit(settings.max_descriptors),
        .address_max_age = settings.address_max_age},
       counters);
