Limit the memory of a process that isn't told its machine's

What callers saw: without memory_mb an entry held every unfinished body that came (300 callers with bodies of 4 MiB: 1,202 MB) until its machine or control group ended it, and all their requests with it.

Cause: 0 or an absent memory_mb, the default, meant "no limit".

Such a process now takes the least of what its machine and its control groups report, and 112 MB, the smallest machine of the deployments, where nothing is readable. No limit takes a setting of its own, unlimited_memory; beside a stated figure it is rejected. An agent's sessions are limited by the same figure.

MemoryBudget's test of the figure 0 checks the same as before and has a new name, as 0 now stands for the operator's word and not for "unknown".

The tests before the change of MemoryInForceMb (5 of the 9 new ones fail):

tests/unit/machine_memory_test.cc:119: Failure MemoryInForceMb({}, both) tests/unit/machine_memory_test.cc:120: Failure MemoryInForceMb({}, {.machine_bytes = 200 * kMegabyte, .group_bytes = 256 * kMegabyte}) tests/unit/machine_memory_test.cc:123: Failure MemoryInForceMb({}, {.machine_bytes = 4 * kGigabyte}) tests/unit/machine_memory_test.cc:124: Failure MemoryInForceMb({}, {.group_bytes = 256 * kMegabyte}) [ FAILED ] MemoryInForce.IsTheLeastReportWhereNoneIsStated (0 ms) tests/unit/machine_memory_test.cc:137: Failure MemoryInForceMb({}, {}) [ FAILED ] MemoryInForce.IsTheSmallestMachineWhereNothingIsReported (0 ms) tests/unit/machine_memory_test.cc:142: Failure MemoryInForceMb({}, {.group_bytes = 4'096}) tests/unit/machine_memory_test.cc:143: Failure MemoryInForceMb({}, {.group_bytes = 0}) [ FAILED ] MemoryInForce.IsNeverRoundedToNoLimit (0 ms) Expected: (Metric(site.Metrics(0), kGauge)) > (0), actual: 0 vs 0 [ FAILED ] MemoryInForce.IsReportedWhereNoneIsStatedOnTheDirectWay (483 ms) Expected: (Metric(site.Metrics(0), kGauge)) > (0), actual: 0 vs 0 Expected: (Metric(site.AgentMetrics(0), kGauge)) > (0), actual: 0 vs 0 [ FAILED ] MemoryInForce.IsReportedWhereNoneIsStatedOnTheWayThroughAgents (576 ms)

With it all 25 unit tests of machine_memory and memory_budget and the 4 of MemoryInForce on real processes pass. The 300 callers were not run again.

--- a/src/agent_main.cc
+++ b/src/agent_main.cc
@@ -38,7 +38,7 @@
 
 int Run(const AgentSettings& settings) {
   Counters counters;
-  const int memory_mb = PutMemoryInForce({.mb = settings.memory_mb}, counters);
+  const int memory_mb = PutMemoryInForce(settings.memory, counters);
   EventLoop control;
   EventLoop traffic;
   AgentServer server(
--- a/src/caller/forward_server.h
+++ b/src/caller/forward_server.h
@@ -28,8 +28,8 @@
   struct Options {
     Endpoint listen;
     int max_connections = 3'000;
+    int memory_mb = 0;  // in force; 0: no limit
     // Of the machine; 0: unknown.
-    int memory_mb = 0;
     int max_descriptors = 0;
     Dispatcher::Options dispatcher;
     SharedRetryBudget::Options budget;
--- a/src/core/machine_memory.cc
+++ b/src/core/machine_memory.cc
@@ -17,6 +17,8 @@
 constexpr std::int64_t kMegabyte = 1 << 20;
 // Version 1 writes the largest number of whole pages for "no limit".
 constexpr std::int64_t kNoLimit = std::int64_t{1} << 62;
+// The smallest machine of the deployments, for systems that report nothing.
+constexpr int kLeastMachineMb = 112;
 
 using Bytes = std::optional<std::int64_t>;
 
@@ -100,8 +102,14 @@
 }
 
 int MemoryInForceMb(const StatedMemory& stated,
-                    const ReportedMemory& /*reported*/) {
-  return stated.mb;
+                    const ReportedMemory& reported) {
+  if (stated.is_unlimited) return 0;
+  if (stated.mb > 0) return stated.mb;
+  const Bytes least = Least(reported.machine_bytes, reported.group_bytes);
+  if (!least) return kLeastMachineMb;
+  // 0 would be no limit.
+  constexpr std::int64_t kMost = std::numeric_limits<int>::max();
+  return static_cast<int>(std::clamp<std::int64_t>(ToMb(least), 1, kMost));
 }
 
 int PutMemoryInForce(const StatedMemory& stated, Counters& counters) {
--- a/src/core/machine_memory.h
+++ b/src/core/machine_memory.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/counters.h"
+#include "core/process_settings.h"
 
 namespace mangohold {
 
@@ -33,12 +34,8 @@
 
 ReportedMemory ReadReportedMemory(const MemoryFiles& files = {});
 
-// What the settings of a process say of its memory.
-struct StatedMemory {
-  int mb = 0;  // of the machine; 0: not stated
-};
-
-// The memory that a process counts on, in MB; 0: no limit.
+// The memory that a process counts on, in MB: what is stated, else the least
+// that is reported. 0, no limit, only if that is stated.
 int MemoryInForceMb(const StatedMemory& stated, const ReportedMemory& reported);
 
 // The same by the reports of this system; logs it and sets its gauge.
--- a/src/core/process_settings.cc
+++ b/src/core/process_settings.cc
@@ -27,10 +27,15 @@
   ReadLogLevel(reader, settings.log_level);
 }
 
-// Reads what the machine has; 0: unknown.
+// Reads what the machine has; 0: not stated.
 template <typename Settings>
 void ReadMachineLimits(ObjectReader& reader, Settings& settings) {
-  reader.Optional("memory_mb", settings.memory_mb, kMemoryMb);
+  StatedMemory& memory = settings.memory;
+  reader.Optional("memory_mb", memory.mb, kMemoryMb);
+  reader.Optional("unlimited_memory", memory.is_unlimited);
+  if (memory.is_unlimited && memory.mb > 0) {
+    reader.Report("unlimited_memory", "contradicts memory_mb");
+  }
   reader.Optional("max_descriptors", settings.max_descriptors, kMaxDescriptors);
 }
 
--- a/src/core/process_settings.h
+++ b/src/core/process_settings.h
@@ -20,6 +20,12 @@
   std::string subtree;
 };
 
+// What the settings of a process say of its memory.
+struct StatedMemory {
+  int mb = 0;  // of the machine; 0: not stated
+  bool is_unlimited = false;
+};
+
 struct EntrySettings {
   InstanceId instance;
   ZoneName zone;
@@ -33,7 +39,7 @@
   Millis address_max_age{5'000};
   // How long a leaving entry waits for requests in progress.
   Millis leave_limit{60'000};
-  int memory_mb = 0;        // of the machine; 0: unknown
+  StatedMemory memory;
   int max_descriptors = 0;  // that the process may open; 0: unknown
   std::vector<OperatorToken> operators;
 };
@@ -50,7 +56,7 @@
   LogLevel log_level = LogLevel::kInfo;
   Millis confirmation_limit{2'500};
   Millis leave_limit{60'000};
-  int memory_mb = 0;        // of the machine; 0: unknown
+  StatedMemory memory;
   int max_descriptors = 0;  // that the process may open; 0: unknown
 };
 
@@ -66,9 +72,8 @@
   Endpoint metrics_address;
   LogLevel log_level = LogLevel::kInfo;
   int max_connections = 3'000;
-  // Of the machine; 0: unknown.
-  int memory_mb = 0;
-  int max_descriptors = 0;
+  StatedMemory memory;
+  int max_descriptors = 0;  // that the process may open; 0: unknown
   Millis address_max_age{1'000};
   // In a larger fleet two entries of a zone follow the store for the others.
   int most_direct_followers = 12;
--- a/src/direct_entry_main.cc
+++ b/src/direct_entry_main.cc
@@ -38,7 +38,7 @@
 int Run(const DirectEntrySettings& settings, const std::string& file) {
   ReturnLargeBlocksAtOnce();
   Counters counters;
-  const int memory_mb = PutMemoryInForce({.mb = settings.memory_mb}, counters);
+  const int memory_mb = PutMemoryInForce(settings.memory, counters);
   EventLoop control;
   EventLoop traffic;
   const platform::Headers dialect;
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -16,7 +16,7 @@
 
 int Run(const EntrySettings& settings) {
   Counters counters;
-  const int memory_mb = PutMemoryInForce({.mb = settings.memory_mb}, counters);
+  const int memory_mb = PutMemoryInForce(settings.memory, counters);
   EventLoop control;
   EventLoop traffic;
   EntryServer server(
--- a/src/net/connection_limit.h
+++ b/src/net/connection_limit.h
@@ -17,7 +17,7 @@
 }
 
 // Of the entries at an agent, each with a read buffer of 64 KiB and one that is
-// written; 0 for a setting: unknown.
+// written. `memory_mb` 0: no limit; `max_descriptors` 0: unknown.
 inline int SessionLimit(int memory_mb, int max_descriptors) {
   constexpr int kSessionsPerMb = 2;  // a quarter of the memory at the most
   const int by_memory =
--- a/src/net/memory_budget.h
+++ b/src/net/memory_budget.h
@@ -72,8 +72,8 @@
 
   explicit MemoryBudget(Options options) : options_(options) {}
 
-  // The limits for a process on a machine with `machine_mb` of memory; 0:
-  // unknown.
+  // The limits for a process that counts on `machine_mb` of memory; 0: no
+  // limit, which an operator has to ask for by name.
   static Options OptionsFor(int machine_mb);
 
   std::size_t bytes() const { return bytes_; }
--- a/tests/system/memory_in_force_test.cc
+++ b/tests/system/memory_in_force_test.cc
@@ -26,5 +26,20 @@
   EXPECT_EQ(Metric(site.AgentMetrics(0), kGauge), kStatedMb);
 }
 
+// Guards against processes that take memory without a limit because nobody
+// stated their machine's.
+TEST(MemoryInForce, IsReportedWhereNoneIsStatedOnTheDirectWay) {
+  DirectSite site({});
+  site.Start();
+  EXPECT_GT(Metric(site.Metrics(0), kGauge), 0);
+}
+
+TEST(MemoryInForce, IsReportedWhereNoneIsStatedOnTheWayThroughAgents) {
+  Site site({.entries = 1, .services = 1});
+  site.Start();
+  EXPECT_GT(Metric(site.Metrics(0), kGauge), 0);
+  EXPECT_GT(Metric(site.AgentMetrics(0), kGauge), 0);
+}
+
 }  // namespace
 }  // namespace mangohold::testing
--- a/tests/unit/machine_memory_test.cc
+++ b/tests/unit/machine_memory_test.cc
@@ -5,6 +5,9 @@
 #include <fstream>
 #include <string>
 
+#include "core/findings.h"
+#include "core/process_settings.h"
+
 namespace mangohold {
 namespace {
 
@@ -108,5 +111,68 @@
   EXPECT_EQ(Read().group_bytes, std::nullopt);
 }
 
+// Guards against processes that take memory without a limit because nobody
+// stated their machine's.
+TEST(MemoryInForce, IsTheLeastReportWhereNoneIsStated) {
+  const ReportedMemory both = {.machine_bytes = 4 * kGigabyte,
+                               .group_bytes = 256 * kMegabyte};
+  EXPECT_EQ(MemoryInForceMb({}, both), 256);
+  EXPECT_EQ(MemoryInForceMb({}, {.machine_bytes = 200 * kMegabyte,
+                                 .group_bytes = 256 * kMegabyte}),
+            200);
+  EXPECT_EQ(MemoryInForceMb({}, {.machine_bytes = 4 * kGigabyte}), 4'096);
+  EXPECT_EQ(MemoryInForceMb({}, {.group_bytes = 256 * kMegabyte}), 256);
+}
+
+TEST(MemoryInForce, IsTheStatedFigureWhateverIsReported) {
+  const ReportedMemory reported = {.machine_bytes = 256 * kMegabyte,
+                                   .group_bytes = 128 * kMegabyte};
+  EXPECT_EQ(MemoryInForceMb({.mb = 112}, reported), 112);
+  EXPECT_EQ(MemoryInForceMb({.mb = 512}, reported), 512);
+}
+
+// Guards against a system without readable reports, where the process would
+// have no limit.
+TEST(MemoryInForce, IsTheSmallestMachineWhereNothingIsReported) {
+  EXPECT_EQ(MemoryInForceMb({}, {}), 112);
+}
+
+// Guards against a group's limit under 1 MB that is rounded to "no limit".
+TEST(MemoryInForce, IsNeverRoundedToNoLimit) {
+  EXPECT_EQ(MemoryInForceMb({}, {.group_bytes = 4'096}), 1);
+  EXPECT_EQ(MemoryInForceMb({}, {.group_bytes = 0}), 1);
+}
+
+TEST(MemoryInForce, HasNoLimitOnlyWhereAnOperatorSaysSo) {
+  EXPECT_EQ(
+      MemoryInForceMb({.is_unlimited = true}, {.machine_bytes = 4 * kGigabyte}),
+      0);
+}
+
+constexpr char kAgent[] =
+    R"("instance": "a", "zone": "z", "platform_url": "http://127.0.0.1:1",
+       "service": "s", "peer_address": "127.0.0.1:2",
+       "admin_address": "127.0.0.1:3", "backend_url": "http://127.0.0.1:4")";
+
+AgentSettings Parse(const std::string& memory, Findings& findings) {
+  return ParseAgentSettings("agent.json", "{" + memory + kAgent + "}",
+                            findings);
+}
+
+TEST(MemoryInForce, UnlimitedIsASettingOfItsOwn) {
+  Findings findings;
+  EXPECT_FALSE(Parse(R"("memory_mb": 0, )", findings).memory.is_unlimited);
+  EXPECT_TRUE(
+      Parse(R"("unlimited_memory": true, )", findings).memory.is_unlimited);
+  EXPECT_TRUE(findings.empty()) << findings.ToString();
+}
+
+// Guards against a stated figure that is silently given up.
+TEST(MemoryInForce, UnlimitedBesideAFigureIsRejected) {
+  Findings findings;
+  Parse(R"("unlimited_memory": true, "memory_mb": 112, )", findings);
+  EXPECT_FALSE(findings.empty());
+}
+
 }  // namespace
 }  // namespace mangohold
--- a/tests/unit/memory_budget_test.cc
+++ b/tests/unit/memory_budget_test.cc
@@ -162,8 +162,8 @@
   EXPECT_EQ(budget.holders(), 0U);
 }
 
-// Guards against limits where the memory of the machine isn't stated.
-TEST(MemoryBudget, AnUnknownMachineLimitsNothing) {
+// Guards against limits where an operator has asked for none.
+TEST(MemoryBudget, NoLimitByNameLimitsNothing) {
   MemoryBudget budget(MemoryBudget::OptionsFor(0));
   Client client(budget);
   EXPECT_TRUE(client.Hold(std::size_t{1} << 40U, {}));
