Use no connection of an HTTP client again after a 429

Callers saw: on the way through agents, "not run" (backend_refused) for a repeatable request that had run.

Cause: an agent takes a 429 of its engine for the promise that the request hasn't run. Work without a ticket shares kept connections, and a 429 that the engine writes once more, after the next request has come, is taken for the answer to that request. Work under a ticket isn't concerned: it opens its own connection.

Change: a transfer that gets a 429 forbids the reuse of its connection, so a late copy ends with the connection and can't meet another request. Reports (/load) share the connections and follow the same rule.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -15,6 +15,7 @@
 constexpr long kPooledConnections = 64;  // NOLINT(google-runtime-int)
 // Of all heads of one call; servers of the field send a few KiB.
 constexpr std::size_t kMaxHeadBytes = 64U << 10U;
+constexpr int kTooManyRequests = 429;
 
 // The server and the path of a URL, without the query.
 std::string_view WithoutQuery(std::string_view url) {
@@ -221,6 +222,11 @@
       if (space != std::string_view::npos) {
         transfer.status = std::atoi(line.data() + space + 1);
       }
+      // A late copy of a refusal would be taken for the answer to the next
+      // request, which may have run.
+      if (transfer.status == kTooManyRequests) {
+        curl_easy_setopt(transfer.easy, CURLOPT_FORBID_REUSE, 1L);
+      }
     } else if (const std::size_t colon = line.find(':');
                colon != std::string_view::npos && !transfer.head_done) {
       std::string_view value = line.substr(colon + 1);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -52,7 +52,7 @@
 
 // All calls belong to the event loop's thread. The heads of one call's answers,
 // interim ones and trailers included, are bounded; the body is the caller's to
-// bound.
+// bound. A connection isn't used again after a 429.
 class HttpClient {
  public:
   // `counters`, if any, count what was too large; they have to outlive this.
