Bound what an entry gathers of the answers that come through agents

Operators saw: an entry that outgrows its machine's memory when engines send answers without end. Every other request there would end with it.

Cause: a request gathers up to 4 MiB of an answer that is no event stream, and nothing bounded all of them together: `memory_mb` counted bodies only. Past 4 MiB the rest was read and dropped until the deadline, with the gathered bytes still held.

Evidence: FaultyEngine.AnswersWithoutEndStayWithinMemory (40 callers, one engine whose bodies have no end, memory_mb 112) without this change:

../tests/system/faulty_engine_test.cc:159: Failure Expected: (site.entry(0).peak_memory_mb()) < (kMemoryMb), actual: 200.23 vs 112

Change: what is gathered is held in the server's memory budget, until the response has been written. An answer that finds no room ends its request with 502 answer_not_kept (unknown), one over 4 MiB with 502 answer_too_large, both at once: the stream is reset, the rest isn't read and the gathered bytes are freed. The reason isn't memory_limit, since 503 would promise that the request hasn't run.

--- a/src/caller/request_run.cc
+++ b/src/caller/request_run.cc
@@ -13,6 +13,8 @@
 // A void is confirmed within this time or not at all.
 constexpr Duration kVoidLimit = std::chrono::milliseconds(1'000);
 constexpr std::size_t kMostGatheredBytes = 4U << 20U;
+// A string that grows has up to twice its size.
+constexpr std::size_t kCopiesOfAnswer = 2;
 constexpr std::string_view kEventStream = "text/event-stream";
 
 std::int64_t WholeSeconds(Millis millis) {
@@ -243,8 +245,22 @@
   body_bytes_ += data.size();
   if (is_event_stream_) return RelayBytes(data);
   stream_->Consume(data.size());
-  is_too_large_ |= gathered_.size() + data.size() > kMostGatheredBytes;
-  if (!is_too_large_) gathered_.append(data);
+  const std::size_t size = gathered_.size() + data.size();
+  if (size > kMostGatheredBytes) return GiveUpAnswer(Reason::kAnswerTooLarge);
+  if (!exchange_->HoldAnswer(kCopiesOfAnswer * size)) {
+    return GiveUpAnswer(Reason::kAnswerNotKept);
+  }
+  gathered_.append(data);
+}
+
+void RequestRun::GiveUpAnswer(Reason reason) {
+  const auto keep = shared_from_this();
+  std::string().swap(gathered_);
+  exchange_->HoldAnswer(0);
+  stream_->Reset();
+  stream_.reset();
+  EndAttempt(AttemptResult::kRefused);
+  Do(policy_.OnResponseEnd(/*is_complete=*/false, reason));
 }
 
 // The agent's window reopens only when the caller's connection has taken the
@@ -263,9 +279,7 @@
   EndAttempt(end->is_complete ? AttemptResult::kServed
                               : AttemptResult::kFailed);
   const bool is_whole = end->is_complete && end->body_bytes == body_bytes_;
-  Reason reason = end->reason;
-  if (is_too_large_) reason = Reason::kAnswerTooLarge;
-  Do(policy_.OnResponseEnd(is_whole && !is_too_large_, reason));
+  Do(policy_.OnResponseEnd(is_whole, end->reason));
 }
 
 // Forgets the present submission. A refused one ends its stream after its
--- a/src/caller/request_run.h
+++ b/src/caller/request_run.h
@@ -62,6 +62,8 @@
   void OnHead(const HttpFields& head);
   void OnData(std::string_view data);
   void OnEnd(const HttpFields& trailers);
+  // Ends a request whose answer can't be kept. The rest of it isn't read.
+  void GiveUpAnswer(Reason reason);
   void DropStream();
   void OnBroken();
   void OnCallerGone();
@@ -97,7 +99,6 @@
   int http_status_ = 0;
   std::string content_type_;
   bool is_event_stream_ = false;
-  bool is_too_large_ = false;
   std::string gathered_;
   std::uint64_t body_bytes_ = 0;
 };
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -83,6 +83,8 @@
     return it == by_peer_.end() ? nullptr : it->second->guard->TakeWhole();
   }
 
+  MemoryBudget& budget() { return budget_; }
+
  private:
   struct Connection {
     GuardedSocket* socket = nullptr;
@@ -175,9 +177,11 @@
 }  // namespace
 
 struct HttpExchange::Impl {
-  // The lease of `held` is freed before the guards that count it.
+  // What is held is freed before the guards that count it.
   std::shared_ptr<BodyGuards> guards;
   BodyGuard::Lease held;
+  // Not evicted: the request has run.
+  std::shared_ptr<MemoryBudget::Holder> answer;
   restinio::request_handle_t request;
   std::shared_ptr<bool> close_after_reply;
   std::shared_ptr<int> unwritten;
@@ -198,8 +202,8 @@
   template <typename Response>
   void Complete(Response& response) {
     ++*unwritten;
-    response.done([count = unwritten, keep = guards,
-                   held = held](const auto& /*error*/) { --*count; });
+    response.done([count = unwritten, keep = guards, held = held,
+                   answer = answer](const auto& /*error*/) { --*count; });
   }
 };
 
@@ -215,6 +219,15 @@
   }
 }
 
+bool HttpExchange::HoldAnswer(std::size_t bytes) {
+  const TimePoint now = Clock::now();
+  if (impl_->answer == nullptr) {
+    impl_->answer = std::make_shared<MemoryBudget::Holder>(
+        impl_->guards->budget(), nullptr, now);
+  }
+  return impl_->answer->Resize(bytes, now);
+}
+
 void HttpExchange::Reply(int status, const HttpFields& fields,
                          std::string body) {
   if (impl_->answered) return;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -30,6 +30,9 @@
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
 
+  // Makes room for `bytes` in all that the response holds, until it has been
+  // written. False if there is none: they must not be held.
+  bool HoldAnswer(std::size_t bytes);
   // Sends a whole response.
   void Reply(int status, const HttpFields& fields, std::string body);
 
--- a/tests/system/faulty_engine_test.cc
+++ b/tests/system/faulty_engine_test.cc
@@ -1,13 +1,15 @@
 // Engines behind agents that answer in ways that no sound engine does: a
-// refusal that is written once more.
+// refusal that is written once more, answers without end.
 #include <gtest/gtest.h>
 
 #include <asio.hpp>
 #include <atomic>
+#include <iostream>
 #include <map>
 #include <mutex>
 #include <set>
 #include <thread>
+#include <vector>
 
 #include "harness.h"
 #include "standins/raw_http.h"
@@ -17,7 +19,11 @@
 
 using standin::Connection;
 
+// The machine of a small entry of the second deployment in docs/DEMAND.md.
+constexpr int kMemoryMb = 112;
+constexpr int kCallers = 40;
 constexpr int kRounds = 10;
+constexpr std::size_t kChunkBytes = 64U << 10U;
 constexpr Millis kCopyAhead{30};
 // A connection that is open for so long after its answer is kept.
 constexpr Millis kCloseLimit{200};
@@ -59,6 +65,10 @@
       } else {
         refused_on_.insert(&connection);
       }
+    } else if (request.path == "/v1/endless") {
+      co_await connection.StartChunks(200, "application/json");
+      const std::string chunk(kChunkBytes, 'x');
+      while (true) co_await connection.Chunk(chunk);
     } else {
       CountRun(id);
       if (refused_on_.erase(&connection) > 0) {
@@ -83,10 +93,12 @@
 };
 
 SiteOptions OneEngine() {
-  return {.engines = 1, .drafts_document = R"({"kind": "model",
+  return {.engines = 1,
+          .drafts_document = R"({"kind": "model",
             "repeatable_calls": [{"method": "POST", "path_prefix": "/v1"}],
             "concurrency_limit": 40,
-            "cold_start": {"initial_limit": 40, "successes_per_step": 1}})"};
+            "cold_start": {"initial_limit": 40, "successes_per_step": 1}})",
+          .memory_mb = kMemoryMb};
 }
 
 HttpResponse Ask(const Site& site, const std::string& path,
@@ -131,5 +143,32 @@
   EXPECT_EQ(answered, kRounds);
 }
 
+// Guards against an entry or agent that runs out of memory because an engine's
+// answers have no end.
+TEST(FaultyEngine, AnswersWithoutEndStayWithinMemory) {
+  Site site(OneEngine());
+  site.Start();
+  site.backend(0).Kill();
+  FaultyEngine engine(site.BackendUrl(0));
+  ASSERT_TRUE(Opens(site));
+  {
+    std::vector<std::jthread> callers;
+    for (int i = 0; i < kCallers; ++i) {
+      callers.emplace_back([&site, i] {
+        const HttpResponse response =
+            Ask(site, "/v1/endless", "endless-" + std::to_string(i));
+        EXPECT_NE(response.status, 200);
+      });
+    }
+  }
+  EXPECT_TRUE(site.entry(0).is_running());
+  EXPECT_TRUE(site.agent(0).is_running());
+  std::cout << "entry " << site.entry(0).peak_memory_mb() << " MB, agent "
+            << site.agent(0).peak_memory_mb() << " MB\n";
+  EXPECT_LT(site.entry(0).peak_memory_mb(), kMemoryMb);
+  EXPECT_LT(site.agent(0).peak_memory_mb(), kMemoryMb);
+  EXPECT_TRUE(Opens(site));
+}
+
 }  // namespace
 }  // namespace mangohold::testing
