Log callers' connections that end with something in progress

Callers may repeat work whose connection ended before it was read. The logs didn't say with what a connection ended, so that such an end could not be compared with what ran.

The line connection_unfinished and the counter connections_unfinished_total tell the cause, the bytes read of the last request, whether it was handed out and answered, the bytes unwritten, the bytes that came behind it and are dropped, and whether the caller sees a reset. An idle connection without a byte on its way ends without a line. caller/connection_reports also takes the lines of refused reads out of the forward server. What callers see is unchanged.

--- a/src/caller/caller_connection.cc
+++ b/src/caller/caller_connection.cc
@@ -86,8 +86,11 @@
 void CallerConnection::OnRead(const std::error_code& error,
                               std::string_view bytes) {
   if (phase_ == Phase::kClosed) return;
-  if (error) return Drop();
-  if (phase_ == Phase::kLingering) return Read();
+  if (error) return Drop(ConnectionEnd::kCallerClosed);
+  if (phase_ == Phase::kLingering) {
+    discarded_ += bytes.size();
+    return Read();
+  }
   if (input_.empty() && CanParse()) {
     input_.append(bytes.substr(Feed(bytes)));
     OnFed();
@@ -111,8 +114,12 @@
     phase_began_ = BootNow();
     held_.OnProgress(phase_began_);
     held_.Protect(Protection::kNone);
+    request_bytes_ = 0;
+    is_handed_out_ = false;
   }
-  return parser_.Feed(data);
+  const std::size_t bytes = parser_.Feed(data);
+  request_bytes_ += bytes;
+  return bytes;
 }
 
 void CallerConnection::OnFed() {
@@ -125,6 +132,7 @@
   message_.arrived = BootNow();
   CallerMessage message = std::exchange(message_, {});
   progress_ = 0;
+  is_handed_out_ = true;
   UpdateHeld();  // whoever takes the message accounts for it
   host_.on_request(shared_from_this(), std::move(message));
 }
@@ -215,8 +223,8 @@
     case Phase::kIdle:
     case Phase::kLingering:
       // The caller reads its answer too slowly.
-      host_.on_refused(Reason::kMemoryLimit, 0, 0);
-      Drop();
+      ReportRefusal(Reason::kMemoryLimit, 0);
+      Drop(ConnectionEnd::kEvicted);
       break;
     case Phase::kClosed:
       break;
@@ -225,10 +233,18 @@
 
 void CallerConnection::OnMessageEnd() { has_whole_message_ = true; }
 
+void CallerConnection::ReportRefusal(Reason reason, int status) {
+  ReportRefused({.reason = reason,
+                 .status = status,
+                 .body_bytes = message_.body.size(),
+                 .held_bytes = host_.memory.bytes()},
+                host_.counters);
+}
+
 // What was read is freed before the answer is written, and nothing more is
 // read.
 void CallerConnection::RefuseAndClose(Reason reason, int status) {
-  host_.on_refused(reason, status, message_.body.size());
+  ReportRefusal(reason, status);
   Refuse(reason, status);
   Release(message_.body);
   Release(input_);
@@ -306,6 +322,7 @@
 void CallerConnection::Abort() {
   listener_ = {};
   if (phase_ == Phase::kClosed) return;
+  ReportEnd(ConnectionEnd::kAborted);
   phase_ = Phase::kClosed;
   CloseWithReset(socket_);
   Free();
@@ -336,11 +353,11 @@
 }
 
 void CallerConnection::OnWritten(const std::error_code& error) {
+  if (error && phase_ != Phase::kClosed) Drop(ConnectionEnd::kCallerClosed);
   writing_.clear();
   // Large answers are rare; their room is not kept for the next one.
   if (writing_.capacity() > kSmallBody) Release(writing_);
   if (phase_ == Phase::kClosed) return;
-  if (error) return Drop();
   held_.OnProgress(BootNow());
   WriteNext();
   UpdateHeld();
@@ -350,20 +367,39 @@
   }
 }
 
-// The caller has gone, or the connection is broken.
-void CallerConnection::Drop() {
-  Close();
+// Ends the connection and tells whoever answers its request.
+void CallerConnection::Drop(ConnectionEnd cause) {
+  Close(cause);
   const auto gone = std::exchange(listener_, {}).on_gone;
   if (gone) gone();
 }
 
-void CallerConnection::Close() {
+void CallerConnection::Close(ConnectionEnd cause) {
+  if (phase_ != Phase::kClosed) ReportEnd(cause);
   phase_ = Phase::kClosed;
   std::error_code ignored;  // nothing more is sent on it
   socket_.close(ignored);
   Free();
 }
 
+// An idle connection without a byte on its way ends without a report.
+void CallerConnection::ReportEnd(ConnectionEnd cause) const {
+  std::error_code failed;  // then nothing more can be read
+  const std::size_t unread = socket_.available(failed);
+  const UnfinishedEnd end = {
+      .cause = cause,
+      .request_bytes = request_bytes_,
+      .was_handed_out = is_handed_out_,
+      .was_answered = phase_ == Phase::kIdle || phase_ == Phase::kLingering,
+      .unwritten_bytes = output_.size() + writing_.size(),
+      .ahead_bytes = discarded_ + input_.size() + unread,
+      // The system resets a connection that is closed with unread bytes.
+      .is_reset = cause == ConnectionEnd::kAborted || unread > 0};
+  if (!end.was_answered || end.unwritten_bytes > 0 || end.ahead_bytes > 0) {
+    ReportUnfinished(end, host_.counters);
+  }
+}
+
 // The buffer that is being written stays until its handler has run.
 void CallerConnection::Free() {
   Release(message_.body);
@@ -385,13 +421,13 @@
         parser_.has_head() ? Reason::kBodyTooSlow : Reason::kBadRequest,
         kRequestTimeout);
   } else if (is_unused && is_written()) {
-    Close();
+    Close(ConnectionEnd::kOverdue);
   }
 }
 
 void CallerConnection::Retire() {
   if (is_idle()) {
-    Close();
+    Close(ConnectionEnd::kLeaving);
   } else {
     closes_ = true;
   }
--- a/src/caller/caller_connection.h
+++ b/src/caller/caller_connection.h
@@ -8,8 +8,10 @@
 #include <string>
 #include <string_view>
 
+#include "caller/connection_reports.h"
 #include "config/deployment.h"
 #include "core/clock.h"
+#include "core/counters.h"
 #include "core/outcome.h"
 #include "net/http1_parser.h"
 #include "net/http_message.h"
@@ -36,14 +38,11 @@
   struct Host {
     // A whole request has been read.
     std::function<void(Ptr, CallerMessage)> on_request;
-    // A request was refused before it could be handed out, with so many bytes
-    // of its body read.
-    std::function<void(Reason reason, int status, std::size_t body_bytes)>
-        on_refused;
     std::function<const CallerLimits&()> limits;
     // Answers ask callers to connect anew.
     std::function<bool()> closes_after_answer;
     MemoryBudget& memory;
+    Counters& counters;
   };
   // What a request in progress hears of its caller.
   struct Listener {
@@ -81,7 +80,7 @@
   // answer.
   void Retire();
   // Closes the connection.
-  void Close();
+  void Close(ConnectionEnd cause);
   // No part of a request is in progress, and all is written.
   bool is_idle() const { return phase_ == Phase::kIdle && is_written(); }
   // When it became idle, or when its request last made progress.
@@ -115,6 +114,7 @@
   void OnFed();
   void FindFault();
   void Refuse(Reason reason, int status);
+  void ReportRefusal(Reason reason, int status);
   void RefuseAndClose(Reason reason, int status);
   void ReserveBody(std::size_t bytes);
   bool HoldBody(std::size_t bytes);
@@ -126,7 +126,8 @@
   void OnWritten(const std::error_code& error);
   bool is_written() const { return writing_.empty() && output_.empty(); }
   void EndAnswer();
-  void Drop();
+  void Drop(ConnectionEnd cause);
+  void ReportEnd(ConnectionEnd cause) const;
   void Free();
 
   asio::ip::tcp::socket socket_;
@@ -143,8 +144,11 @@
   // What the message in progress calls for; 0: nothing.
   int refusal_ = 0;
   Reason refusal_reason_ = Reason::kNone;
-  std::size_t declared_ = 0;  // the length of the body; 0: not stated
-  std::size_t progress_ = 0;  // bytes of the body at the last progress
+  std::size_t request_bytes_ = 0;  // read of the message in progress
+  bool is_handed_out_ = false;     // the message in progress
+  std::size_t discarded_ = 0;      // bytes that came behind the last answer
+  std::size_t declared_ = 0;       // the length of the body; 0: not stated
+  std::size_t progress_ = 0;       // bytes of the body at the last progress
   MemoryBudget::Holder held_;
   bool has_whole_message_ = false;
   bool keeps_alive_ = true;
--- a/src/caller/forward_server.cc
+++ b/src/caller/forward_server.cc
@@ -92,10 +92,6 @@
                        CallerMessage message) {
                   OnRequest(caller, std::move(message));
                 },
-            .on_refused =
-                [this](Reason reason, int status, std::size_t body_bytes) {
-                  OnRefused(reason, status, body_bytes);
-                },
             .limits = [this]() -> const CallerLimits& {
               const FleetViewPtr& view = context_.view;
               return view == nullptr || view->routes == nullptr
@@ -103,24 +99,12 @@
                          : view->routes->deployment().limits;
             },
             .closes_after_answer = [this] { return is_leaving_; },
-            .memory = memory_},
+            .memory = memory_,
+            .counters = counters},
       random_(options_.dispatcher.seed) {
   options_.max_connections = MostConnections(options_);
 }
 
-void ForwardServer::OnRefused(Reason reason, int status,
-                              std::size_t body_bytes) {
-  context_.counters.CountRefusal(reason);
-  if (reason == Reason::kBadRequest) {
-    return Log(LogLevel::kInfo, "malformed_request", {{"status", status}});
-  }
-  Log(LogLevel::kInfo, "body_refused",
-      {{"reason", Name(reason)},
-       {"status", status},
-       {"body_bytes", body_bytes},
-       {"held_bytes", memory_.bytes()}});
-}
-
 absl::Status ForwardServer::Start() {
   const HostPort target = ParseEndpoint(options_.listen);
   std::error_code error;
@@ -182,7 +166,7 @@
     oldest = FindOldest(connections_, is_stalled);
   }
   if (oldest == connections_.end()) return false;
-  (*oldest)->Close();
+  (*oldest)->Close(ConnectionEnd::kSurplus);
   connections_.erase(oldest);
   context_.counters.CountRefusal(Reason::kConnectionLimit);
   Log(LogLevel::kInfo, "surplus_connection_closed",
--- a/src/caller/forward_server.h
+++ b/src/caller/forward_server.h
@@ -74,7 +74,6 @@
   bool MakeRoomForConnection();
   void RefuseConnection(Reason reason);
   void OnAcceptFailed(const std::error_code& error);
-  void OnRefused(Reason reason, int status, std::size_t body_bytes);
   void OnRequest(const CallerConnection::Ptr& caller, CallerMessage message);
   void Refuse(const CallerConnection::Ptr& caller, const RequestId& id,
               Reason reason, Millis retry_after);
--- a/src/core/counters.cc
+++ b/src/core/counters.cc
@@ -46,6 +46,7 @@
                    "backend_entries_ignored",
                    "limits_unreadable",
                    "accepts_failed",
+                   "connections_unfinished",
                    "prompt_cache_hits",
                    "prompt_tokens_cached"};
 
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -47,6 +47,7 @@
   kBackendEntriesIgnored,
   kLimitsUnreadable,  // request limits that backend servers stated
   kAcceptsFailed,
+  kConnectionsUnfinished,  // callers', with something in progress
   kPromptCacheHits,     // requests to a server that should hold their beginning
   kPromptTokensCached,  // prompt tokens of these that it should hold
   kCount
