--- a/tests/unit/answer_relay_test.cc
+++ b/tests/unit/answer_relay_test.cc
@@ -52,14 +52,16 @@
   constexpr std::size_t kRoom = 1'000;
   asio::io_context io;
   MemoryBudget budget({.limit = kRoom, .small = 0, .patience = Duration(0)});
-  const CallerConnection::Host host{.memory = budget};
+  Counters counters;
+  const CallerConnection::Host host{.memory = budget, .counters = counters};
   const auto caller =
       std::make_shared<CallerConnection>(asio::ip::tcp::socket(io), host);
   MemoryBudget::Holder answer(budget, nullptr, BootNow());
   AnswerRelay relay(caller, {}, answer);
   relay.OnHead(500, {}, {});
   MemoryBudget::Holder callers(
-      budget, [&](Eviction) { caller->Close(); }, BootNow());
+      budget, [&](Eviction) { caller->Close(ConnectionEnd::kEvicted); },
+      BootNow());
   callers.Set(kRoom);
   EXPECT_EQ(relay.OnBody(std::string(2 * kRoom, 'b'), BootNow()),
             AnswerRelay::Result::kKept);
