Let a soak leave the entries' memory unstated

Programs of before refuse a settings file that names memory_mb, and the soak stated it for every seed, so none of them started. MANGOHOLD_SOAK_MEMORY_MB=0 leaves it out; without the variable nothing changes.

--- a/tests/soak/direct_soak_test.cc
+++ b/tests/soak/direct_soak_test.cc
@@ -6,7 +6,9 @@
 // choose a longer run (a seed chooses the draws; threads and processes take
 // their own time), MANGOHOLD_SOAK_ENTRIES more entries;
 // MANGOHOLD_SOAK_REPORT_ONLY prints the counts and checks nothing, for programs
-// of earlier days (MANGOHOLD_ENTRY_PROGRAM).
+// of earlier days (MANGOHOLD_ENTRY_PROGRAM). MANGOHOLD_SOAK_MEMORY_MB states
+// the entries' memory; 0 states none, as programs need that don't know the
+// setting.
 #include <gtest/gtest.h>
 #include <signal.h>
 
@@ -62,7 +64,8 @@
   explicit Soak(int seed)
       : random_(static_cast<std::uint64_t>(seed)),
         entries_(NumberFrom("MANGOHOLD_SOAK_ENTRIES", kEntries)),
-        memory_mb_(kMemoryMb[static_cast<std::size_t>(seed) % 2]),
+        memory_mb_(NumberFrom("MANGOHOLD_SOAK_MEMORY_MB",
+                              kMemoryMb[static_cast<std::size_t>(seed) % 2])),
         site_({.entries = entries_,
                .backends = kSoakBackends,
                .memory_mb = memory_mb_,
