Reproduce a promise for work that ran before

The stand-in of the test that was there writes one copy only, so that the attempt after it is answered 200: it shows TWICE, not REFUSED. Change: a stand-in that writes the refusal before each run, a test, and its place in the soak.

--- a/tests/direct_site.cc
+++ b/tests/direct_site.cc
@@ -140,8 +140,9 @@
     const std::lock_guard lock(mutex_);
     limit = limit_;
     last_request_ = request;
-    const bool is_refused_first =
-        manner == Manner::kRepeatRefusal && !arrivals_.contains(id);
+    const bool repeats_refusal =
+        manner == Manner::kRepeatRefusal || manner == Manner::kRefuseAndRun;
+    const bool is_refused_first = repeats_refusal && !arrivals_.contains(id);
     const bool runs = manner != Manner::kReject && manner != Manner::kQuiet &&
                       manner != Manner::kMisdirected &&
                       manner != Manner::kLateReject && !is_refused_first;
@@ -162,7 +163,9 @@
           Whole(503, id, "", "X-Mangohold-Not-Executed: 1\r\n"));
       break;
     case Manner::kRepeatRefusal:
-      co_await RefuseOnceMore(id, body, connection);
+    case Manner::kRefuseAndRun:
+      co_await RefuseOnceMore(id, body, connection,
+                              /*is_each=*/manner == Manner::kRefuseAndRun);
       break;
     case Manner::kQuiet:
       co_await connection.Send(Whole(
@@ -296,9 +299,9 @@
 
 asio::awaitable<void> BackendStandin::RefuseOnceMore(
     const std::string& id, const std::string& body,
-    standin::Connection& connection) {
+    standin::Connection& connection, bool is_each) {
   const int arrival = ++arrivals_[id];
-  if (arrival <= 2) {
+  if (is_each || arrival <= 2) {
     co_await connection.Send(
         Whole(503, id, "", "X-Mangohold-Not-Executed: 1\r\n"));
   }
--- a/tests/direct_site.h
+++ b/tests/direct_site.h
@@ -29,6 +29,9 @@
   // 503, not run; when the same request comes again, the same 503 once more
   // before it runs.
   kRepeatRefusal,
+  // 503, not run; whenever the same request comes again, 503 once more, and
+  // then it runs.
+  kRefuseAndRun,
   kQuiet,           // 503, not run, and nothing more for half a minute
   kLeave,           // 200, and it is leaving
   kMisdirected,     // 421, another instance
@@ -106,7 +109,8 @@
                                    standin::Connection& connection);
   asio::awaitable<void> RefuseOnceMore(const std::string& id,
                                        const std::string& body,
-                                       standin::Connection& connection);
+                                       standin::Connection& connection,
+                                       bool is_each);
   asio::awaitable<void> SendEndlessStream(HttpRequest request,
                                           standin::Connection& connection,
                                           bool ends_inside_event);
--- a/tests/soak/site_troubles.cc
+++ b/tests/soak/site_troubles.cc
@@ -20,10 +20,10 @@
 constexpr std::array kManners = {
     Manner::kAnswer,       Manner::kAnswer,       Manner::kAnswer,
     Manner::kReject,       Manner::kDropLate,     Manner::kRepeatRefusal,
-    Manner::kMisdirected,  Manner::kError,        Manner::kCutAnswer,
-    Manner::kExtraAnswer,  Manner::kEndless,      Manner::kLateAnswer,
-    Manner::kCloseUnasked, Manner::kLateReject,   Manner::kInterim,
-    Manner::kForeignFirst, Manner::kShortIdleTime};
+    Manner::kRefuseAndRun, Manner::kMisdirected,  Manner::kError,
+    Manner::kCutAnswer,    Manner::kExtraAnswer,  Manner::kEndless,
+    Manner::kLateAnswer,   Manner::kCloseUnasked, Manner::kLateReject,
+    Manner::kInterim,      Manner::kForeignFirst, Manner::kShortIdleTime};
 // Of a hundred draws, those for a status that a backend server gives after a
 // run: they have many sizes and ends.
 constexpr int kStatusPercent = 35;
--- a/tests/system/direct_promises_test.cc
+++ b/tests/system/direct_promises_test.cc
@@ -25,6 +25,24 @@
             std::string::npos);
 }
 
+// Guards against refusals that are taken for the answer to the next attempt,
+// attempt after attempt, until the caller is promised that work hasn't run
+// which has run several times (REFUSED, TWICE).
+TEST(DirectWay, ARefusalWrittenBeforeEachRunPromisesNothing) {
+  constexpr int kRequests = 20;
+  DirectSite site({.backends = 2});
+  site.Start();
+  for (int i = 0; i < 2; ++i) site.backend(i).SetManner(Manner::kRefuseAndRun);
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string id = "once" + std::to_string(i);
+    const int status = site.Call("POST", "/once/x", id, "b").status;
+    auto runs = site.backend(0).runs();
+    for (const auto& [run, count] : site.backend(1).runs()) runs[run] += count;
+    EXPECT_LE(runs[id], 1) << id;
+    EXPECT_TRUE(status != 503 || runs[id] == 0) << id;
+  }
+}
+
 // The same answers are true for requests that may be repeated.
 TEST(DirectWay, ALargeAnswerOfAnyStatusGoesOnWhereTheRequestMayBeRepeated) {
   DirectSite site({});
