Say in AnswerRelay why an answer is withheld or abandoned

Cause: a reader of the diff stumbled over both names. Change: a comment, and kAbandon for kWorthless. No behaviour.

--- a/src/caller/answer_relay.cc
+++ b/src/caller/answer_relay.cc
@@ -61,7 +61,7 @@
     case Way::kWithheld:
       return SkipBytes(data.size());
   }
-  return Result::kWorthless;
+  return Result::kAbandon;
 }
 
 AnswerRelay::Result AnswerRelay::Gather(std::string_view data, TimePoint now) {
@@ -77,7 +77,7 @@
   if (has_room && size <= kMostGathered) return Result::kKept;
   // A failure, or what can't go on with a stream that has begun, is not worth
   // more room. Other answers go on from here; they can't be made again.
-  if (has_begun_ || status_ >= kLeastFailure) return Result::kWorthless;
+  if (has_begun_ || status_ >= kLeastFailure) return Result::kAbandon;
   way_ = Way::kBytes;
   Begin();
   const std::string gathered = std::exchange(body_, {});
@@ -92,13 +92,13 @@
     if (!has_begun_) Begin();
     caller_->WriteStream(events);
   }
-  if (events_.is_oversized()) return Result::kWorthless;
+  if (events_.is_oversized()) return Result::kAbandon;
   return events.empty() ? Result::kKept : Result::kPassedOn;
 }
 
 AnswerRelay::Result AnswerRelay::SkipBytes(std::size_t size) {
   skipped_bytes_ += size;
-  return skipped_bytes_ <= kMostGathered ? Result::kKept : Result::kWorthless;
+  return skipped_bytes_ <= kMostGathered ? Result::kKept : Result::kAbandon;
 }
 
 void AnswerRelay::Begin() {
--- a/src/caller/answer_relay.h
+++ b/src/caller/answer_relay.h
@@ -20,16 +20,18 @@
  public:
   // How an answer reaches the caller.
   enum class Way {
-    kWhole,    // gathered until it is whole
-    kEvents,   // event by event; another attempt can go on with the next one
-    kBytes,    // as it comes; no other attempt can go on
-    kWithheld  // not at all
+    kWhole,   // gathered until it is whole
+    kEvents,  // event by event; another attempt can go on with the next one
+    kBytes,   // as it comes; no other attempt can go on
+    // Not at all: a refusal, after which others are asked, or a status that
+    // would promise what its backend server doesn't say.
+    kWithheld
   };
   // What came of a part of a body.
   enum class Result {
     kKept,      // nothing new for the caller
     kPassedOn,  // the caller got bytes
-    kWorthless  // the rest isn't worth its room: the attempt has to end
+    kAbandon    // the rest isn't worth its room: the attempt has to end
   };
   struct Options {
     bool is_repeatable = false;
--- a/src/caller/forward_run.cc
+++ b/src/caller/forward_run.cc
@@ -273,7 +273,7 @@
   const AnswerRelay::Result result = relay_.OnBody(data, BootNow());
   if (phase_ != Phase::kSent) return;  // its caller was evicted
   if (relay_.events() > events_before) OnEvents();
-  if (result == AnswerRelay::Result::kWorthless) return DropAnswer();
+  if (result == AnswerRelay::Result::kAbandon) return DropAnswer();
   if (caller_->is_congested()) connection_->Pause();
 }
 
