--- a/tests/soak/kept_caller.h
+++ b/tests/soak/kept_caller.h
@@ -36,7 +36,7 @@
  public:
   explicit KeptCaller(Duration timeout)
       : timeout_(timeout), parser_(Http1Parser::Kind::kResponse, *this) {}
-  ~KeptCaller() { Close(); }
+  ~KeptCaller() override { Close(); }
   KeptCaller(const KeptCaller&) = delete;
   KeptCaller& operator=(const KeptCaller&) = delete;
 
