--- a/tests/soak/direct_soak_test.cc
+++ b/tests/soak/direct_soak_test.cc
@@ -126,8 +126,9 @@
 
   static void Expect(const std::vector<std::string>& faults,
                      const std::string& fault) {
-    for (const std::string& text : faults)
+    for (const std::string& text : faults) {
       ADD_FAILURE() << fault << ": " << text;
+    }
   }
 
   void Print(const SoakVerdict& verdict) const {
