Let a stand-in that takes over an address know nothing of before

Cause: a backend server that takes over an address in the soak was the old one under a new name: it took the first arrival of a request for a repeat. Change: it forgets the requests that had arrived.

--- a/tests/direct_site.cc
+++ b/tests/direct_site.cc
@@ -122,6 +122,7 @@
 void BackendStandin::BecomeAnother(std::string id) {
   const std::lock_guard lock(mutex_);
   id_ = std::move(id);
+  arrivals_.clear();
 }
 
 HttpRequest BackendStandin::last_request() const {
@@ -282,6 +283,11 @@
   }
 }
 
+int BackendStandin::CountArrival(const std::string& id) {
+  const std::lock_guard lock(mutex_);
+  return ++arrivals_[id];
+}
+
 asio::awaitable<void> BackendStandin::SendStatus(
     const std::string& id, standin::Connection& connection) {
   // The body's beginning names its request.
@@ -300,7 +306,7 @@
 asio::awaitable<void> BackendStandin::RefuseOnceMore(
     const std::string& id, const std::string& body,
     standin::Connection& connection, bool is_each) {
-  const int arrival = ++arrivals_[id];
+  const int arrival = CountArrival(id);
   if (is_each || arrival <= 2) {
     co_await connection.Send(
         Whole(503, id, "", "X-Mangohold-Not-Executed: 1\r\n"));
--- a/tests/direct_site.h
+++ b/tests/direct_site.h
@@ -98,13 +98,15 @@
   HttpRequest last_request() const;
   std::string id() const;
   // From now on it is another backend server at the same address: requests for
-  // the one before get 421.
+  // the one before get 421, and it knows nothing of them.
   void BecomeAnother(std::string id);
   const std::string& address() const { return address_; }
 
  private:
   asio::awaitable<void> Handle(HttpRequest request,
                                standin::Connection& connection);
+  // How often the request has arrived at a server that repeats refusals.
+  int CountArrival(const std::string& id);
   asio::awaitable<void> SendStatus(const std::string& id,
                                    standin::Connection& connection);
   asio::awaitable<void> RefuseOnceMore(const std::string& id,
