--- a/review/standins-2/small_site.cc
+++ b/review/standins-2/small_site.cc
@@ -96,8 +96,13 @@
 
 Stream::~Stream() { Close(); }
 
-std::unique_ptr<Stream> Stream::Connect(const std::string& ip, int port) {
+std::unique_ptr<Stream> Stream::Connect(const std::string& ip, int port,
+                                        int receive_bytes) {
   const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (receive_bytes > 0) {
+    setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+               sizeof(receive_bytes));
+  }
   const sockaddr_in address = AddressOf(ip, port);
   // NOLINTNEXTLINE: the interface of the system
   const auto* to = reinterpret_cast<const sockaddr*>(&address);
@@ -375,8 +380,9 @@
   return false;
 }
 
-std::unique_ptr<Stream> SmallSite::ConnectTo(int entry) const {
-  return Stream::Connect(Ip(10 + entry), kCallerPort);
+std::unique_ptr<Stream> SmallSite::ConnectTo(int entry,
+                                             int receive_bytes) const {
+  return Stream::Connect(Ip(10 + entry), kCallerPort, receive_bytes);
 }
 
 std::string RequestText(const std::string& method, const std::string& path,
--- a/review/standins-2/small_site.h
+++ b/review/standins-2/small_site.h
@@ -59,8 +59,10 @@
   Stream(const Stream&) = delete;
   Stream& operator=(const Stream&) = delete;
 
-  // Null if nobody listens.
-  static std::unique_ptr<Stream> Connect(const std::string& ip, int port);
+  // Null if nobody listens. `receive_bytes` is the size of the buffer for
+  // what hasn't been read yet; 0: as the system chooses.
+  static std::unique_ptr<Stream> Connect(const std::string& ip, int port,
+                                         int receive_bytes = 0);
   // Nothing if the peer closes first, or after `limit`.
   std::optional<Message> Read(milliseconds limit);
   bool Write(std::string_view bytes);
@@ -142,7 +144,7 @@
   // Waits until the entry is ready.
   bool IsReady(int index) const;
   Program& entry(int index) { return *entries_.at(index); }
-  std::unique_ptr<Stream> ConnectTo(int entry) const;
+  std::unique_ptr<Stream> ConnectTo(int entry, int receive_bytes = 0) const;
 
  private:
   Record& record_;
