Log what a new leader of a group has read of its ranks

Three explanations were possible: the ranks' reports don't tell the pass for which they are armed, they are armed for different passes, or one of them was read before it was armed. No log line told them apart.

ranks_read names the armed ranks, the versions and passes that they report, and how many don't report a pass.

--- a/src/group/group_leader.cc
+++ b/src/group/group_leader.cc
@@ -177,6 +177,7 @@
   const auto before = switch_.phase();
   for (const RankCommand& command : switch_.Advance(BootNow())) Issue(command);
   if (switch_.phase() != before) {
+    if (before == MapSwitch::Phase::kReading) LogRanksRead();
     Log(LogLevel::kInfo, "map_switch_phase",
         {{"phase", static_cast<int>(switch_.phase())},
          {"version", switch_.version().value()}});
@@ -193,6 +194,20 @@
   }
 }
 
+// What a new leader has found, on which it completes, undoes or passes over the
+// switch of its predecessor.
+void GroupLeader::LogRanksRead() const {
+  const ArmedRanks armed = switch_.armed_ranks();
+  Log(LogLevel::kInfo, "ranks_read",
+      {{"term", options_.term.value()},
+       {"ranks", armed.ranks},
+       {"armed", armed.armed},
+       {"versions", armed.versions.size()},
+       {"passes", armed.passes.size()},
+       {"without_pass", armed.without_pass},
+       {"holding_rank", switch_.HoldingRank().value_or(-1)}});
+}
+
 void GroupLeader::Issue(const RankCommand& command) {
   const RankReport* own = deps_.rank.report();
   if (own != nullptr && command.rank == own->rank) {
--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -389,6 +389,12 @@
   }
 }
 
+ArmedRanks MapSwitch::armed_ranks() const {
+  ArmedRanks armed;
+  for (const Rank& rank : ranks_) armed.Add(rank.status.report);
+  return armed;
+}
+
 std::optional<int> MapSwitch::HoldingRank() const {
   const auto it = std::ranges::find_if(ranks_, [](const Rank& rank) {
     return rank.status.report.held.has_value();
--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -45,6 +45,7 @@
 #include "backend/engine_api.h"
 #include "core/clock.h"
 #include "group/agent_promises.h"
+#include "group/armed_ranks.h"
 #include "group/leader_term.h"
 #include "group/map_delta.h"
 
@@ -184,6 +185,10 @@
   Phase phase() const { return phase_; }
   MapVersion version() const { return version_; }
   int size() const { return static_cast<int>(ranks_.size()); }
+  // What the ranks are armed for, by their last status.
+  ArmedRanks armed_ranks() const;
+  // The rank that holds a pass, by its last status.
+  std::optional<int> HoldingRank() const;
   // Returns the ranks whose last status is older than `status_timeout`.
   std::vector<int> SilentRanks(TimePoint now) const;
 
@@ -214,7 +219,6 @@
   bool NeedsGrant() const;
   void EnterPhase(Phase phase, TimePoint now);
   void Resume(TimePoint now);
-  std::optional<int> HoldingRank() const;
   PassNumber LastPass() const;
   PassNumber ChoosePass() const;
   void RecordArmingTime(TimePoint now);
