Complete a switch for which all ranks are armed, whoever succeeds

Cause: an agent's status left out for which pass its rank is armed (armed_at), while a leader knows it of its own engine. A successor beside an armed rank took the unsaid passes of the others for another pass (0) than its own rank's, found no switch that it could complete, and undid it. As all ranks were armed it disarmed them at once, while the former leader's release of the hold was on its way. That was carried out between the disarming of eleven ranks and of the twelfth, whose engine left orders unanswered.

The fix, in two parts. A status tells armed_at. And a successor no longer compares passes where one isn't told: all ranks armed for one version are armed for one switch, since a leader arms a version for one pass only and no other leader arms it; only two passes that are told contradict each other.

Why nothing showed it: the simulated engines didn't report armed_at of any rank, and the simulated agents handed their statuses on as structs, so that the leader knew no more of its own rank than of others.

--- a/src/group/armed_ranks.h
+++ b/src/group/armed_ranks.h
@@ -30,6 +30,12 @@
   }
 
   bool AreAll() const { return ranks > 0 && armed == ranks; }
+  // True if all ranks are armed for the same switch, which its version tells: a
+  // leader arms a version for one pass only, and no other leader arms it. A
+  // report that doesn't tell the pass therefore leaves no doubt.
+  bool AreForOneSwitch() const {
+    return AreAll() && versions.size() == 1 && passes.size() <= 1;
+  }
 };
 
 }  // namespace mangohold
--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -192,24 +192,24 @@
 // Continues from the state of the ranks, after all of them have been read.
 void MapSwitch::Resume(TimePoint now) {
   // Step 1: find the version and the pass of the switch in progress, if any.
-  const auto armed = std::ranges::find_if(ranks_, [](const Rank& rank) {
+  const ArmedRanks armed = armed_ranks();
+  const auto first_armed = std::ranges::find_if(ranks_, [](const Rank& rank) {
     return rank.status.report.armed.has_value();
   });
-  const RankReport& reference = armed != ranks_.end()
-                                    ? armed->status.report
+  const RankReport& reference = first_armed != ranks_.end()
+                                    ? first_armed->status.report
                                     : ranks_.front().status.report;
   version_ =
       reference.armed.value_or(reference.prepared.value_or(MapVersion()));
-  pass_ = reference.armed_at.value_or(PassNumber());
+  pass_ = armed.passes.empty() ? PassNumber() : *armed.passes.begin();
   // Step 2: handle the cases in which all ranks are armed or none holds a pass.
-  if (std::ranges::all_of(ranks_,
-                          [this](const Rank& rank) { return IsArmed(rank); })) {
+  if (armed.AreForOneSwitch()) {
     return EnterPhase(
         HoldingRank() ? Phase::kReleasing : Phase::kAwaitingSwitch, now);
   }
   if (!HoldingRank()) {
-    return EnterPhase(
-        armed != ranks_.end() ? Phase::kAwaitingSwitch : Phase::kIdle, now);
+    return EnterPhase(armed.armed > 0 ? Phase::kAwaitingSwitch : Phase::kIdle,
+                      now);
   }
   // Step 3: the leader that began the switch can't complete it any more.
   Undo(now);
@@ -341,6 +341,7 @@
                     versions_issued_ + (is_undo ? 1 : 0));
 }
 
+// True if the rank is armed for this leader's own switch.
 bool MapSwitch::IsArmed(const Rank& rank) const {
   const RankReport& report = rank.status.report;
   return rank.is_known && report.armed == version_ &&
--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -71,7 +71,7 @@
   // A version that the agent can't build from its delta, because it doesn't
   // have the base map. 0: none.
   MapVersion missing;
-  // False if the agent is silent and only the engine answers.
+  // False if the agent is silent and only the engine answers. Not sent.
   bool is_from_agent = true;
 };
 
@@ -96,7 +96,8 @@
   // kPrepare: the full map, or its delta to a map that the agent should have.
   GroupMap map;
   std::shared_ptr<const MapDelta> delta;
-  // Sent to the engine itself instead of its agent.
+  // Sent to the engine itself instead of its agent, and therefore in no
+  // message.
   bool is_direct = false;
   // Without an order: asks the agent to grant the leader the arming of its own
   // rank with `version`.
--- a/src/group/rank_messages.cc
+++ b/src/group/rank_messages.cc
@@ -33,6 +33,7 @@
           {"map", report.map},
           {"prepared", FromOptional(report.prepared)},
           {"armed", FromOptional(report.armed)},
+          {"armed_at", FromOptional(report.armed_at)},
           {"held", FromOptional(report.held)},
           {"running", report.running},
           {"waiting", report.waiting},
@@ -52,6 +53,10 @@
   report.map = json.at("map").get<MapVersion>();
   report.prepared = ToOptional<MapVersion>(json.at("prepared"));
   report.armed = ToOptional<MapVersion>(json.at("armed"));
+  // Absent in messages of earlier builds: the pass is unknown.
+  if (const auto pass = json.find("armed_at"); pass != json.end()) {
+    report.armed_at = ToOptional<PassNumber>(*pass);
+  }
   report.held = ToOptional<PassNumber>(json.at("held"));
   report.running = json.at("running").get<int>();
   report.waiting = json.at("waiting").get<int>();
--- a/src/store/change_relay.h
+++ b/src/store/change_relay.h
@@ -15,6 +15,8 @@
 // Store changes as one entry passes them to another. Times are sent as ages,
 // never as clock readings, because the clocks of two machines differ.
 struct RelayedEvents {
+  // `is_history_lost` isn't sent: an entry that lacks the changes refuses to
+  // answer.
   StoreEvents events;
   // How long before the answer the sender last knew every change of the store.
   Duration age{0};
--- a/tests/unit/map_switch_test.cc
+++ b/tests/unit/map_switch_test.cc
@@ -12,6 +12,7 @@
 
 #include "core/random.h"
 #include "group/agent_promises.h"
+#include "group/rank_messages.h"
 #include "group/unanswered_arm_orders.h"
 #include "virtual_rank_group.h"
 
@@ -112,11 +113,26 @@
     for (Leader& leader : leaders_) {
       for (int rank = 0; rank < kRanks; ++rank) {
         if (random_.Below(20) == 0 || IsStopped(rank)) continue;
-        leader.map_switch->OnStatus(StatusOf(rank), now_);
+        leader.map_switch->OnStatus(StatusFor(leader, rank), now_);
       }
     }
   }
 
+  // A leader knows its own rank from its own engine, and the others by their
+  // messages.
+  RankStatus StatusFor(const Leader& leader, int rank) const {
+    const RankStatus status = StatusOf(rank);
+    if (rank == leader.rank) return status;
+    return DecodeRankMessage(
+               EncodeRankMessage({.kind = RankMessageKind::kStatus,
+                                  .term = status.term,
+                                  .sender = status.agent,
+                                  .rank = rank,
+                                  .status = status}))
+        .value()
+        .status;
+  }
+
   RankStatus StatusOf(int rank) const {
     return {.agent = InstanceId(std::to_string(rank)),
             .term = terms_[rank],
@@ -174,7 +190,7 @@
       }
       group_.Execute(rank, command, now_);
     }
-    leader.map_switch->OnStatus(StatusOf(rank), now_);
+    leader.map_switch->OnStatus(StatusFor(leader, rank), now_);
   }
 
   void ExecuteDelayedOrders() {
--- a/tests/virtual_agents.cc
+++ b/tests/virtual_agents.cc
@@ -147,9 +147,9 @@
 void VirtualAgents::RunAgent(int rank) {
   Agent& agent = agents_[rank];
   while (!agent.inbox.empty() && agent.inbox.front().due_at <= now_) {
-    const Message message = std::move(agent.inbox.front());
+    const auto message = DecodeRankMessage(agent.inbox.front().bytes);
     agent.inbox.pop_front();
-    OnMessage(rank, message);
+    OnMessage(rank, message.value());
   }
   const RankReport report = group_.Report(rank);
   const bool has_transitioned = report.prepared != agent.last_report.prepared ||
@@ -164,8 +164,7 @@
   if (IsDue(steps_, kHeartbeatInterval)) {
     for (int to = 0; to < options_.ranks; ++to) {
       if (to == rank) continue;
-      Send(rank, to,
-           {.kind = Message::Kind::kHeartbeat, .term = agent.leader.term});
+      Send(to, NewMessage(RankMessageKind::kHeartbeat, rank));
     }
   }
   if (IsDue(steps_, kSwitchInterval)) {
@@ -178,39 +177,48 @@
   if (IsDue(steps_, kBypassInterval)) BypassSilentAgents(rank);
 }
 
-void VirtualAgents::Send(int from, int to, Message message) {
+RankMessage VirtualAgents::NewMessage(RankMessageKind kind, int from) const {
+  return {.kind = kind,
+          .group = GroupName("g"),
+          .term = agents_[from].leader.term,
+          .sender = InstanceId(std::to_string(from)),
+          .rank = from};
+}
+
+void VirtualAgents::Send(int to, const RankMessage& message) {
   if (!agents_[to].is_running) return;
-  message.from = from;
-  message.due_at = now_ + kLatency;
-  agents_[to].inbox.push_back(std::move(message));
+  agents_[to].inbox.push_back(
+      {.bytes = EncodeRankMessage(message), .due_at = now_ + kLatency});
 }
 
-void VirtualAgents::OnMessage(int rank, const Message& message) {
+void VirtualAgents::OnMessage(int rank, const RankMessage& message) {
   Agent& agent = agents_[rank];
-  if (message.kind != Message::Kind::kStatus &&
+  if (message.kind != RankMessageKind::kStatus &&
       message.term > agent.leader.term) {
     Follow(rank, message.term);
   }
   switch (message.kind) {
-    case Message::Kind::kHeartbeat:
+    case RankMessageKind::kHeartbeat:
       if (message.term != agent.leader.term || agent.leadership) return;
-      agent.leader.OnHeartbeat(message.from);
+      agent.leader.OnHeartbeat(message.rank);
       agent.leader_heard = now_;
       if (!std::exchange(agent.has_heard_leader, true)) SendStatus(rank);
       return;
-    case Message::Kind::kStatus:
+    case RankMessageKind::kStatus:
       return OnStatus(rank, message);
-    case Message::Kind::kCommand:
+    case RankMessageKind::kCommand:
       if (!agent.knows_term || message.term < agent.leader.term) {
-        return Send(rank, message.from,
-                    {.kind = Message::Kind::kStatus,
-                     .term = agent.leader.term,
-                     .status = StatusOf(rank)});
+        RankMessage status = NewMessage(RankMessageKind::kStatus, rank);
+        status.status = StatusOf(rank);
+        return Send(message.rank, status);
       }
-      agent.leader.OnHeartbeat(message.from);
+      agent.leader.OnHeartbeat(message.rank);
       agent.leader_heard = now_;
       agent.commands.push_back({message.command, message.term});
       return RunNextCommand(rank);
+    case RankMessageKind::kChoices:
+    case RankMessageKind::kCount:
+      return;
   }
 }
 
@@ -226,23 +234,25 @@
       .may_arm_late = agent.unanswered.MayArm(group_.epoch, group_.pass, now_)};
 }
 
+// A leader knows its own rank from its own engine, and not by a message.
 void VirtualAgents::SendStatus(int rank) {
   Agent& agent = agents_[rank];
-  const Message message{.kind = Message::Kind::kStatus,
-                        .term = agent.leader.term,
-                        .from = rank,
-                        .status = StatusOf(rank)};
+  RankMessage message = NewMessage(RankMessageKind::kStatus, rank);
+  message.status = StatusOf(rank);
   agent.status_sent_at = now_;
   agent.last_report = message.status.report;
   if (agent.leadership) return OnStatus(rank, message);
-  if (agent.leader.rank) Send(rank, *agent.leader.rank, message);
+  if (options_.ranks_without_pass.contains(rank)) {
+    message.status.report.armed_at.reset();
+  }
+  if (agent.leader.rank) Send(*agent.leader.rank, message);
 }
 
-void VirtualAgents::OnStatus(int rank, const Message& message) {
+void VirtualAgents::OnStatus(int rank, const RankMessage& message) {
   Agent& agent = agents_[rank];
   if (!agent.leadership) return;
   if (message.term > agent.leader.term) return Follow(rank, message.term);
-  agent.located.erase(message.from);
+  agent.located.erase(message.rank);
   agent.leadership->OnStatus(message.status, now_);
   Advance(rank);
 }
@@ -322,10 +332,9 @@
   if (agent.located.contains(command.rank) && is_allowed && is_confirmed) {
     OrderDirectly(rank, command);
   }
-  Send(rank, command.rank,
-       {.kind = Message::Kind::kCommand,
-        .term = agent.leader.term,
-        .command = command});
+  RankMessage message = NewMessage(RankMessageKind::kCommand, rank);
+  message.command = command;
+  Send(command.rank, message);
 }
 
 void VirtualAgents::RunNextCommand(int rank) {
@@ -374,12 +383,20 @@
   });
 }
 
+Duration VirtualAgents::LatenessOf(int rank, const RankCommand& command) {
+  if (lateness_of_) return lateness_of_(rank, command);
+  if (static_cast<int>(random_.Below(100)) >= options_.late_percent) {
+    return Duration(0);
+  }
+  return Millis(2'000 + random_.Below(10'000));
+}
+
 bool VirtualAgents::Order(int rank, const RankCommand& command) {
   const bool is_preparation = command.order == OrderKind::kPrepare;
   const std::uint64_t expected = group_.engines[rank].sequence;
-  if (static_cast<int>(random_.Below(100)) < options_.late_percent) {
-    const Duration delay = Millis(2'000 + random_.Below(10'000));
-    tasks_.push_back({.due_at = now_ + delay,
+  const Duration lateness = LatenessOf(rank, command);
+  if (lateness > Duration(0)) {
+    tasks_.push_back({.due_at = now_ + lateness,
                       .rank = -1,
                       .run = [this, rank, command, expected] {
                         const bool is_outdated =
@@ -406,10 +423,9 @@
     if (agent.located.contains(command.rank)) {
       return QueryEngine(rank, command.rank);
     }
-    Send(rank, command.rank,
-         {.kind = Message::Kind::kCommand,
-          .term = term,
-          .command = {.rank = command.rank}});
+    RankMessage status_request = NewMessage(RankMessageKind::kCommand, rank);
+    status_request.command.rank = command.rank;
+    Send(command.rank, status_request);
   });
 }
 
--- a/tests/virtual_agents.h
+++ b/tests/virtual_agents.h
@@ -1,7 +1,9 @@
 // The agents of one group of ranks in virtual time: their messages, promises
 // and elections, around the real leader's side of a map switch. Machines can
 // stand still and processes can be killed between any two orders of a switch.
-// What a process kept in memory is gone when it starts again.
+// What a process kept in memory is gone when it starts again. Messages pass the
+// codec of the datagrams, so that an agent knows no more of other ranks than
+// their messages tell.
 #pragma once
 
 #include <deque>
@@ -9,12 +11,14 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "core/random.h"
 #include "group/agent_promises.h"
 #include "group/known_leader.h"
 #include "group/map_switch.h"
+#include "group/rank_messages.h"
 #include "group/unanswered_arm_orders.h"
 #include "virtual_rank_group.h"
 
@@ -35,6 +39,9 @@
     FrozenEngine frozen_engine = FrozenEngine::kAnswers;
     // Of 100 orders, those that get no answer and are executed seconds later.
     int late_percent = 0;
+    // Ranks whose agents are of an earlier build, whose statuses don't tell for
+    // which pass the rank is armed.
+    std::set<int> ranks_without_pass;
     // Engines refuse an order that was sent before their newest one.
     bool checks_sequence = true;
     std::uint64_t seed = 1;
@@ -56,6 +63,11 @@
   void SetOnOrder(std::function<void()> on_order) {
     on_order_ = std::move(on_order);
   }
+  // Sets how long each order to a rank is left unanswered before it is
+  // executed; zero: it is executed at once. Replaces `late_percent`.
+  using Lateness = std::function<Duration(int rank, const RankCommand&)>;
+  void SetLateness(Lateness lateness) { lateness_of_ = std::move(lateness); }
+  void SetIdle(bool is_idle) { group_.is_idle = is_idle; }
 
   TimePoint now() const { return now_; }
   const VirtualRankGroup& group() const { return group_; }
@@ -65,13 +77,8 @@
   bool HasSwitched() const;
 
  private:
-  struct Message {
-    enum class Kind { kHeartbeat, kStatus, kCommand };
-    Kind kind = Kind::kHeartbeat;
-    LeaderTerm term;
-    int from = 0;
-    RankStatus status;
-    RankCommand command;
+  struct Datagram {
+    std::string bytes;
     TimePoint due_at;
   };
   struct QueuedCommand {
@@ -100,7 +107,7 @@
     TimePoint led_since;
     std::set<int> located;  // ranks whose engines are reached directly
     // In the kernel.
-    std::deque<Message> inbox;
+    std::deque<Datagram> inbox;
   };
   struct Task {
     TimePoint due_at;
@@ -115,11 +122,12 @@
   void RunTasks();
   void RunAgent(int rank);
   void After(int rank, Duration delay, std::function<void()> run);
-  void Send(int from, int to, Message message);
-  void OnMessage(int rank, const Message& message);
+  RankMessage NewMessage(RankMessageKind kind, int from) const;
+  void Send(int to, const RankMessage& message);
+  void OnMessage(int rank, const RankMessage& message);
   void SendStatus(int rank);
   RankStatus StatusOf(int rank) const;
-  void OnStatus(int rank, const Message& message);
+  void OnStatus(int rank, const RankMessage& message);
   void Follow(int rank, LeaderTerm term);
   void WatchLeader(int rank);
   Duration LeaderTimeout(int rank) const;
@@ -132,6 +140,7 @@
   void OrderDirectly(int rank, const RankCommand& command);
   void QueryEngine(int rank, int of);
   void BypassSilentAgents(int rank);
+  Duration LatenessOf(int rank, const RankCommand& command);
   // Executes an order now or later. Returns false if it gets no answer.
   bool Order(int rank, const RankCommand& command);
 
@@ -146,6 +155,7 @@
   int stored_leader_ = 0;
   bool is_switch_requested_ = false;
   std::function<void()> on_order_;
+  Lateness lateness_of_;
 };
 
 }  // namespace mangohold
--- a/tests/virtual_rank_group.h
+++ b/tests/virtual_rank_group.h
@@ -41,11 +41,14 @@
             .size = static_cast<int>(engines.size()),
             .is_open = true,
             .pass = pass,
+            .sequence = OrderSequence(engine.sequence),
             .map = engine.map,
             .prepared = engine.prepared,
             .armed = engine.armed,
+            .armed_at =
+                engine.armed ? std::optional(engine.armed_at) : std::nullopt,
             .held = engine.held,
-            .running = 1};
+            .running = is_idle ? 0 : 1};
   }
 
   // Executes an order. Returns false if the engine refuses it.
@@ -105,11 +108,12 @@
     return std::chrono::milliseconds(is_undo ? 0 : 300);
   }
 
-  // Begins the next pass unless a rank holds it. Returns false if ranks begin
-  // it with different maps.
+  // Begins the next pass unless a rank holds it or the group is idle. Returns
+  // false if ranks begin it with different maps.
   bool BeginPass(TimePoint now) {
     const PassNumber next = pass.Next();
     FinishCopies(now);
+    if (is_idle) return true;
     if (std::ranges::any_of(engines, [next](const Engine& engine) {
           return engine.held && *engine.held <= next;
         })) {
@@ -147,6 +151,7 @@
 
   GroupEpoch epoch{1};
   PassNumber pass{1};
+  bool is_idle = false;  // it serves no request, so that it makes no pass
   std::vector<Engine> engines;
   int held_passes = 0;
   int consecutive_held_passes = 0;  // up to now
