Don't disarm ranks that are all armed while a switch is undone

What callers could have seen (found by reading and by the model, not on real processes): a pass with two maps after two leaders were lost in a row. A leader is lost with its order to arm the last rank on its way. While its successor undoes the switch that order is carried out. All ranks are armed now, and the successor disarmed them, though none was past being armed. If one of these orders is late and the successor is lost before the others are carried out, the next leader finds all ranks armed, releases the hold, and the late order disarms one of them before the pass begins.

Cause: CanDisarm took "no rank is unarmed" for "the ranks are armed for different switches". That is so when a leader has just read the ranks, but not later.

The fix: a successor that finds all ranks armed for one switch while it undoes it completes it. No rank has been disarmed by then, since that needs a rank that can't be armed any more. Ranks armed for different switches are disarmed as before; no order of events is known that leads there.

--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -163,6 +163,9 @@
       }
       break;
     case Phase::kUndoing:
+      // A delayed order has armed the last rank. None has been disarmed, so the
+      // switch can be completed.
+      if (AllKnown(now) && armed_ranks().AreForOneSwitch()) return Resume(now);
       if (map_.empty()) map_ = MapOfKnownRanks().value_or(GroupMap());
       if (all([this](const Rank& rank) { return IsUndone(rank); })) {
         is_undone_ = true;
@@ -287,13 +290,13 @@
 
 // Ranks are disarmed only once some other rank can't be armed any more. Then
 // the switch can't be completed, and every later leader undoes it too, so that
-// an order to disarm or to release that is executed late does no harm. Without
-// an unarmed rank, ranks are armed for different switches, and any may begin.
+// an order to disarm or to release that is executed late does no harm. Ranks
+// that are all armed, but for different switches, are disarmed as well, since
+// any of these may begin; no order of events is known that leads there.
 bool MapSwitch::CanDisarm() const {
-  const auto is_unarmed = [](const Rank& rank) {
-    return !rank.status.report.armed.has_value();
-  };
-  return is_former_unarmed_ || std::ranges::none_of(ranks_, is_unarmed) ||
+  const ArmedRanks armed = armed_ranks();
+  if (armed.AreAll()) return !armed.AreForOneSwitch();
+  return is_former_unarmed_ ||
          std::ranges::any_of(ranks_, [this](const Rank& rank) {
            return rank.is_known && IsUndone(rank);
          });
--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -19,7 +19,8 @@
 // lost before that, its successor undoes the switch: it disarms the armed
 // ranks, and a rank that a delayed order may still arm prepares another
 // version, which voids that order. Only the leader that began a switch arms
-// ranks.
+// ranks. A switch for which all ranks are armed is never undone, as an order to
+// release its hold may be on its way.
 //
 // An undo needs to know all ranks, with one exception: if the only unreachable
 // rank is the one of the former leader, and the agent of the holding rank knows
