Take an answer without a status of the protocol for none

What callers saw, with one backend server that answers with an odd status: on the direct way nothing until their deadline (000, 001, 099, 00, 2 00, 101, 199: 504 after 3 s, the server's slot taken, no attempt elsewhere), a 200 for 0200, and the bytes of 600 and 999 as an answer; through agents the line "HTTP/1.1 600 Refused", the same for 999, and nothing until the deadline for 101.

Cause: each status below 200 was taken for an interim one, the parser's library and libcurl take any number of up to three digits for a status, and nothing checked the range before a status line was written.

The fix: net/http_status says what a status is: three digits, 200 to 599, or one of the interim 100, 102 and 103 (no request of ours asks for 101). Both readers of responses, the parser and the HTTP client, fail at the first line otherwise. The exchange counts as one that may have run: the connection is closed, the server judged as for other bytes that are no answer (backend_sent_no_answer, answer_without_status), requests that may be repeated go on elsewhere, others get 502 at once. An agent's reply without a final status is broken. The two places that write a status line write 502 in place of anything else, and no "<unknown>".

Not changed: where the only backend server of a service sends no status, a request that may be repeated waits for another one to be listed until its last moment to start (2.7 s of a deadline of 3 s), and then gets 502. A server that starts again is listed under another id, so that this wait can help.

--- a/src/backend/backend_connection.cc
+++ b/src/backend/backend_connection.cc
@@ -10,6 +10,7 @@
 
 #include "net/endpoint.h"
 #include "net/field_rules.h"
+#include "net/http_status.h"
 #include "net/socket_options.h"
 
 namespace mangohold {
@@ -22,7 +23,6 @@
 // Subtracted from an announced timeout, so that a request isn't sent on a
 // connection that the server is about to close.
 constexpr Millis kIdleTimeoutMargin{600};
-constexpr int kFirstFinalStatus = 200;
 constexpr std::size_t kMaxCarried = 16;
 // Of interim and foreign responses in one exchange. A late copy of a whole
 // answer passes; a server that sends more isn't about to answer.
@@ -66,6 +66,7 @@
   stray_responses_ = 0;
   is_foreign_ = false;
   is_interim_ = false;
+  has_head_ = false;
   parser_.Reset(exchange_.is_head);
   if (phase_ == Phase::kNew) return Connect();
   phase_ = Phase::kBusy;
@@ -157,7 +158,11 @@
     const std::size_t used = parser_.Feed(data);
     data.remove_prefix(used);
     if (phase_ != Phase::kBusy) return;
-    if (parser_.has_failed()) return Fail();
+    // Bytes that don't begin a response are none; a response that goes wrong
+    // later has been broken off.
+    if (parser_.has_failed()) {
+      return has_head_ ? Fail() : FailWith(ExchangeFailure::kNoAnswer);
+    }
     if (!TakeStray(used)) return FailWith(ExchangeFailure::kNoAnswer);
     if (!is_message_complete_) continue;
     if (is_foreign_ || is_interim_) {
@@ -180,7 +185,7 @@
 }
 
 void BackendConnection::OnHead(Http1Head head) {
-  is_interim_ = head.status < kFirstFinalStatus;
+  is_interim_ = IsInterimStatus(head.status);
   if (is_interim_) return;
   const auto listener = exchange_.listener;
   if (listener == nullptr) return;
@@ -189,6 +194,7 @@
     keeps_alive_ = false;
     return;
   }
+  has_head_ = true;
   keeps_alive_ = keeps_alive_ && head.keeps_alive;
   idle_timeout_ = IdleTimeoutOf(head.fields);
   listener->OnBackendHead(head.status, head.fields);
--- a/src/backend/backend_connection.h
+++ b/src/backend/backend_connection.h
@@ -23,7 +23,7 @@
 enum class ExchangeFailure {
   kNotSent,  // no byte was sent: the backend server can't have seen the request
   kBroken,   // the request may have been executed
-  kNoAnswer  // too much came that is no answer to it; it may have been executed
+  kNoAnswer  // what came is no answer to it; it may have been executed
 };
 
 // Receives the events of one exchange with a backend server. OnBackendEnd or
@@ -120,6 +120,7 @@
   bool is_paused_ = false;
   bool is_foreign_ = false;  // the current response is not for this request
   bool is_interim_ = false;  // the current response has a 1xx status
+  bool has_head_ = false;    // of the response to this request
   std::size_t stray_bytes_ = 0;
   int stray_responses_ = 0;
   bool is_message_complete_ = false;  // set by the parser
--- a/src/caller/request_run.cc
+++ b/src/caller/request_run.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/log.h"
+#include "net/http_status.h"
 
 namespace mangohold {
 namespace {
@@ -217,7 +218,9 @@
 
 void RequestRun::OnHead(const HttpFields& head) {
   const auto reply = Decode<SubmitReply>(FieldValue(head, kMessageField));
-  if (!reply.ok()) {
+  const bool has_no_status = reply.ok() && reply->reason == Reason::kNone &&
+                             !IsFinalStatus(reply->http_status);
+  if (!reply.ok() || has_no_status) {
     stream_->Reset();
     return OnBroken();
   }
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -35,7 +35,7 @@
   // server doesn't say.
   kStatusesWithheld,
   kRefusalsBelieved,        // answers that say that the request hasn't run
-  kExchangesWithoutAnswer,  // given up, as too much came that was no answer
+  kExchangesWithoutAnswer,  // given up, as what came was no answer
   kAnswersTooLarge,         // to calls of this process itself
   kStreamsResumed,
   kLogLinesDropped,
--- a/src/net/http1_parser.cc
+++ b/src/net/http1_parser.cc
@@ -7,12 +7,15 @@
 #include <utility>
 
 #include "net/field_rules.h"
+#include "net/http_status.h"
 
 namespace mangohold {
 namespace {
 
 constexpr int kSkipBody = 1;
 constexpr int kStop = -1;  // makes the parser fail
+// Enough for a response's version and status.
+constexpr std::size_t kMaxFirstLine = 24;
 
 bool IsTokenCharacter(unsigned char c) {
   return std::isalnum(c) != 0 ||
@@ -50,6 +53,8 @@
     head_size = 0;
     line_size = 0;
     is_first_line = true;
+    first_line.clear();
+    is_first_line_read = false;
     scanned_head = false;
     last_was_value = false;
     in_message = false;
@@ -140,11 +145,13 @@
 
   // A line of the head that begins with white space continues the one before,
   // which HTTP/1.1 has given up; peers disagree about it, so it is refused.
-  // Looks no further than the empty line that ends the head.
+  // Looks no further than the empty line that ends the head, and keeps the
+  // begin of the first line.
   bool HasFoldedLine(std::string_view data) {
     for (const char c : data) {
       if (scanned_head) return false;
       ++head_size;
+      KeepFirstLine(c);
       if (c == '\n') {
         scanned_head = !is_first_line && line_size == 0;
         line_size = 0;
@@ -158,6 +165,22 @@
     return false;
   }
 
+  // Empty lines may precede the first one.
+  void KeepFirstLine(char c) {
+    if (is_first_line_read) return;
+    const bool is_end = c == '\r' || c == '\n';
+    is_first_line_read =
+        first_line.size() == kMaxFirstLine || (is_end && !first_line.empty());
+    if (!is_end && !is_first_line_read) first_line.push_back(c);
+  }
+
+  // True for a response whose first line states none. The library takes any
+  // number of up to three digits for one.
+  bool HasNoStatus() const {
+    return type == HTTP_RESPONSE && is_first_line_read &&
+           !StatusOfLine(first_line);
+  }
+
   Http1Sink& sink;
   http_parser_type type;
   http_parser parser{};
@@ -165,6 +188,8 @@
   std::size_t head_size = 0;
   std::size_t line_size = 0;
   bool is_first_line = true;
+  std::string first_line;  // its first kMaxFirstLine bytes
+  bool is_first_line_read = false;
   bool scanned_head = false;
   bool skips_body = false;
   bool last_was_value = false;
@@ -182,7 +207,7 @@
 std::size_t Http1Parser::Feed(std::string_view data) {
   State& state = *state_;
   if (state.failed || state.message_done || data.empty()) return 0;
-  if (!state.head_done && state.HasFoldedLine(data)) {
+  if (!state.head_done && (state.HasFoldedLine(data) || state.HasNoStatus())) {
     state.failed = true;
     return 0;
   }
--- a/src/net/http1_text.cc
+++ b/src/net/http1_text.cc
@@ -5,6 +5,8 @@
 #include <array>
 #include <cstdio>
 
+#include "net/http_status.h"
+
 namespace mangohold {
 namespace {
 
@@ -25,9 +27,17 @@
   return out;
 }
 
+// Empty if the status has no usual one.
+std::string_view ReasonPhrase(int status) {
+  const std::string_view phrase =
+      http_status_str(static_cast<http_status>(status));
+  return phrase.starts_with('<') ? std::string_view() : phrase;
+}
+
 std::string ResponseText(int status, const HttpFields& fields) {
-  std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
-  out.append(http_status_str(static_cast<http_status>(status))).append("\r\n");
+  const int checked = CheckedStatus(status);
+  std::string out = "HTTP/1.1 " + std::to_string(checked) + " ";
+  out.append(ReasonPhrase(checked)).append("\r\n");
   AppendFields(out, fields);
   return out;
 }
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -8,6 +8,7 @@
 
 #include "core/log.h"
 #include "net/event_loop.h"
+#include "net/http_status.h"
 
 namespace mangohold {
 namespace {
@@ -203,6 +204,17 @@
          {"status", transfer.status}});
   }
 
+  // Ends the transfer as a broken one: libcurl would take some numbers that are
+  // no status for one.
+  std::size_t RejectStatus(const Transfer& transfer, std::string_view line) {
+    constexpr std::size_t kMostLogged = 40;
+    if (counters != nullptr) counters->Count(Event::kExchangesWithoutAnswer);
+    Log(LogLevel::kWarning, "answer_without_status",
+        {{"url", WithoutQuery(transfer.call.url)},
+         {"line", line.substr(0, kMostLogged)}});
+    return 0;
+  }
+
   // A return value other than the size ends the transfer.
   static std::size_t OnField(char* data, std::size_t size, std::size_t count,
                              void* self) {
@@ -218,10 +230,9 @@
     if (line.starts_with("HTTP/")) {
       transfer.head_ended = false;
       transfer.response_fields.clear();
-      const std::size_t space = line.find(' ');
-      if (space != std::string_view::npos) {
-        transfer.status = std::atoi(line.data() + space + 1);
-      }
+      const auto status = StatusOfLine(line);
+      if (!status) return transfer.owner->RejectStatus(transfer, line);
+      transfer.status = *status;
       // A late copy of a refusal would be taken for the answer to the next
       // request, which may have run.
       if (transfer.status == kTooManyRequests) {
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -11,6 +11,7 @@
 #include "net/endpoint.h"
 #include "net/guarded_socket.h"
 #include "net/http1_text.h"
+#include "net/http_status.h"
 
 namespace mangohold {
 namespace {
@@ -170,8 +171,9 @@
 }
 
 restinio::http_status_line_t StatusLine(int status) {
-  return {restinio::http_status_code_t(static_cast<std::uint16_t>(status)),
-          status < 400 ? "OK" : "Refused"};
+  const int checked = CheckedStatus(status);
+  return {restinio::http_status_code_t(static_cast<std::uint16_t>(checked)),
+          checked < 400 ? "OK" : "Refused"};
 }
 
 }  // namespace
--- a/tests/direct_site.cc
+++ b/tests/direct_site.cc
@@ -97,6 +97,13 @@
   manner_ = Manner::kStatus;
 }
 
+void BackendStandin::SetStatusText(std::string status, bool is_signed) {
+  const std::lock_guard lock(mutex_);
+  status_text_ = std::move(status);
+  is_status_signed_ = is_signed;
+  manner_ = Manner::kStatusText;
+}
+
 void BackendStandin::SetLimit(const std::string& per_s) {
   const std::lock_guard lock(mutex_);
   limit_ = per_s.empty() ? "" : "Server-Limit: " + per_s + "\r\n";
@@ -275,6 +282,9 @@
     case Manner::kStatus:
       co_await SendStatus(id, connection);
       break;
+    case Manner::kStatusText:
+      co_await connection.Send(AnswerWithStatusText(id));
+      break;
     case Manner::kHang:
       if (co_await connection.IsClosedWithin(milliseconds(20'000))) {
         ++cancelled_;
@@ -288,6 +298,15 @@
   return ++arrivals_[id];
 }
 
+std::string BackendStandin::AnswerWithStatusText(const std::string& id) const {
+  const std::lock_guard lock(mutex_);
+  const std::string signature = "X-Mangohold-Request-Id: " + id +
+                                "\r\nX-Mangohold-Response-Signature: s." + id +
+                                "\r\n";
+  return "HTTP/1.1 " + status_text_ + " Odd\r\n" +
+         (is_status_signed_ ? signature : "") + "Content-Length: 4\r\n\r\nbody";
+}
+
 asio::awaitable<void> BackendStandin::SendStatus(
     const std::string& id, standin::Connection& connection) {
   // The body's beginning names its request.
--- a/tests/direct_site.h
+++ b/tests/direct_site.h
@@ -61,6 +61,7 @@
   kForeignFirst,   // an answer to another request, then 200
   kShortIdleTime,  // 200, an idle time of 1 s, and the connection closes then
   kStatus,         // runs the request and answers as `SetStatus` says
+  kStatusText,     // the same as `SetStatusText` says
   kWork,           // 200 after the time of `SetWork`
   kHang            // no answer at all
 };
@@ -88,6 +89,9 @@
   // word that it hasn't run, and a body of so many bytes. A cut answer ends in
   // its middle.
   void SetStatus(int status, std::size_t bytes, bool is_cut = false);
+  // From now on it runs each request and answers with this text in place of a
+  // status, signed or not.
+  void SetStatusText(std::string status, bool is_signed);
   // The request limit that its answers state from now on; empty: none.
   void SetLimit(const std::string& per_s);
   // Requests that it ran, by request id.
@@ -109,6 +113,7 @@
   int CountArrival(const std::string& id);
   asio::awaitable<void> SendStatus(const std::string& id,
                                    standin::Connection& connection);
+  std::string AnswerWithStatusText(const std::string& id) const;
   asio::awaitable<void> RefuseOnceMore(const std::string& id,
                                        const std::string& body,
                                        standin::Connection& connection,
@@ -127,8 +132,10 @@
   std::atomic<int> status_ = 200;  // of kStatus
   std::atomic<std::size_t> status_bytes_ = 0;
   std::atomic<bool> is_status_cut_ = false;
+  std::atomic<bool> is_status_signed_ = false;
   mutable std::mutex mutex_;
   std::string limit_;
+  std::string status_text_;  // of kStatusText
   std::map<std::string, int> runs_;
   std::map<std::string, int> arrivals_;  // by request, at `kRepeatRefusal`
   HttpRequest last_request_;
--- a/tests/system/direct_answers_test.cc
+++ b/tests/system/direct_answers_test.cc
@@ -2,6 +2,7 @@
 // becomes of the connection that brought them.
 #include <gtest/gtest.h>
 
+#include <array>
 #include <string>
 
 #include "direct_site.h"
@@ -45,5 +46,65 @@
   ExpectServiceBesideNoAnswers(Manner::kEndlessForeign);
 }
 
+// What stands in place of a status where a backend server is in trouble.
+constexpr std::array kNoStatuses = {"000",  "001", "099", "00",  "2 00",
+                                    "0200", "101", "199", "600", "999",
+                                    "1000", "-20", "2x0", "20"};
+
+// Guards against an answer whose status is none of the protocol's: a caller got
+// it as an answer, or nothing until its deadline (MIXED).
+TEST(DirectWay, AnAnswerWithoutAStatusIsNone) {
+  constexpr int kBadGateway = 502;
+  DirectSite site({});
+  site.Start();
+  int calls = 0;
+  const auto call = [&](const std::string& path) {
+    return site.Call("POST", path, "id" + std::to_string(++calls), "b").status;
+  };
+  for (const char* status : kNoStatuses) {
+    for (const bool is_signed : {false, true}) {
+      site.backend(0).SetManner(Manner::kAnswer);
+      EXPECT_TRUE(WaitFor([&] { return call("/once/x") == 200; }))
+          << "before " << status;
+      site.backend(0).SetStatusText(status, is_signed);
+      EXPECT_EQ(call("/once/x"), kBadGateway)
+          << status << (is_signed ? " signed" : "");
+    }
+  }
+  EXPECT_TRUE(site.entry(0).is_running());
+}
+
+// Guards against a request that may be repeated and waits for its deadline
+// beside a backend server whose answers have no status.
+TEST(DirectWay, AnotherServerAnswersWhereOneSendsNoStatus) {
+  DirectSite site({.backends = 2});
+  site.Start();
+  int calls = 0;
+  const auto call = [&](const std::string& path) {
+    return site.Call("POST", path, "id" + std::to_string(++calls)).status;
+  };
+  for (const char* status : kNoStatuses) {
+    site.backend(0).SetStatusText(status, /*is_signed=*/true);
+    site.backend(1).SetManner(Manner::kAnswer);
+    EXPECT_EQ(call("/again/x"), 200) << status;
+    EXPECT_EQ(call("/again/x"), 200) << status;
+    site.backend(1).SetManner(Manner::kStream);
+    EXPECT_EQ(call("/stream/x"), 200) << status;
+    EXPECT_EQ(call("/stream/x"), 200) << status;
+    site.backend(0).SetManner(Manner::kAnswer);
+  }
+}
+
+// Guards against a request that may be repeated and gets the bytes of its only
+// backend server when it gives up.
+TEST(DirectWay, AnAnswerWithoutAStatusIsNoneWhereNoOtherServerIs) {
+  for (const std::string path : {"/again/x", "/stream/x"}) {
+    DirectSite site({});
+    site.Start();
+    site.backend(0).SetStatusText("600", /*is_signed=*/true);
+    EXPECT_EQ(site.Call("POST", path, "id", "b").status, 502) << path;
+  }
+}
+
 }  // namespace
 }  // namespace mangohold::testing
--- a/tests/system/faulty_engine_test.cc
+++ b/tests/system/faulty_engine_test.cc
@@ -25,6 +25,8 @@
 constexpr int kRounds = 10;
 [[maybe_unused]] constexpr std::size_t kChunkBytes = 64U << 10U;
 [[maybe_unused]] constexpr Millis kCopyAhead{30};
+// Answered with the rest of the path as the status.
+[[maybe_unused]] constexpr std::string_view kStatusPath = "/v1/status-";
 // A connection that is open for so long after its answer is kept.
 [[maybe_unused]] constexpr Millis kCloseLimit{200};
 
@@ -53,6 +55,10 @@
             } else {
               refused_on_.insert(&connection);
             }
+          } else if (request.path.starts_with(kStatusPath)) {
+            co_await connection.Send("HTTP/1.1 " +
+                                     request.path.substr(kStatusPath.size()) +
+                                     " Odd\r\nContent-Length: 4\r\n\r\nbody");
           } else if (request.path == "/v1/endless") {
             co_await connection.StartChunks(200, "application/json");
             const std::string chunk(kChunkBytes, 'x');
@@ -146,6 +152,24 @@
   EXPECT_EQ(answered, kRounds);
 }
 
+// Guards against an answer whose status is none of the protocol's and that a
+// caller gets as one (MIXED).
+TEST(FaultyEngine, AnAnswerWithoutAStatusIsNone) {
+  constexpr int kBadGateway = 502;
+  Site site(OneEngine());
+  site.Start();
+  site.backend(0).Kill();
+  FaultyEngine engine(site.BackendUrl(0));
+  ASSERT_TRUE(Opens(site));
+  for (const std::string status : {"000", "101", "600", "999", "1000"}) {
+    const HttpResponse response =
+        Ask(site, std::string(kStatusPath) + status, "status-" + status);
+    EXPECT_EQ(response.status, kBadGateway) << status << ' ' << response.body;
+    EXPECT_EQ(OutcomeOf(response), "unknown") << status;
+  }
+  EXPECT_TRUE(Opens(site));
+}
+
 // Guards against an entry or agent that runs out of memory because an engine's
 // answers have no end.
 TEST(FaultyEngine, AnswersWithoutEndStayWithinMemory) {
--- a/tests/unit/http1_parser_test.cc
+++ b/tests/unit/http1_parser_test.cc
@@ -4,6 +4,9 @@
 
 #include <vector>
 
+#include "net/http1_text.h"
+#include "net/http_status.h"
+
 namespace mangohold {
 namespace {
 
@@ -139,5 +142,44 @@
   EXPECT_EQ(parsed.found.ends, 1);
 }
 
+// Guards against an answer whose status is none of the protocol's and that is
+// taken for one (MIXED). It fails at its first line, whether or not more comes.
+TEST(Http1Parser, AnAnswerWithoutAStatusFails) {
+  for (const std::string status :
+       {"000", "001", "099", "00", "2 00", "0200", "101", "199", "600", "999",
+        "1000", "-20", "2x0", "20", " 200"}) {
+    const std::string text = "HTTP/1.1 " + status + " Odd\r\n";
+    for (const std::size_t step : {1, 3, 1000}) {
+      Parsed parsed(Http1Parser::Kind::kResponse);
+      FeedInPieces(parsed.parser, text, step);
+      EXPECT_TRUE(parsed.parser.has_failed()) << status;
+      EXPECT_TRUE(parsed.found.heads.empty()) << status;
+    }
+  }
+}
+
+TEST(Http1Parser, ReadsEachStatusOfTheProtocol) {
+  for (int status = kFirstFinalStatus; status <= kLastStatus; ++status) {
+    for (const char* reason : {"", " ", " OK", " A long reason of a status"}) {
+      Parsed parsed(Http1Parser::Kind::kResponse);
+      FeedInPieces(parsed.parser,
+                   "\r\nHTTP/1.1 " + std::to_string(status) + reason +
+                       "\r\nContent-Length: 0\r\n\r\n",
+                   /*step=*/4);
+      ASSERT_EQ(parsed.found.heads.size(), 1U) << status << reason;
+      EXPECT_EQ(parsed.found.heads[0].status, status);
+    }
+  }
+}
+
+// Guards against bytes that are no answer, from our own side.
+TEST(Http1Text, WritesNoOtherStatus) {
+  for (const int status : {-1, 0, 99, 100, 101, 199, 600, 999, 1000}) {
+    EXPECT_EQ(ResponseText(status, {}), "HTTP/1.1 502 Bad Gateway\r\n\r\n");
+  }
+  EXPECT_EQ(ResponseText(299, {}), "HTTP/1.1 299 \r\n\r\n");
+  EXPECT_EQ(ResponseText(200, {}), "HTTP/1.1 200 OK\r\n\r\n");
+}
+
 }  // namespace
 }  // namespace mangohold
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -55,6 +55,19 @@
   EXPECT_EQ(interim.body, "ab");
 }
 
+// Guards against an answer whose status is none of the protocol's and that
+// counts as one (MIXED): libcurl takes 101, 600 and 999 for a status.
+TEST(HttpClient, AnAnswerWithoutAStatusIsBroken) {
+  for (const std::string status :
+       {"000", "001", "099", "00", "2 00", "0200", "101", "199", "600", "999",
+        "1000", "-20", "2x0", "20"}) {
+    const HttpResponse response = FetchFrom(
+        "HTTP/1.1 " + status + " Odd\r\nContent-Length: 4\r\n\r\nbody");
+    EXPECT_EQ(response.result, HttpResult::kBroken) << status;
+    EXPECT_EQ(response.status, 0) << status;
+  }
+}
+
 // What a server sends without end, and how the call has to end.
 struct Endless {
   std::string name;
