--- a/src/net/http1_text.cc
+++ b/src/net/http1_text.cc
@@ -17,6 +17,13 @@
   out.append("\r\n");
 }
 
+// Empty if the status has no usual one.
+std::string_view ReasonPhrase(int status) {
+  const std::string_view phrase =
+      http_status_str(static_cast<http_status>(status));
+  return phrase.starts_with('<') ? std::string_view() : phrase;
+}
+
 }  // namespace
 
 std::string RequestText(std::string_view method, std::string_view target,
@@ -27,13 +34,6 @@
   return out;
 }
 
-// Empty if the status has no usual one.
-std::string_view ReasonPhrase(int status) {
-  const std::string_view phrase =
-      http_status_str(static_cast<http_status>(status));
-  return phrase.starts_with('<') ? std::string_view() : phrase;
-}
-
 std::string ResponseText(int status, const HttpFields& fields) {
   const int checked = CheckedStatus(status);
   std::string out = "HTTP/1.1 " + std::to_string(checked) + " ";
