--- a/src/backend/engine_api.h
+++ b/src/backend/engine_api.h
@@ -62,7 +62,8 @@
 enum class OrderResult {
   kAccepted,  // started, or the requested state already holds
   kRefused,   // conflicts with the engine's state: nothing was done
-  kUnknown    // no reply: it may have been, or may yet be, carried out
+  kUnknown    // no reply that tells: it may have been, or may yet be, carried
+              // out
 };
 
 // All calls are asynchronous and time out. Callbacks run on the client's event
