Reject an agent's reply without a final status in its codec

Decode now rejects a reply that has neither a reason nor a status of 200 to 599, and the check at the reader goes.

--- a/src/caller/request_run.cc
+++ b/src/caller/request_run.cc
@@ -4,7 +4,6 @@
 #include <nlohmann/json.hpp>
 
 #include "core/log.h"
-#include "net/http_status.h"
 
 namespace mangohold {
 namespace {
@@ -218,9 +217,7 @@
 
 void RequestRun::OnHead(const HttpFields& head) {
   const auto reply = Decode<SubmitReply>(FieldValue(head, kMessageField));
-  const bool has_no_status = reply.ok() && reply->reason == Reason::kNone &&
-                             !IsFinalStatus(reply->http_status);
-  if (!reply.ok() || has_no_status) {
+  if (!reply.ok()) {
     stream_->Reset();
     return OnBroken();
   }
--- a/src/peer/messages.cc
+++ b/src/peer/messages.cc
@@ -1,6 +1,7 @@
 #include "peer/messages.h"
 
 #include "core/json_types.h"
+#include "net/http_status.h"
 
 namespace mangohold {
 
@@ -27,6 +28,19 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(VoidReply, state, status)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StatusRequest, instance)
 
+namespace {
+
+template <typename Message>
+bool IsSound(const Message& /*message*/) {
+  return true;
+}
+
+bool IsSound(const SubmitReply& reply) {
+  return reply.reason != Reason::kNone || IsFinalStatus(reply.http_status);
+}
+
+}  // namespace
+
 template <typename Message>
 std::string Encode(const Message& message) {
   return nlohmann::json(message).dump(-1, ' ', /*ensure_ascii=*/true,
@@ -36,7 +50,11 @@
 template <typename Message>
 absl::StatusOr<Message> Decode(std::string_view text) {
   try {
-    return nlohmann::json::parse(text).get<Message>();
+    auto message = nlohmann::json::parse(text).get<Message>();
+    if (!IsSound(message)) {
+      return absl::InvalidArgumentError("no answer and no reason");
+    }
+    return message;
   } catch (const nlohmann::json::exception& error) {
     return absl::InvalidArgumentError(error.what());
   }
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -66,7 +66,7 @@
 
 // The head of the reply to a submission.
 struct SubmitReply {
-  // kNone: the response of the backend server follows.
+  // kNone: the response of the backend server follows, with a final status.
   Reason reason = Reason::kNone;
   // If refused: whether the request may have run nevertheless.
   bool may_have_run = false;
--- a/tests/unit/control_replies_test.cc
+++ b/tests/unit/control_replies_test.cc
@@ -1,5 +1,5 @@
 // What a process makes of replies to its own calls: of engines to orders and
-// reports, and of the store.
+// reports, of the store, and of agents to entries.
 #include <gtest/gtest.h>
 
 #include <optional>
@@ -8,6 +8,7 @@
 #include "core/counters.h"
 #include "net/event_loop.h"
 #include "odd_statuses.h"
+#include "peer/messages.h"
 #include "platform/engine_client.h"
 #include "platform/store_client.h"
 
@@ -97,5 +98,21 @@
   }
 }
 
+// Guards against an agent's reply whose answer has no status and that an entry
+// passes on (MIXED).
+TEST(ControlReplies, AnAgentsAnswerWithoutAStatusIsNone) {
+  for (const int status : {-20, 0, 1, 99, 100, 101, 199, 600, 999, 1000}) {
+    EXPECT_FALSE(
+        Decode<SubmitReply>(Encode(SubmitReply{.http_status = status})).ok())
+        << status;
+  }
+  EXPECT_TRUE(
+      Decode<SubmitReply>(Encode(SubmitReply{.http_status = 299})).ok());
+  // A refusal brings no answer.
+  EXPECT_TRUE(
+      Decode<SubmitReply>(Encode(SubmitReply{.reason = Reason::kQueueFull}))
+          .ok());
+}
+
 }  // namespace
 }  // namespace mangohold
