Name the odd statuses once, and test the second part of a stream

The list and a server that answers with fixed bytes are in tests/odd_statuses.h now, and DirectWay.AStreamDoesNotGoOnWithAnAnswerWithoutAStatus covers the second part (with 000, 0200, 600 and 999, both servers first). No assertion of another test changed.

--- a/tests/odd_statuses.h
+++ b/tests/odd_statuses.h
@@ -11,7 +11,7 @@
 
 #include "core/ids.h"
 
-namespace mangohold::testing {
+namespace mangohold {
 
 // None of them is a status of the protocol.
 inline constexpr std::array kOddStatuses = {"000",  "001", "099", "00",  "2 00",
@@ -83,4 +83,4 @@
   std::thread thread_;
 };
 
-}  // namespace mangohold::testing
+}  // namespace mangohold
--- a/tests/system/direct_answers_test.cc
+++ b/tests/system/direct_answers_test.cc
@@ -2,10 +2,10 @@
 // becomes of the connection that brought them.
 #include <gtest/gtest.h>
 
-#include <array>
 #include <string>
 
 #include "direct_site.h"
+#include "odd_statuses.h"
 
 namespace mangohold::testing {
 namespace {
@@ -46,11 +46,6 @@
   ExpectServiceBesideNoAnswers(Manner::kEndlessForeign);
 }
 
-// What stands in place of a status where a backend server is in trouble.
-constexpr std::array kNoStatuses = {"000",  "001", "099", "00",  "2 00",
-                                    "0200", "101", "199", "600", "999",
-                                    "1000", "-20", "2x0", "20"};
-
 // Guards against an answer whose status is none of the protocol's: a caller got
 // it as an answer, or nothing until its deadline (MIXED).
 TEST(DirectWay, AnAnswerWithoutAStatusIsNone) {
@@ -61,7 +56,7 @@
   const auto call = [&](const std::string& path) {
     return site.Call("POST", path, "id" + std::to_string(++calls), "b").status;
   };
-  for (const char* status : kNoStatuses) {
+  for (const char* status : kOddStatuses) {
     for (const bool is_signed : {false, true}) {
       site.backend(0).SetManner(Manner::kAnswer);
       EXPECT_TRUE(WaitFor([&] { return call("/once/x") == 200; }))
@@ -83,7 +78,7 @@
   const auto call = [&](const std::string& path) {
     return site.Call("POST", path, "id" + std::to_string(++calls)).status;
   };
-  for (const char* status : kNoStatuses) {
+  for (const char* status : kOddStatuses) {
     site.backend(0).SetStatusText(status, /*is_signed=*/true);
     site.backend(1).SetManner(Manner::kAnswer);
     EXPECT_EQ(call("/again/x"), 200) << status;
@@ -95,6 +90,26 @@
   }
 }
 
+// Guards against a stream that is broken off and goes on with the bytes of a
+// server whose answer has no status.
+TEST(DirectWay, AStreamDoesNotGoOnWithAnAnswerWithoutAStatus) {
+  for (const char* status : {"000", "0200", "600", "999"}) {
+    DirectSite site({.backends = 2});
+    site.Start();
+    for (const int first : {0, 1}) {
+      site.backend(first).SetManner(Manner::kBreakStream);
+      site.backend(1 - first).SetStatusText(status, /*is_signed=*/true);
+      const HttpResponse response =
+          site.Call("POST", "/stream/x", "id" + std::to_string(first), "b");
+      EXPECT_TRUE(
+          response.status == 502 ||
+          (response.status == 200 && response.result != HttpResult::kComplete))
+          << status << ' ' << response.status;
+      EXPECT_EQ(response.body.find("body"), std::string::npos) << status;
+    }
+  }
+}
+
 // Guards against a request that may be repeated and gets the bytes of its only
 // backend server when it gives up.
 TEST(DirectWay, AnAnswerWithoutAStatusIsNoneWhereNoOtherServerIs) {
--- a/tests/unit/control_replies_test.cc
+++ b/tests/unit/control_replies_test.cc
@@ -15,10 +15,6 @@
 namespace mangohold {
 namespace {
 
-using testing::AnswerWithStatus;
-using testing::FixedAnswerServer;
-using testing::kOddStatuses;
-
 std::optional<OrderResult> ResultOfOrder(const std::string& answer) {
   FixedAnswerServer server(answer);
   EventLoop loop;
--- a/tests/unit/http1_parser_test.cc
+++ b/tests/unit/http1_parser_test.cc
@@ -6,6 +6,7 @@
 
 #include "net/http1_text.h"
 #include "net/http_status.h"
+#include "odd_statuses.h"
 
 namespace mangohold {
 namespace {
@@ -145,9 +146,9 @@
 // Guards against an answer whose status is none of the protocol's and that is
 // taken for one (MIXED). It fails at its first line, whether or not more comes.
 TEST(Http1Parser, AnAnswerWithoutAStatusFails) {
-  for (const std::string status :
-       {"000", "001", "099", "00", "2 00", "0200", "101", "199", "600", "999",
-        "1000", "-20", "2x0", "20", " 200"}) {
+  std::vector<std::string> statuses(kOddStatuses.begin(), kOddStatuses.end());
+  statuses.emplace_back(" 200");
+  for (const std::string& status : statuses) {
     const std::string text = "HTTP/1.1 " + status + " Odd\r\n";
     for (const std::size_t step : {1, 3, 1000}) {
       Parsed parsed(Http1Parser::Kind::kResponse);
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -7,6 +7,8 @@
 #include <string>
 #include <thread>
 
+#include "odd_statuses.h"
+
 namespace mangohold {
 namespace {
 
@@ -58,11 +60,8 @@
 // Guards against an answer whose status is none of the protocol's and that
 // counts as one (MIXED): libcurl takes 101, 600 and 999 for a status.
 TEST(HttpClient, AnAnswerWithoutAStatusIsBroken) {
-  for (const std::string status :
-       {"000", "001", "099", "00", "2 00", "0200", "101", "199", "600", "999",
-        "1000", "-20", "2x0", "20"}) {
-    const HttpResponse response = FetchFrom(
-        "HTTP/1.1 " + status + " Odd\r\nContent-Length: 4\r\n\r\nbody");
+  for (const std::string status : kOddStatuses) {
+    const HttpResponse response = FetchFrom(AnswerWithStatus(status));
     EXPECT_EQ(response.result, HttpResult::kBroken) << status;
     EXPECT_EQ(response.status, 0) << status;
   }
