--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -1,7 +1,6 @@
 #include "group/map_switch.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace mangohold {
 namespace {
@@ -12,13 +11,6 @@
 constexpr std::uint64_t kVersionsPerTerm = 1U << 14U;
 // Versions that are reserved for undoing a switch in progress.
 constexpr std::uint64_t kVersionsInReserve = 256;
-// Minimum and maximum distance of a hold from the last pass, in passes.
-constexpr std::uint64_t kMinPassesAhead = 3;
-constexpr std::uint64_t kMaxPassesAhead = 100;
-// Factor by which the expected arming time exceeds the measured one.
-constexpr double kArmingMargin = 1.3;
-constexpr std::chrono::seconds kMaxArmingTime(4);
-constexpr double kPassRateSmoothing = 0.3;
 // Maximum number of times that the retry interval of a preparation is doubled.
 constexpr int kMaxDoublings = 3;
 
@@ -53,8 +45,7 @@
   if (report.epoch > epoch_ || size() != report.size) {
     epoch_ = report.epoch;
     ranks_.assign(static_cast<std::size_t>(report.size), Rank());
-    passes_per_s_ = 0;
-    rate_measured_at_ = TimePoint();
+    forecast_.OnNewEpoch();
     EnterPhase(Phase::kReading, now);
   }
   Rank& rank = ranks_[report.rank];
@@ -74,21 +65,7 @@
   // ones.
   if (!rank.is_known) rank.status.may_arm_late = true;
   rank.last_heard = now;
-  const PassNumber last = LastPass();
-  if (rate_measured_at_ == TimePoint() ||
-      now - rate_measured_at_ > std::chrono::seconds(1)) {
-    if (rate_measured_at_ != TimePoint() && last > rate_pass_) {
-      const double rate =
-          static_cast<double>(last.value() - rate_pass_.value()) /
-          ToSeconds(now - rate_measured_at_);
-      passes_per_s_ =
-          passes_per_s_ == 0
-              ? rate
-              : passes_per_s_ + kPassRateSmoothing * (rate - passes_per_s_);
-    }
-    rate_pass_ = last;
-    rate_measured_at_ = now;
-  }
+  forecast_.OnStatus(LastPass(), now);
 }
 
 std::vector<RankCommand> MapSwitch::Advance(TimePoint now) {
@@ -138,8 +115,8 @@
       if (all([this](const Rank& rank) {
             return rank.status.ready_for == version_;
           })) {
-        pass_ = ChoosePass();
-        arming_began_ = now;
+        pass_ = forecast_.Choose(LastPass());
+        forecast_.OnArmingBegan(now);
         EnterPhase(Phase::kHolding, now);
       } else if (now - phase_began_ > options_.readiness_timeout) {
         EnterPhase(Phase::kIdle, now);
@@ -153,7 +130,7 @@
         is_undone_ = IsWithoutAgent(ranks_[holder_]);
         EnterPhase(is_undone_ ? Phase::kReleasing : Phase::kArming, now);
       } else if (LastPass() >= pass_) {
-        pass_ = ChoosePass();
+        pass_ = forecast_.Choose(LastPass());
         ranks_[holder_].commanded_at.reset();
       }
       break;
@@ -174,7 +151,7 @@
       break;
     case Phase::kReleasing:
       if (!HoldingRank()) {
-        RecordArmingTime(now);
+        forecast_.OnReleased(now);
         EnterPhase(is_undone_ ? Phase::kReading : Phase::kAwaitingSwitch, now);
         is_undone_ = false;
       }
@@ -415,30 +392,6 @@
   return last;
 }
 
-// Updates the expected arming time. Unanswered orders make the arming of all
-// ranks slow; then the next hold is placed further ahead, so that the group
-// doesn't reach it before all ranks are armed.
-void MapSwitch::RecordArmingTime(TimePoint now) {
-  if (arming_began_ == TimePoint()) return;
-  const auto took = std::chrono::duration_cast<Duration>((now - arming_began_) *
-                                                         kArmingMargin);
-  expected_arming_time_ = std::min<Duration>(
-      kMaxArmingTime, std::max(took, (expected_arming_time_ + took) / 2));
-  arming_began_ = TimePoint();
-}
-
-// Returns a pass that the group is expected to reach only after all ranks have
-// been armed. LastPass() is recent at this point, as all agents have just
-// answered.
-PassNumber MapSwitch::ChoosePass() const {
-  const Duration arming =
-      std::max(options_.min_arming_time, expected_arming_time_);
-  const auto ahead =
-      static_cast<std::uint64_t>(std::ceil(passes_per_s_ * ToSeconds(arming)));
-  return PassNumber(LastPass().value() +
-                    std::clamp(ahead + 1, kMinPassesAhead, kMaxPassesAhead));
-}
-
 bool MapSwitch::IsCommandDue(const Rank& rank, TimePoint now) const {
   const Duration retry =
       phase_ == Phase::kPreparing           ? PrepareRetryInterval(rank)
--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -49,6 +49,7 @@
 #include "group/armed_ranks.h"
 #include "group/leader_term.h"
 #include "group/map_delta.h"
+#include "group/pass_forecast.h"
 
 namespace mangohold {
 
@@ -152,7 +153,8 @@
     kCount
   };
 
-  explicit MapSwitch(Options options) : options_(options) {}
+  explicit MapSwitch(Options options)
+      : options_(options), forecast_(options.min_arming_time) {}
 
   // Takes the status of a rank. A status of an earlier epoch is ignored, one of
   // a later epoch makes the switch start over from kReading.
@@ -222,8 +224,6 @@
   void EnterPhase(Phase phase, TimePoint now);
   void Resume(TimePoint now);
   PassNumber LastPass() const;
-  PassNumber ChoosePass() const;
-  void RecordArmingTime(TimePoint now);
   void UpdatePhase(TimePoint now);
   bool IsCommandDue(const Rank& rank, TimePoint now) const;
   Duration PrepareRetryInterval(const Rank& rank) const;
@@ -246,14 +246,7 @@
   bool is_undone_ = false;  // the hold is released after an undo
   // The undo goes past the former leader's rank, which is known to be unarmed.
   bool is_former_unarmed_ = false;
-  // Expected time from the choice of a pass to the release of its hold, from
-  // recent switches.
-  Duration expected_arming_time_{0};
-  TimePoint arming_began_;
-  // Rate of passes per second, measured from the statuses.
-  PassNumber rate_pass_;
-  TimePoint rate_measured_at_;
-  double passes_per_s_ = 0;
+  PassForecast forecast_;
 };
 
 }  // namespace mangohold
