Say what the parser scans a head for, and faults in place of troubles

Found when reading the change as a newcomer: HasFoldedLine kept the first line besides (now ScanHead, with the findings as members), IsArmed still looked as if an unsaid pass agreed (the reason stands there now), and the successors' storm spoke of troubles.

--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -321,7 +321,8 @@
                     versions_issued_ + (is_undo ? 1 : 0));
 }
 
-// True if the rank is armed for this leader's own switch.
+// True if the rank is armed for this leader's own switch. The version tells
+// that, also where a report leaves out the pass; see ArmedRanks.
 bool MapSwitch::IsArmed(const Rank& rank) const {
   const RankReport& report = rank.status.report;
   return rank.is_known && report.armed == version_ &&
--- a/src/net/http1_parser.cc
+++ b/src/net/http1_parser.cc
@@ -55,6 +55,7 @@
     is_first_line = true;
     first_line.clear();
     is_first_line_read = false;
+    has_folded_line = false;
     scanned_head = false;
     last_was_value = false;
     in_message = false;
@@ -143,13 +144,11 @@
     return settings;
   }
 
-  // A line of the head that begins with white space continues the one before,
-  // which HTTP/1.1 has given up; peers disagree about it, so it is refused.
-  // Looks no further than the empty line that ends the head, and keeps the
-  // begin of the first line.
-  bool HasFoldedLine(std::string_view data) {
+  // Keeps the begin of the first line and finds folded lines. Looks no further
+  // than the empty line that ends the head.
+  void ScanHead(std::string_view data) {
     for (const char c : data) {
-      if (scanned_head) return false;
+      if (scanned_head) return;
       ++head_size;
       KeepFirstLine(c);
       if (c == '\n') {
@@ -157,12 +156,14 @@
         line_size = 0;
         is_first_line = false;
       } else if (c != '\r') {
+        // Such a line continues the one before, which HTTP/1.1 has given up;
+        // peers disagree about it, so it is refused.
         const bool is_space = c == ' ' || c == '\t';
-        if (line_size == 0 && is_space && !is_first_line) return true;
+        has_folded_line =
+            has_folded_line || (line_size == 0 && is_space && !is_first_line);
         ++line_size;
       }
     }
-    return false;
   }
 
   // Empty lines may precede the first one.
@@ -190,6 +191,7 @@
   bool is_first_line = true;
   std::string first_line;  // its first kMaxFirstLine bytes
   bool is_first_line_read = false;
+  bool has_folded_line = false;
   bool scanned_head = false;
   bool skips_body = false;
   bool last_was_value = false;
@@ -207,7 +209,8 @@
 std::size_t Http1Parser::Feed(std::string_view data) {
   State& state = *state_;
   if (state.failed || state.message_done || data.empty()) return 0;
-  if (!state.head_done && (state.HasFoldedLine(data) || state.HasNoStatus())) {
+  if (!state.head_done) state.ScanHead(data);
+  if (!state.head_done && (state.has_folded_line || state.HasNoStatus())) {
     state.failed = true;
     return 0;
   }
--- a/tests/unit/map_switch_successor_storm_test.cc
+++ b/tests/unit/map_switch_successor_storm_test.cc
@@ -23,7 +23,7 @@
 constexpr Millis kAftermath{10'000};
 // By design, a hold outlives the loss of its leader by two seconds at most,
 // counted from the last disruption.
-constexpr Millis kLongestHoldAfterTrouble{2'000};
+constexpr Millis kLongestHoldAfterFaults{2'000};
 
 enum class SecondLoss { kNone, kHolder, kSuccessorAsItReads, kCount };
 
@@ -68,7 +68,7 @@
   bool is_held = false;     // at the end
   bool can_switch = false;  // after all that
   Duration longest_hold{0};
-  Duration hold_after_trouble{0};
+  Duration hold_after_faults{0};
 };
 
 class Storm {
@@ -103,7 +103,7 @@
     if (!began_ && command.order == scenario_.late_order) {
       began_ = agents_.now();
       late_rank_ = rank;
-      OnTrouble(scenario_.unanswered + scenario_.lateness);
+      OnFault(scenario_.unanswered + scenario_.lateness);
     }
     const bool is_late = began_ && rank == late_rank_ &&
                          agents_.now() < *began_ + scenario_.unanswered;
@@ -113,21 +113,21 @@
   bool RunFor(Duration duration) {
     const TimePoint end = agents_.now() + duration;
     while (agents_.now() < end) {
-      CauseTrouble();
+      InjectFaults();
       if (!agents_.Step()) {
         verdict_.has_mixed_maps = true;
         return false;
       }
       if (agents_.group().consecutive_held_passes > 0 &&
-          agents_.now() > trouble_ends_) {
-        verdict_.hold_after_trouble = std::max(verdict_.hold_after_trouble,
-                                               agents_.now() - trouble_ends_);
+          agents_.now() > faults_end_) {
+        verdict_.hold_after_faults =
+            std::max(verdict_.hold_after_faults, agents_.now() - faults_end_);
       }
     }
     return true;
   }
 
-  void CauseTrouble() {
+  void InjectFaults() {
     const TimePoint now = agents_.now();
     if (!began_) return;
     if (!lost_at_ && now >= *began_ + scenario_.loss_delay) LoseLeader();
@@ -140,7 +140,7 @@
     const auto rank = is_holder ? agents_.holder() : agents_.leader();
     if (!rank) return;
     agents_.Kill(*rank, kRestart);
-    OnTrouble(kRestart);
+    OnFault(kRestart);
   }
 
   void LoseLeader() {
@@ -149,12 +149,12 @@
     if (scenario_.is_leader_frozen) {
       agents_.Freeze(scenario_.first_leader, kFreeze);
       const bool is_told = scenario_.frozen_engine == FrozenEngine::kAnswers;
-      OnTrouble(is_told ? Millis(0) : kFreeze);
+      OnFault(is_told ? Millis(0) : kFreeze);
     } else {
       agents_.Kill(scenario_.first_leader, kRestart);
-      OnTrouble(kRestart);
+      OnFault(kRestart);
     }
-    OnTrouble(scenario_.idle);
+    OnFault(scenario_.idle);
   }
 
   // Absent while it isn't known yet.
@@ -175,9 +175,9 @@
     return std::nullopt;
   }
 
-  void OnTrouble(Duration lasts) {
-    trouble_ends_ = std::max(trouble_ends_, agents_.now() + lasts);
-    verdict_.hold_after_trouble = Duration(0);
+  void OnFault(Duration lasts) {
+    faults_end_ = std::max(faults_end_, agents_.now() + lasts);
+    verdict_.hold_after_faults = Duration(0);
   }
 
   Scenario scenario_;
@@ -188,7 +188,7 @@
   std::optional<TimePoint> lost_at_;
   std::optional<TimePoint> succeeded_at_;
   bool has_lost_second_ = false;
-  TimePoint trouble_ends_;
+  TimePoint faults_end_;
 };
 
 // Guards against a pass with two maps: the leader's order to release the hold
@@ -237,14 +237,14 @@
     if (verdict.has_mixed_maps) continue;
     EXPECT_FALSE(verdict.is_held) << "seed " << seed;
     EXPECT_TRUE(verdict.can_switch) << "seed " << seed;
-    EXPECT_LE(verdict.hold_after_trouble, kLongestHoldAfterTrouble)
+    EXPECT_LE(verdict.hold_after_faults, kLongestHoldAfterFaults)
         << "seed " << seed;
     lost += verdict.has_lost_leader ? 1 : 0;
     longest = std::max(longest, verdict.longest_hold);
-    longest_after = std::max(longest_after, verdict.hold_after_trouble);
+    longest_after = std::max(longest_after, verdict.hold_after_faults);
   }
   std::cout << lost << " runs with a lost leader, longest hold "
-            << ToMillis(longest) << " ms, after the last trouble "
+            << ToMillis(longest) << " ms, after the last fault "
             << ToMillis(longest_after) << " ms\n";
   EXPECT_GT(lost, static_cast<int>(kSeeds / 2));
 }
