--- a/review/standins-3/tests/child_process.cc
+++ b/review/standins-3/tests/child_process.cc
@@ -45,7 +45,10 @@
 }
 
 bool ChildProcess::HasEnded() {
-  if (!has_ended_) has_ended_ = waitpid(pid_, nullptr, WNOHANG) == pid_;
+  if (has_ended_) return true;
+  int status = 0;
+  has_ended_ = waitpid(pid_, &status, WNOHANG) == pid_;
+  if (has_ended_ && WIFSIGNALED(status)) signal_of_end_ = WTERMSIG(status);
   return has_ended_;
 }
 
--- a/review/standins-3/tests/child_process.h
+++ b/review/standins-3/tests/child_process.h
@@ -20,13 +20,16 @@
   void Signal(int signal) const;
   // SIGKILL, and waits for the end.
   void Kill();
-  // The exit status as `waitpid` tells it has been seen.
+  // The process has ended.
   bool HasEnded();
+  // Of a process that has ended: the signal that ended it; 0: none.
+  int signal_of_end() const { return signal_of_end_; }
   pid_t pid() const { return pid_; }
 
  private:
   pid_t pid_ = -1;
   bool has_ended_ = false;
+  int signal_of_end_ = 0;
 };
 
 // A folder of its own under /tmp, which is removed at the end.
--- a/review/standins-3/tests/late_release.cc
+++ b/review/standins-3/tests/late_release.cc
@@ -3,21 +3,17 @@
 //
 // late_release --agent PROGRAM --record FILE --trouble 0|1
 // Exit: 1 a pass began with different maps, 0 none did, 2 it couldn't run.
-#include <csignal>
 #include <cstdio>
-#include <memory>
-#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
 
-#include "review/standins-3/tests/child_process.h"
 #include "review/standins-3/tests/quiet_group.h"
+#include "review/standins-3/tests/rank_agents.h"
 #include "review/standins-3/tests/recorder.h"
-#include "review/standins-3/tests/store_reader.h"
-#include "standins/kv_store.h"
 
 namespace mangohold::review {
 namespace {
 
-using Json = nlohmann::json;
 using std::chrono::milliseconds;
 
 constexpr int kRanks = 12;
@@ -41,11 +37,14 @@
 class Scenario {
  public:
   Scenario(std::string program, bool has_trouble, const std::string& record)
-      : program_(std::move(program)),
-        has_trouble_(has_trouble),
+      : has_trouble_(has_trouble),
         recorder_(record),
-        store_(net_ + "1:7000"),
-        group_(io_, {.addresses = EngineAddresses(), .experts = kExperts},
+        agents_({.program = std::move(program),
+                 .ranks = kRanks,
+                 .experts = kExperts},
+                recorder_),
+        group_(io_,
+               {.addresses = agents_.EngineAddresses(), .experts = kExperts},
                recorder_) {
     group_.SetPolicy([this](const QuietGroup::Order& order) {
       return has_trouble_ ? LateOrder(order) : nullptr;
@@ -67,17 +66,6 @@
   }
 
  private:
-  std::string Ip(int last) const { return net_ + std::to_string(last); }
-
-  std::vector<std::string> EngineAddresses() const {
-    std::vector<std::string> addresses;
-    addresses.reserve(kRanks);
-    for (int rank = 0; rank < kRanks; ++rank) {
-      addresses.push_back(Ip(100 + rank) + ":9000");
-    }
-    return addresses;
-  }
-
   // Of rank kSlow the orders to arm, and of rank kHolder the first one to go.
   QuietGroup::IsDue LateOrder(const QuietGroup::Order& order) {
     if (group_.split_passes() > 0) return nullptr;
@@ -96,75 +84,13 @@
     };
   }
 
-  void PutDeployment() {
-    const Json engine = {{"slots", 8},
-                         {"kv_capacity_tokens", 100'000},
-                         {"link_mbps", 5'000.0},
-                         {"stride", 5},
-                         {"step_ms", 5.85},
-                         {"per_seq_ms", 0.355},
-                         {"context_per_k", 0.036},
-                         {"read_per_s", 61'200.0},
-                         {"pairs_per_m", 0.325},
-                         {"chunk", 512},
-                         {"usual", {{"prompt", 835}, {"answer", 138}}},
-                         {"sets", 1},
-                         {"experts", kExperts},
-                         {"placements", 4},
-                         {"spare", 2},
-                         {"expert_mb", 780.0},
-                         {"expert_share", 0.85},
-                         {"form_ms", 600.0}};
-    const Json service = {{"name", "s"},
-                          {"health_path", "/healthz"},
-                          {"max_connections", 100},
-                          {"cold_start_s", 0},
-                          {"cold_per_s", 0},
-                          {"engine", engine}};
-    store_.Put("op/config", Json{{"version", 1},
-                                 {"routes", Json::array()},
-                                 {"services", {service}},
-                                 {"limits", Json::object()},
-                                 {"tenants", Json::array()}}
-                                .dump());
-    for (int rank = 0; rank < kRanks; ++rank) {
-      store_.Put("servers/i-" + std::to_string(rank),
-                 Json{{"service", "s"},
-                      {"address", Ip(100 + rank) + ":9000"},
-                      {"zone", "north"},
-                      {"version", "v1"},
-                      {"slots", 8},
-                      {"state", "ready"},
-                      {"cold_remaining_ms", 0},
-                      {"sequence", 1}}
-                     .dump());
-    }
-  }
-
-  void StartAgent(int rank) {
-    const std::string name = "side-" + std::to_string(rank);
-    const Json settings = {{"instance", name},
-                           {"zone", "north"},
-                           {"service", "s"},
-                           {"platform_url", "http://" + Ip(1) + ":7000"},
-                           {"backend_address", Ip(100 + rank) + ":9000"},
-                           {"peer_address", Ip(50 + rank) + ":7355"},
-                           {"metrics_address", Ip(50 + rank) + ":9465"},
-                           {"link_mbps", 20}};
-    const std::string file = folder_.Write(name + ".jsonc", settings.dump());
-    agents_[rank] = std::make_unique<ChildProcess>(
-        std::vector<std::string>{program_, "--config", file},
-        folder_.Path(name + ".log"));
-    recorder_.Note("agent " + name + " starts");
-  }
-
   asio::awaitable<void> StartAgents() {
     // All machines start within 0.3 s of each other, in any order.
     constexpr milliseconds kHeadStart{250};
-    StartAgent(kFirst);
+    agents_.Start(kFirst);
     co_await standin::Sleep(kHeadStart);
     for (int rank = 0; rank < kRanks; ++rank) {
-      if (rank != kFirst) StartAgent(rank);
+      if (rank != kFirst) agents_.Start(rank);
     }
   }
 
@@ -178,12 +104,6 @@
     co_return condition();
   }
 
-  // The agent that last wrote to the store under a condition that it leads.
-  int Leader() const {
-    const auto leader = ReadItem(Ip(1) + ":7000", "leaders/");
-    return leader ? std::stoi(leader->substr(leader->find('-') + 1)) : -1;
-  }
-
   asio::awaitable<bool> WaitForArming() {
     constexpr milliseconds kLimit{15'000};
     return WaitFor([this] { return group_.armed() >= 3; }, kLimit);
@@ -191,12 +111,12 @@
 
   // SIGKILL of the process that leads; returns its rank.
   int KillLeader() {
-    const int leader = Leader();
+    const int leader = agents_.Leader();
     recorder_.Note("SIGKILL of side-" + std::to_string(leader) +
                    ", which leads; rank " + std::to_string(group_.holder()) +
                    " holds, " + std::to_string(group_.armed()) +
                    " ranks are armed");
-    agents_.at(leader)->Kill();
+    agents_.agent(leader).Kill();
     return leader;
   }
 
@@ -205,7 +125,7 @@
     constexpr milliseconds kLimit{12'000};
     constexpr milliseconds kRest{1'000};
     constexpr milliseconds kMoment{150};
-    PutDeployment();
+    agents_.PutDeployment();
     co_await StartAgents();
     co_await standin::Sleep(kSettling);
     group_.AddWork(kPassesOfRequest);
@@ -217,7 +137,7 @@
       co_await standin::Sleep(kMoment);
       const int leader = KillLeader();
       co_await standin::Sleep(kRestart);
-      StartAgent(leader);
+      agents_.Start(leader);
       const bool is_undone = co_await WaitFor(
           [this] { return group_.armed() == 0 && group_.holder() < 0; },
           kLimit);
@@ -230,15 +150,11 @@
     result_ = group_.split_passes() > 0 ? kBroken : 0;
   }
 
-  const std::string program_;
   const bool has_trouble_;
-  const std::string net_ = OwnLoopbackNet();
-  TemporaryFolder folder_;
   Recorder recorder_;
+  RankAgents agents_;
   asio::io_context io_;
-  standin::KvStore store_;
   QuietGroup group_;
-  std::map<int, std::unique_ptr<ChildProcess>> agents_;
   bool has_late_go_ = false;
   int result_ = kCannotRun;
 };
--- a/review/standins-3/tests/quiet_group.cc
+++ b/review/standins-3/tests/quiet_group.cc
@@ -272,8 +272,9 @@
     co_await connection.Reply(200, "application/json", ReportOf(rank));
   } else if (request.path == "/mangohold/picked") {
     const bool has_lists = !request.QueryValue("lists").empty();
-    co_await connection.Reply(200, "application/json",
-                              PickedOf(rank, has_lists));
+    std::string text = PickedOf(rank, has_lists);
+    if (has_lists && spoiler_) text = spoiler_(rank, std::move(text));
+    co_await connection.Reply(200, "application/json", std::move(text));
   } else {
     co_await connection.Reply(kNotFound, "application/json", "{}");
   }
--- a/review/standins-3/tests/quiet_group.h
+++ b/review/standins-3/tests/quiet_group.h
@@ -41,6 +41,9 @@
 
   QuietGroup(asio::io_context& io, Options options, Recorder& recorder);
 
+  // Changes what `picked` with `lists` says of a rank.
+  using Spoiler = std::function<std::string(int rank, std::string text)>;
+  void SetSpoiler(Spoiler spoiler) { spoiler_ = std::move(spoiler); }
   void SetPolicy(Policy policy) { policy_ = std::move(policy); }
   // A request arrives that takes so many passes.
   void AddWork(int passes);
@@ -92,6 +95,7 @@
   Options options_;
   Recorder& recorder_;
   Policy policy_;
+  Spoiler spoiler_;
   std::vector<Rank> ranks_;
   std::uint64_t pass_ = 0;
   int work_ = 0;
