--- a/review/standins-3/tests/quiet_group.cc
+++ b/review/standins-3/tests/quiet_group.cc
@@ -1,6 +1,8 @@
 #include "review/standins-3/tests/quiet_group.h"
 
 #include <algorithm>
+#include <functional>
+#include <memory>
 #include <set>
 #include <utility>
 
@@ -42,12 +44,9 @@
     ranks_[index].counts.resize(static_cast<std::size_t>(options_.experts));
     standin::Serve(
         io_, options_.addresses[index],
-        [this, index](HttpRequest request, standin::Connection& connection) {
-          return Handle(static_cast<int>(index), std::move(request),
-                        connection);
-        });
+        std::bind_front(&QuietGroup::Handle, this, static_cast<int>(index)));
   }
-  asio::co_spawn(io_, RunPasses(), asio::detached);
+  Tick();
 }
 
 void QuietGroup::AddWork(int passes) {
@@ -68,11 +67,17 @@
       ranks_, [](const Rank& rank) { return rank.armed > 0; }));
 }
 
-asio::awaitable<void> QuietGroup::RunPasses() {
-  while (true) {
-    co_await standin::Sleep(options_.pass);
-    if (work_ > 0) BeginPass();
-  }
+void QuietGroup::After(milliseconds delay, std::function<void()> task) {
+  auto timer = std::make_shared<asio::steady_timer>(io_, delay);
+  timer->async_wait(
+      [timer, task = std::move(task)](const std::error_code& error) {
+        if (!error) task();
+      });
+}
+
+void QuietGroup::Tick() {
+  if (work_ > 0) BeginPass();
+  After(options_.pass, [this] { Tick(); });
 }
 
 // A pass that a rank holds doesn't begin.
@@ -163,37 +168,34 @@
   const auto copies = std::ranges::count_if(wanted, [&held](int expert) {
     return std::ranges::find(held, expert) == held.end();
   });
-  asio::co_spawn(io_, Copy(order.rank, order.version, static_cast<int>(copies)),
-                 asio::detached);
-}
-
-asio::awaitable<void> QuietGroup::Copy(int rank, std::uint64_t version,
-                                       int experts) {
-  if (experts > 0) co_await standin::Sleep(options_.copy * experts);
-  if (ranks_[rank].copying == version) {
-    ranks_[rank].copying = 0;
-    ranks_[rank].prepared = version;
-  }
+  const auto done = [this, index = order.rank, version = order.version] {
+    Rank& copying = ranks_[index];
+    if (copying.copying != version) return;
+    copying.copying = 0;
+    copying.prepared = version;
+  };
+  if (copies == 0) return done();
+  After(options_.copy * copies, done);
 }
 
-// The conditions of an order hold when it is carried out, too.
-asio::awaitable<void> QuietGroup::CarryOutLate(Order order, IsDue is_due) {
+void QuietGroup::CarryOutLate(const Order& order, const IsDue& is_due,
+                              double accepted) {
   constexpr milliseconds kStep{10};
-  const double begin = recorder_.Seconds();
-  const auto age = [this, begin] {
-    return milliseconds(
-        static_cast<std::int64_t>((recorder_.Seconds() - begin) * 1'000));
-  };
-  while (!is_due(age())) co_await standin::Sleep(kStep);
+  constexpr int kMsPerSecond = 1'000;
+  const milliseconds age(static_cast<std::int64_t>(
+      (recorder_.Seconds() - accepted) * kMsPerSecond));
+  if (!is_due(age)) {
+    return After(kStep, [this, order, is_due, accepted] {
+      CarryOutLate(order, is_due, accepted);
+    });
+  }
   const bool fits = CheckOrder(order) == Check::kBegins;
   if (fits) CarryOut(order);
-  recorder_.Note(Text(order) + ": carried out " +
-                 std::to_string(age().count()) + " ms late, " +
-                 (fits ? "with effect" : "without effect"));
+  recorder_.Note(Text(order) + ": carried out " + std::to_string(age.count()) +
+                 " ms late, " + (fits ? "with effect" : "without effect"));
 }
 
-asio::awaitable<void> QuietGroup::TakeOrder(int rank,
-                                            const HttpRequest& request,
+asio::awaitable<void> QuietGroup::TakeOrder(int rank, HttpRequest request,
                                             standin::Connection& connection) {
   const Json body = Json::parse(request.body);
   const Order order = {.rank = rank,
@@ -210,11 +212,10 @@
   if (check == Check::kBegins) {
     status = kAccepted;
     ++ranks_[rank].sequence;
-    if (IsDue is_due = policy_ ? policy_(order) : nullptr) {
+    if (const IsDue is_due = policy_ ? policy_(order) : nullptr) {
       ++unanswered_;
       recorder_.Note(Text(order) + ": accepted, no answer");
-      asio::co_spawn(io_, CarryOutLate(order, std::move(is_due)),
-                     asio::detached);
+      CarryOutLate(order, is_due, recorder_.Seconds());
       constexpr milliseconds kPatience{2'000};
       co_await connection.IsClosedWithin(kPatience);
       connection.Drop();
@@ -264,20 +265,22 @@
       .dump();
 }
 
+// No coroutine itself: it hands on the one that answers.
 asio::awaitable<void> QuietGroup::Handle(int rank, HttpRequest request,
                                          standin::Connection& connection) {
   if (request.path == "/mangohold/order") {
-    co_await TakeOrder(rank, request, connection);
-  } else if (request.path == "/mangohold/report") {
-    co_await connection.Reply(200, "application/json", ReportOf(rank));
-  } else if (request.path == "/mangohold/picked") {
-    const bool has_lists = !request.QueryValue("lists").empty();
-    std::string text = PickedOf(rank, has_lists);
-    if (has_lists && spoiler_) text = spoiler_(rank, std::move(text));
-    co_await connection.Reply(200, "application/json", std::move(text));
-  } else {
-    co_await connection.Reply(kNotFound, "application/json", "{}");
+    return TakeOrder(rank, std::move(request), connection);
+  }
+  if (request.path == "/mangohold/report") {
+    return connection.Reply(200, "application/json", ReportOf(rank));
+  }
+  if (request.path != "/mangohold/picked") {
+    return connection.Reply(kNotFound, "application/json", "{}");
   }
+  const bool has_lists = !request.QueryValue("lists").empty();
+  std::string text = PickedOf(rank, has_lists);
+  if (has_lists && spoiler_) text = spoiler_(rank, std::move(text));
+  return connection.Reply(200, "application/json", std::move(text));
 }
 
 }  // namespace mangohold::review
--- a/review/standins-3/tests/quiet_group.h
+++ b/review/standins-3/tests/quiet_group.h
@@ -76,14 +76,15 @@
   };
   enum class Check { kBegins, kHolds, kConflict };
 
-  asio::awaitable<void> RunPasses();
+  void After(std::chrono::milliseconds delay, std::function<void()> task);
+  void Tick();
   void BeginPass();
   asio::awaitable<void> Handle(int rank, HttpRequest request,
                                standin::Connection& connection);
-  asio::awaitable<void> TakeOrder(int rank, const HttpRequest& request,
+  asio::awaitable<void> TakeOrder(int rank, HttpRequest request,
                                   standin::Connection& connection);
-  asio::awaitable<void> CarryOutLate(Order order, IsDue is_due);
-  asio::awaitable<void> Copy(int rank, std::uint64_t version, int experts);
+  // The conditions of an order hold when it is carried out, too.
+  void CarryOutLate(const Order& order, const IsDue& is_due, double accepted);
   Check CheckOrder(const Order& order) const;
   Check CheckPrepare(const Order& order) const;
   void CarryOut(const Order& order);
