review: case 11, one wrong byte in a report stops a group for good; renumbered

Tried: an engine that spoils one report while a pass is held. Case 11 is now 12, 12 is 13, 13 is 14: the gravest first.

--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Case 14. Exit: 1 the rule was broken, 0 it held, 2 the case couldn't run.
+# TROUBLE=0 leaves out the wrong bytes.
+cd "$(dirname "$0")/../.." || exit 2
+program=target/review-3/wrong_list
+[ -x "$program" ] && [ -x target/mangohold-rank-agent ] || exit 2
+timeout -s KILL 110 "$program" --agent target/mangohold-rank-agent \
+  --trouble "${TROUBLE:-1}" --record review/14/record.txt
+status=$?
+[ "$status" -le 2 ] && exit "$status"
+exit 2
--- a/review/standins-3/tests/late_release.cc
+++ b/review/standins-3/tests/late_release.cc
@@ -1,4 +1,4 @@
-// Case 11: an order "go" of a leader that is gone is carried out late, and
+// Case 12: an order "go" of a leader that is gone is carried out late, and
 // releases the hold that a later leader has placed at the same pass.
 //
 // late_release --agent PROGRAM --record FILE --trouble 0|1
--- a/review/standins-3/tests/quiet_group.cc
+++ b/review/standins-3/tests/quiet_group.cc
@@ -76,7 +76,7 @@
 }
 
 void QuietGroup::Tick() {
-  if (work_ > 0) BeginPass();
+  if (is_working()) BeginPass();
   After(options_.pass, [this] { Tick(); });
 }
 
@@ -88,7 +88,7 @@
   });
   if (is_held) return;
   pass_ = next;
-  if (--work_ == 0) {
+  if (work_ > 0 && --work_ == 0) {
     recorder_.Note("the work ends with pass " + std::to_string(pass_));
   }
   for (Rank& rank : ranks_) {
@@ -235,7 +235,7 @@
       {"busy", rank.copying > 0},
       {"sequence", rank.sequence},
       {"queued", 0},
-      {"running", work_ > 0 ? 1 : 0},
+      {"running", is_working() ? 1 : 0},
       {"kv_used", 0},
       {"kv_total", 100'000},
       {"handles", 0},
@@ -265,6 +265,35 @@
       .dump();
 }
 
+asio::awaitable<void> QuietGroup::Generate(HttpRequest request,
+                                           standin::Connection& connection) {
+  constexpr std::uint64_t kPasses = 24;
+  constexpr milliseconds kStep{10};
+  const std::string id(request.Field("X-Mangohold-Request-Id"));
+  milliseconds left(
+      std::stol(std::string(request.Field("X-Mangohold-Deadline-Ms"))));
+  const std::uint64_t end = pass_ + kPasses;
+  ++requests_;
+  bool has_left = false;
+  while (pass_ < end && left > milliseconds(0) && !has_left) {
+    has_left = co_await connection.IsClosedWithin(kStep);
+    left -= kStep;
+  }
+  --requests_;
+  if (has_left) {
+    connection.Drop();
+    co_return;
+  }
+  const bool is_done = pass_ >= end;
+  const std::string body = is_done ? "id: 1\ndata: " + id + "\n\n" : "";
+  co_await connection.Send(
+      std::string("HTTP/1.1 ") + (is_done ? "200 OK" : "504 Late") +
+      "\r\nX-Mangohold-Request-Id: " + id +
+      "\r\nX-Mangohold-Response-Signature: s." + id +
+      "\r\nContent-Type: text/event-stream\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
 // No coroutine itself: it hands on the one that answers.
 asio::awaitable<void> QuietGroup::Handle(int rank, HttpRequest request,
                                          standin::Connection& connection) {
@@ -272,7 +301,12 @@
     return TakeOrder(rank, std::move(request), connection);
   }
   if (request.path == "/mangohold/report") {
-    return connection.Reply(200, "application/json", ReportOf(rank));
+    std::string report = ReportOf(rank);
+    if (report_spoiler_) report = report_spoiler_(rank, std::move(report));
+    return connection.Reply(200, "application/json", std::move(report));
+  }
+  if (request.path.starts_with("/draft/")) {
+    return Generate(std::move(request), connection);
   }
   if (request.path != "/mangohold/picked") {
     return connection.Reply(kNotFound, "application/json", "{}");
--- a/review/standins-3/tests/quiet_group.h
+++ b/review/standins-3/tests/quiet_group.h
@@ -41,14 +41,17 @@
 
   QuietGroup(asio::io_context& io, Options options, Recorder& recorder);
 
-  // Changes what `picked` with `lists` says of a rank.
+  // Changes what `picked` with `lists`, or a report, says of a rank.
   using Spoiler = std::function<std::string(int rank, std::string text)>;
   void SetSpoiler(Spoiler spoiler) { spoiler_ = std::move(spoiler); }
+  void SetReportSpoiler(Spoiler spoiler) {
+    report_spoiler_ = std::move(spoiler);
+  }
   void SetPolicy(Policy policy) { policy_ = std::move(policy); }
   // A request arrives that takes so many passes.
   void AddWork(int passes);
 
-  bool is_working() const { return work_ > 0; }
+  bool is_working() const { return work_ > 0 || requests_ > 0; }
   std::uint64_t pass() const { return pass_; }
   // The step that a rank holds; 0: none.
   std::uint64_t held(int rank) const { return ranks_[rank].held; }
@@ -81,6 +84,9 @@
   void BeginPass();
   asio::awaitable<void> Handle(int rank, HttpRequest request,
                                standin::Connection& connection);
+  // A request of a client: a stream of one event.
+  asio::awaitable<void> Generate(HttpRequest request,
+                                 standin::Connection& connection);
   asio::awaitable<void> TakeOrder(int rank, HttpRequest request,
                                   standin::Connection& connection);
   // The conditions of an order hold when it is carried out, too.
@@ -97,9 +103,11 @@
   Recorder& recorder_;
   Policy policy_;
   Spoiler spoiler_;
+  Spoiler report_spoiler_;
   std::vector<Rank> ranks_;
   std::uint64_t pass_ = 0;
   int work_ = 0;
+  int requests_ = 0;  // of clients, in progress
   int split_passes_ = 0;
   int orders_ = 0;
   int unanswered_ = 0;
--- a/review/standins-3/tests/rank_agents.cc
+++ b/review/standins-3/tests/rank_agents.cc
@@ -29,7 +29,8 @@
   return addresses;
 }
 
-void RankAgents::PutDeployment() {
+void RankAgents::PutDeployment(const Json& routes, const Json& more_services) {
+  Json services = more_services;
   const Json engine = {{"slots", 12},
                        {"kv_capacity_tokens", 372'000},
                        {"link_mbps", 5'000.0},
@@ -54,9 +55,10 @@
                         {"cold_start_s", 0},
                         {"cold_per_s", 0},
                         {"engine", engine}};
+  services.push_back(service);
   store_.Put("op/config", Json{{"version", 1},
-                               {"routes", Json::array()},
-                               {"services", {service}},
+                               {"routes", routes},
+                               {"services", services},
                                {"limits", Json::object()},
                                {"tenants", Json::array()}}
                               .dump());
--- a/review/standins-3/tests/stale_page.cc
+++ b/review/standins-3/tests/stale_page.cc
@@ -1,4 +1,4 @@
-// Case 12: an entry starts and reads the store page by page. A page that is
+// Case 13: an entry starts and reads the store page by page. A page that is
 // older than the first one leaves it with an old configuration for good.
 //
 // stale_page --entry PROGRAM --record FILE --trouble 0|1
--- a/review/standins-3/tests/wrong_list.cc
+++ b/review/standins-3/tests/wrong_list.cc
@@ -1,4 +1,4 @@
-// Case 13: an engine hands out wrong bytes in its list of experts. The agents
+// Case 14: an engine hands out wrong bytes in its list of experts. The agents
 // that lead its group end by a signal, one after the other.
 //
 // wrong_list --agent PROGRAM --record FILE --trouble 0|1
