Log a change of the group's epoch with the rank that caused it

Three causes were possible: the leader takes the wrong epoch for the group's (1), the agent beside the wrong report keeps it and drops all commands (2), or the engines refuse the leader's orders, as these carry the wrong epoch (3).

--- a/src/group/group_leader.cc
+++ b/src/group/group_leader.cc
@@ -163,7 +163,24 @@
                          .backend = message.backend,
                          .group = message.group},
                         now);
-  switch_.OnStatus(message.status, now);
+  TakeStatus(message.status, now);
+}
+
+// Logs a change of the group's epoch with the rank whose status caused it: a
+// group that has formed anew discards the switch in progress.
+void GroupLeader::TakeStatus(const RankStatus& status, TimePoint now) {
+  const GroupEpoch before = switch_.epoch();
+  switch_.OnStatus(status, now);
+  if (switch_.epoch() != before) {
+    Log(LogLevel::kInfo, "group_epoch_changed",
+        {{"term", options_.term.value()},
+         {"rank", status.report.rank},
+         {"before", before.value()},
+         {"epoch", switch_.epoch().value()},
+         {"own_epoch", deps_.rank.report() != nullptr
+                           ? deps_.rank.report()->epoch.value()
+                           : 0}});
+  }
   Advance();
 }
 
@@ -326,8 +343,7 @@
                          Contains(switch_.SilentRanks(now), report.rank);
   if (!is_needed || !IsTermConfirmed()) return;
   deps_.remote.SetEngine(report.rank, engine);
-  switch_.OnStatus(StatusWithoutAgent(options_.term, report), now);
-  Advance();
+  TakeStatus(StatusWithoutAgent(options_.term, report), now);
 }
 
 // --- Plans ------------------------------------------------------------------
--- a/src/group/group_leader.h
+++ b/src/group/group_leader.h
@@ -96,6 +96,7 @@
   std::vector<std::optional<int>> ChooseCollectors() const;
   bool IsAgentMissing() const;
   bool MayBeHeld() const;
+  void TakeStatus(const RankStatus& status, TimePoint now);
   void LogRanksRead() const;
   void Issue(const RankCommand& command);
   void OrderDirectly(const Endpoint& engine, const RankCommand& command);
--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -188,6 +188,7 @@
 
   Phase phase() const { return phase_; }
   MapVersion version() const { return version_; }
+  GroupEpoch epoch() const { return epoch_; }
   int size() const { return static_cast<int>(ranks_.size()); }
   // What the ranks are armed for, by their last status.
   ArmedRanks armed_ranks() const;
