Take a later epoch for the group's only if most of its ranks report it

One report of one engine of twelve said epoch 7 in place of 1 while a pass was held. The group begins no pass again, no process ends, and no agent takes over.

Cause: MapSwitch::OnStatus took the epoch of one rank's status for the group's. It forgot all ranks, waited for all of them in epoch 7, and refused each later status as one of an earlier epoch, also those of the rank that had said 7. Any higher epoch does it, also the next one, which is what a group that really has formed anew reports.

The fix: a leader begins with the formation (epoch and size) that its own rank reports, and takes another one if more than half of its ranks, and of all that have reported lately, report it (FormationVotes). A rank that alone reports a later epoch is used like any other: either its epoch is wrong and the rest is right, or the group has formed anew, and engines refuse all orders of the earlier epoch. For the same reason agents no longer compare an order's epoch with their engine's report, which would stop every switch while one engine is wrong, and no longer take an unanswered order to arm for void by that report. One size can't make a leader forget all ranks any more. A leader that has believed a wrong epoch comes back once most ranks report another one, lower or higher. Statuses that precede the majority are kept and count when it is there, so that nothing is read twice.

Why no test saw it: the storms and the soak let machines, processes, orders and the store fail, but every engine always told the truth; the fuzzing of messages changes bytes of datagrams and looks for crashes only.

--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -1,6 +1,7 @@
 #include "group/map_switch.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mangohold {
 namespace {
@@ -39,15 +40,47 @@
   const RankReport& report = status.report;
   if (report.size <= 0 || report.rank < 0 || report.rank >= report.size) return;
   if (status.term > options_.term) phase_ = Phase::kDeposed;
-  if (report.epoch < epoch_ || phase_ == Phase::kDeposed) return;
-  // A group that has formed anew has lost all holds, prepared maps and armed
-  // maps.
-  if (report.epoch > epoch_ || size() != report.size) {
-    epoch_ = report.epoch;
-    ranks_.assign(static_cast<std::size_t>(report.size), Rank());
-    forecast_.OnNewEpoch();
-    EnterPhase(Phase::kReading, now);
+  if (phase_ == Phase::kDeposed) return;
+  votes_.OnReport(report.rank, FormationOf(report), now);
+  if (FormationOf(report) == formation_) {
+    of_other_formations_.erase(report.rank);
+  } else {
+    of_other_formations_[report.rank] = {.status = status, .heard_at = now};
+  }
+  if (const auto formation = NewFormation(report, now)) {
+    return OnFormation(*formation, now);
+  }
+  if (report.epoch < formation_.epoch || report.rank >= size()) return;
+  Place(status, now);
+}
+
+// Returns the formation that the group is in now, if it isn't the one taken
+// last. `report` is the newest one.
+std::optional<Formation> MapSwitch::NewFormation(const RankReport& report,
+                                                 TimePoint now) const {
+  if (FormationOf(report) == formation_) return std::nullopt;
+  const bool is_first = formation_.size == 0;
+  if (is_first && report.rank == options_.own_rank) return FormationOf(report);
+  const auto majority = votes_.Majority(now);
+  return majority == formation_ ? std::nullopt : majority;
+}
+
+// A group that has formed anew has lost all holds, prepared maps and armed
+// maps.
+void MapSwitch::OnFormation(const Formation& formation, TimePoint now) {
+  formation_ = formation;
+  ranks_.assign(static_cast<std::size_t>(formation.size), Rank());
+  forecast_.OnNewEpoch();
+  EnterPhase(Phase::kReading, now);
+  for (const auto& [rank, heard] : std::exchange(of_other_formations_, {})) {
+    if (FormationOf(heard.status.report) != formation) continue;
+    Place(heard.status, heard.heard_at);
   }
+}
+
+// Takes the status of a rank of the current formation.
+void MapSwitch::Place(const RankStatus& status, TimePoint now) {
+  const RankReport& report = status.report;
   Rank& rank = ranks_[report.rank];
   const RankReport& before = rank.status.report;
   const bool has_engine_changed = before.prepared != report.prepared ||
@@ -76,7 +109,7 @@
     auto command = CommandFor(index);
     if (!command) continue;
     command->rank = index;
-    command->epoch = epoch_;
+    command->epoch = formation_.epoch;
     ranks_[index].commanded_at = now;
     ++ranks_[index].command_count;
     commands.push_back(*std::move(command));
--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -32,6 +32,12 @@
 // Orders may be executed late. An order to arm or hold for S is void once S has
 // started or the group has formed anew (a new epoch).
 //
+// A group has formed anew if most of its ranks report so. A rank that alone
+// reports a later epoch reports a wrong one, or the others haven't been read
+// yet. Its status is used like any other in both cases: in the first one the
+// rest of it is right, and in the second one engines refuse all orders of the
+// earlier epoch.
+//
 // A new leader first reads the status of all ranks. Each rank that it has read
 // refuses commands of earlier leaders. The new leader then releases the hold if
 // all ranks are armed, and undoes the switch otherwise: the ranks themselves
@@ -39,6 +45,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -47,6 +54,7 @@
 #include "core/clock.h"
 #include "group/agent_promises.h"
 #include "group/armed_ranks.h"
+#include "group/formation_votes.h"
 #include "group/leader_term.h"
 #include "group/map_delta.h"
 #include "group/pass_forecast.h"
@@ -154,10 +162,14 @@
   };
 
   explicit MapSwitch(Options options)
-      : options_(options), forecast_(options.min_arming_time) {}
+      : options_(options),
+        votes_(options.own_rank, options.status_timeout),
+        forecast_(options.min_arming_time) {}
 
-  // Takes the status of a rank. A status of an earlier epoch is ignored, one of
-  // a later epoch makes the switch start over from kReading.
+  // Takes the status of a rank. The first formation of the group is the one
+  // that the leader's own rank reports, every other one that of most ranks; it
+  // makes the switch start over from kReading. A status of an earlier epoch is
+  // ignored.
   void OnStatus(const RankStatus& status, TimePoint now);
   // Returns the commands that are due. Call it after each status and
   // periodically.
@@ -188,7 +200,7 @@
 
   Phase phase() const { return phase_; }
   MapVersion version() const { return version_; }
-  GroupEpoch epoch() const { return epoch_; }
+  GroupEpoch epoch() const { return formation_.epoch; }
   int size() const { return static_cast<int>(ranks_.size()); }
   // What the ranks are armed for, by their last status.
   ArmedRanks armed_ranks() const;
@@ -205,7 +217,15 @@
     std::optional<TimePoint> commanded_at;
     int command_count = 0;  // in this phase, without effect so far
   };
+  struct HeardStatus {
+    RankStatus status;
+    TimePoint heard_at;
+  };
 
+  std::optional<Formation> NewFormation(const RankReport& report,
+                                        TimePoint now) const;
+  void OnFormation(const Formation& formation, TimePoint now);
+  void Place(const RankStatus& status, TimePoint now);
   bool AllKnown(TimePoint now) const;
   bool AreUniform() const;
   bool IsArmed(const Rank& rank) const;
@@ -235,7 +255,11 @@
   Phase phase_ = Phase::kReading;
   TimePoint phase_began_;
   std::vector<Rank> ranks_;
-  GroupEpoch epoch_;
+  Formation formation_;  // of size 0: none has been taken yet
+  FormationVotes votes_;
+  // The newest status of each rank that reports another formation, for the case
+  // that it is taken.
+  std::map<int, HeardStatus> of_other_formations_;
   // The switch in progress.
   MapVersion version_;
   std::uint64_t versions_issued_ = 0;
--- a/src/group/own_rank.cc
+++ b/src/group/own_rank.cc
@@ -147,11 +147,12 @@
               are_holdings_known ? holdings_ : std::vector<std::vector<int>>(),
           .accepted = has_accepted ? accepted_ : MapVersion(),
           .may_arm_late = unanswered_arm_orders_.MayArm(
-              report_->epoch, report_->pass, BootNow())};
+              ordered_epoch_, report_->pass, BootNow())};
 }
 
 void OwnRank::ExecuteOrder(const RankCommand& command, LeaderTerm term,
                            std::function<void()> on_done) {
+  ordered_epoch_ = command.epoch;
   ExecuteWithRetries(command, term, kOrderAttempts, std::move(on_done));
 }
 
--- a/src/group/own_rank.h
+++ b/src/group/own_rank.h
@@ -85,6 +85,10 @@
   MapVersion accepted_;  // newest map that the engine accepted to prepare
   GroupEpoch accepted_epoch_;
   UnansweredArmOrders unanswered_arm_orders_;
+  // The epoch of the newest order, which is the group's as its leader knows it
+  // from most ranks. The engine's own report may tell a wrong one, and doesn't
+  // void an unanswered order by it.
+  GroupEpoch ordered_epoch_;
   ExpertCounts last_counts_;
   bool is_polling_ = false;
 };
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -262,9 +262,11 @@
   if (command.is_readiness_query && is_current_term && report != nullptr) {
     promises_.OnReadinessQuery(command.version, *report);
   }
-  const bool is_void =
-      !report || !command.order || queued.term < leader_.term ||
-      report->epoch != command.epoch || report->rank != command.rank;
+  // An order of another epoch is refused by the engine itself: the epoch in its
+  // report may be wrong.
+  const bool is_void = !report || !command.order ||
+                       queued.term < leader_.term ||
+                       report->rank != command.rank;
   if (is_void || !ResolveMap(command)) return FinishCommand();
   rank_.ExecuteOrder(command, queued.term, [this] { FinishCommand(); });
 }
--- a/src/group/remote_ranks.cc
+++ b/src/group/remote_ranks.cc
@@ -61,8 +61,8 @@
   engine_.Report(
       engine, [this, engine, command, term, may_give = std::move(may_send),
                on_done = std::move(on_done)](const auto& report) {
+        // The engine itself refuses an order of another epoch.
         const bool is_void = !on_report_ || !report.ok() ||
-                             report->epoch != command.epoch ||
                              report->rank != command.rank || !may_give();
         if (is_void) return;
         SendEngineOrder(engine_, engine, *report, command, term,
--- a/src/group/remote_ranks.h
+++ b/src/group/remote_ranks.h
@@ -46,9 +46,8 @@
   // Reads the report of one engine and delivers it.
   void Query(const Endpoint& engine);
   // Reads the engine's report, and sends it the order if it still is the
-  // command's rank in the command's epoch and `may_send` returns true. Calls
-  // `on_done` once the order was answered or has timed out, and not at all if
-  // it wasn't sent.
+  // command's rank and `may_send` returns true. Calls `on_done` once the order
+  // was answered or has timed out, and not at all if it wasn't sent.
   void SendOrder(const Endpoint& engine, const RankCommand& command,
                  LeaderTerm term, std::function<bool()> may_send,
                  std::function<void()> on_done);
--- a/tests/virtual_agents.cc
+++ b/tests/virtual_agents.cc
@@ -23,6 +23,13 @@
 constexpr Millis kLeaderTimeoutWhenHeld{300};
 constexpr Millis kCandidateDelayPerRank{150};
 
+// True if a field differs that a map switch depends on.
+bool HasTransitioned(const RankReport& before, const RankReport& after) {
+  return before.epoch != after.epoch || before.prepared != after.prepared ||
+         before.armed != after.armed || before.held != after.held ||
+         before.map != after.map;
+}
+
 bool IsDue(std::int64_t step, Duration interval) {
   return step % (interval / kStep) == 0;
 }
@@ -93,6 +100,11 @@
   return static_cast<int>(it - group_.engines.begin());
 }
 
+std::optional<MapSwitch::Phase> VirtualAgents::phase() const {
+  const auto& leadership = agents_[stored_leader_].leadership;
+  return leadership ? std::optional(leadership->phase()) : std::nullopt;
+}
+
 Duration VirtualAgents::longest_hold() const {
   return kStep * kStepsPerPass * group_.max_consecutive_held_passes;
 }
@@ -153,14 +165,13 @@
     if (!message) throw std::logic_error("a message can't be decoded");
     OnMessage(rank, *message);
   }
-  const RankReport report = group_.Report(rank);
-  const bool has_transitioned = report.prepared != agent.last_report.prepared ||
-                                report.armed != agent.last_report.armed ||
-                                report.held != agent.last_report.held ||
-                                report.map != agent.last_report.map;
-  const bool is_due = now_ - agent.status_sent_at >= kPollInterval;
-  const bool is_polled = IsDue(steps_ + rank, kTransitionPollInterval);
-  if (is_due || (is_polled && has_transitioned)) SendStatus(rank);
+  if (IsDue(steps_ + rank, kTransitionPollInterval)) {
+    agent.report = ReadReport(rank);
+    const bool is_due = now_ - agent.status_sent_at >= kPollInterval;
+    if (is_due || HasTransitioned(agent.last_report, agent.report)) {
+      SendStatus(rank);
+    }
+  }
   if (IsDue(steps_, kSwitchInterval)) WatchLeader(rank);
   if (!agent.leadership) return;
   if (IsDue(steps_, kHeartbeatInterval)) {
@@ -224,16 +235,22 @@
   }
 }
 
+RankReport VirtualAgents::ReadReport(int rank) const {
+  RankReport report = group_.Report(rank);
+  if (distort_) distort_(report);
+  return report;
+}
+
 RankStatus VirtualAgents::StatusOf(int rank) const {
   const Agent& agent = agents_[rank];
-  return {
-      .agent = InstanceId(std::to_string(rank)),
-      .term = agent.leader.term,
-      .report = group_.Report(rank),
-      .holdings = {{rank}},
-      .granted = agent.promises.granted(),
-      .ready_for = agent.promises.ready_for(),
-      .may_arm_late = agent.unanswered.MayArm(group_.epoch, group_.pass, now_)};
+  return {.agent = InstanceId(std::to_string(rank)),
+          .term = agent.leader.term,
+          .report = agent.report,
+          .holdings = {{rank}},
+          .granted = agent.promises.granted(),
+          .ready_for = agent.promises.ready_for(),
+          .may_arm_late = agent.unanswered.MayArm(agent.ordered_epoch,
+                                                  agent.report.pass, now_)};
 }
 
 // A leader knows its own rank from its own engine, and not by a message.
@@ -278,7 +295,7 @@
 }
 
 Duration VirtualAgents::LeaderTimeout(int rank) const {
-  if (group_.engines[rank].held) return kLeaderTimeoutWhenHeld;
+  if (agents_[rank].report.held) return kLeaderTimeoutWhenHeld;
   const int ranks_after_leader =
       (rank + options_.ranks - agents_[rank].leader.rank.value_or(0)) %
       options_.ranks;
@@ -355,6 +372,7 @@
   const RankCommand& command = queued.command;
   const auto finish = [this, rank] {
     agents_[rank].is_running_command = false;
+    agents_[rank].report = ReadReport(rank);
     SendStatus(rank);
     RunNextCommand(rank);
   };
@@ -362,11 +380,14 @@
   if (command.is_grant && is_current_term) {
     agent.promises.OnGrantRequest(command.version);
   }
+  agent.report = ReadReport(rank);
   if (command.is_readiness_query && is_current_term) {
-    agent.promises.OnReadinessQuery(command.version, group_.Report(rank));
+    agent.promises.OnReadinessQuery(command.version, agent.report);
   }
-  const bool is_void = !command.order || queued.term < agent.leader.term;
+  const bool is_void = !command.order || queued.term < agent.leader.term ||
+                       agent.report.rank != command.rank;
   if (is_void) return finish();
+  agent.ordered_epoch = command.epoch;
   const bool is_arm = command.order == OrderKind::kArm;
   if (is_arm) agent.unanswered.OnSent(command.epoch, command.pass);
   const std::uint64_t process = agent.process;
@@ -441,7 +462,7 @@
     if (!is_needed || stored_term_ != agent.leader.term) return;
     agent.located.insert(of);
     agent.leadership->OnStatus(
-        StatusWithoutAgent(agent.leader.term, group_.Report(of)), now_);
+        StatusWithoutAgent(agent.leader.term, ReadReport(of)), now_);
     Advance(rank);
   });
 }
--- a/tests/virtual_agents.h
+++ b/tests/virtual_agents.h
@@ -55,6 +55,8 @@
   void RequestSwitch() { is_switch_requested_ = true; }
   void Freeze(int rank, Duration duration);
   void Kill(int rank, Duration restart_delay);
+  // The group forms anew, in its next epoch.
+  void FormAnew() { group_.StartNextEpoch(); }
   // The store comes back in its next era, so that the leader claims a new term.
   void ChangeEra();
 
@@ -67,11 +69,19 @@
   // executed; zero: it is executed at once. Replaces `late_percent`.
   using Lateness = std::function<Duration(int rank, const RankCommand&)>;
   void SetLateness(Lateness lateness) { lateness_of_ = std::move(lateness); }
+  // Sets what becomes of each report that an engine hands out, to its agent or
+  // to a leader that reads it directly.
+  using Distortion = std::function<void(RankReport& report)>;
+  void SetDistortion(Distortion distort) { distort_ = std::move(distort); }
   void SetIdle(bool is_idle) { group_.is_idle = is_idle; }
 
   TimePoint now() const { return now_; }
   const VirtualRankGroup& group() const { return group_; }
   int leader() const { return stored_leader_; }
+  // True from `RequestSwitch` until the leader has begun the switch.
+  bool is_switch_requested() const { return is_switch_requested_; }
+  // The phase of the newest leader's switch; absent while it isn't running.
+  std::optional<MapSwitch::Phase> phase() const;
   std::optional<int> holder() const;
   Duration longest_hold() const;
   bool HasSwitched() const;
@@ -97,6 +107,8 @@
     bool has_heard_leader = false;
     AgentPromises promises;
     UnansweredArmOrders unanswered;
+    RankReport report;         // the newest one that was read
+    GroupEpoch ordered_epoch;  // of the newest order
     std::deque<QueuedCommand> commands;
     bool is_running_command = false;
     bool is_campaigning = false;
@@ -125,6 +137,7 @@
   RankMessage NewMessage(RankMessageKind kind, int from) const;
   void Send(int to, const RankMessage& message);
   void OnMessage(int rank, const RankMessage& message);
+  RankReport ReadReport(int rank) const;
   void SendStatus(int rank);
   RankStatus StatusOf(int rank) const;
   void OnStatus(int rank, const RankMessage& message);
@@ -156,6 +169,7 @@
   bool is_switch_requested_ = false;
   std::function<void()> on_order_;
   Lateness lateness_of_;
+  Distortion distort_;
 };
 
 }  // namespace mangohold
