Check the experts that a rank lists before they are used as indexes

Cause: nobody checked the numbers. The agent kept the list for as long as the map was in use and sent it to each new leader, which used the numbers as indexes of the demand of each expert (RankLoads, SetSearch).

The fix: CheckLists and CheckMap (group/expert_lists) are the one place where lists of experts are checked, against the figures that operators publish for the engines: number of sets, range, no expert twice, places. An agent uses its engine's list only if it can be right and a second reading in a row says the same; otherwise its rank is one whose experts aren't known, and the next poll reads them again. A list read before the figures were known is checked once they are. The planner doesn't rely on the agents: it plans on no map that fails CheckMap, and on no counts or saved demand of other dimensions, so that no number of one rank ends a leader, whatever its agent's build. Also: counts that are longer than the engine's experts made the estimate wait for them for good, and saved demand of other dimensions was read beyond its end; MapOfKnownRanks takes a rank with an impossible list for one whose list is missing.

Why no test saw it: all stand-ins of engines list sound experts, and the fuzzing of messages ends at the decoder.

--- a/src/core/counters.cc
+++ b/src/core/counters.cc
@@ -48,7 +48,8 @@
                    "accepts_failed",
                    "connections_unfinished",
                    "prompt_cache_hits",
-                   "prompt_tokens_cached"};
+                   "prompt_tokens_cached",
+                   "expert_lists_rejected"};
 
 constexpr std::array<std::string_view, static_cast<int>(Gauge::kCount)>
     kGaugeNames = {"in_flight",
--- a/src/group/expert_demand.h
+++ b/src/group/expert_demand.h
@@ -42,14 +42,18 @@
   // Ends a period and updates the estimate. `current` is the map in use; null
   // if unknown, in which case no shift is detected.
   void EndPeriod(const GroupMap* current) {
+    // Saved demand may have other dimensions.
+    const bool is_alike = std::ranges::equal(
+        demand_, window_,
+        [](const auto& a, const auto& b) { return a.size() == b.size(); });
     const bool has_shifted =
-        current != nullptr && current->size() == window_.size() &&
-        demand_.size() == window_.size() && SumOf(demand_) > 0 &&
+        current != nullptr && current->size() == window_.size() && is_alike &&
+        SumOf(demand_) > 0 &&
         SumOf(window_) >= kMinShiftEvidence * SumOf(demand_) &&
         SkewOf(*current, window_) > kShiftSkewRatio * SkewOf(*current, demand_);
     // A period without counts leaves the estimate unchanged.
     if (SumOf(window_) <= 0) return;
-    if (has_shifted || demand_.size() != window_.size()) {
+    if (has_shifted || !is_alike) {
       demand_ = window_;
     } else {
       for (std::size_t set = 0; set < window_.size(); ++set) {
--- a/src/group/map_planner.cc
+++ b/src/group/map_planner.cc
@@ -1,5 +1,6 @@
 #include "group/map_planner.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace mangohold {
@@ -17,10 +18,34 @@
                    static_cast<double>(demand.size() * demand.front().size());
 }
 
+// True if `counts` holds one number for each expert of some sets.
+bool FitCounts(const ExpertCounts& counts, const ExpertLayout& layout) {
+  if (layout.experts <= 0) return false;
+  const auto width = static_cast<std::size_t>(layout.experts);
+  const std::size_t sets = counts.size() / width;
+  return counts.size() % width == 0 &&
+         (layout.sets <= 0 || std::cmp_less_equal(sets, layout.sets));
+}
+
+bool FitsDemand(const ExpertDemand& demand, const GroupMap& map,
+                const ExpertLayout& layout) {
+  return demand.size() == map.size() &&
+         std::ranges::all_of(demand, [&layout](const auto& set) {
+           return std::ssize(set) == layout.experts;
+         });
+}
+
+// The numbers in a map and in a demand are used as indexes of each other, so
+// both have to fit the engine's figures.
+bool IsPlannable(const GroupMap& map, const ExpertLayout& layout) {
+  return layout.experts > 0 && CheckMap(map, layout).ok();
+}
+
 }  // namespace
 
 void MapPlanner::Add(const ExpertCounts& counts, const EngineFigures& engine) {
-  estimate_.Add(counts, engine.experts);
+  layout_ = LayoutOf(engine);
+  if (FitCounts(counts, layout_)) estimate_.Add(counts, engine.experts);
 }
 
 void MapPlanner::Restore(const ExpertDemand& demand) {
@@ -28,7 +53,8 @@
 }
 
 void MapPlanner::EndPeriod(const GroupMap* current) {
-  estimate_.EndPeriod(current);
+  const bool is_usable = current != nullptr && IsPlannable(*current, layout_);
+  estimate_.EndPeriod(is_usable ? current : nullptr);
 }
 
 bool MapPlanner::HasEnoughSamples() const {
@@ -39,7 +65,9 @@
                        const std::vector<double>& slowdowns,
                        const EngineFigures& engine) {
   const ExpertDemand& demand = estimate_.demand();
-  if (planner_ || current.size() != demand.size()) return false;
+  const ExpertLayout layout = LayoutOf(engine);
+  if (planner_ || !IsPlannable(current, layout)) return false;
+  if (!FitsDemand(demand, current, layout)) return false;
   if (!HasEnoughSamples()) return false;
   if (SkewOf(current, demand, slowdowns) < 1 + options_.min_gain) return false;
   slowdowns_ = slowdowns;
--- a/src/group/map_planner.h
+++ b/src/group/map_planner.h
@@ -10,6 +10,7 @@
 #include "config/deployment.h"
 #include "group/even_placement.h"
 #include "group/expert_demand.h"
+#include "group/expert_lists.h"
 
 namespace mangohold {
 
@@ -34,16 +35,18 @@
   explicit MapPlanner(Options options) : options_(options) {}
 
   // Adds the expert counts of one rank, or the sum of several ranks' counts.
-  // Ignored if the number of experts in `engine` is 0.
+  // Ignored if they don't fit the experts of `engine`.
   void Add(const ExpertCounts& counts, const EngineFigures& engine);
   // Sets the demand to the one that an earlier leader saved. Does nothing if
   // there is an estimate already.
   void Restore(const ExpertDemand& demand);
-  // Ends a period of demand. `current` is the map in use; null if unknown.
+  // Ends a period of demand. `current` is the map in use; null if unknown. A
+  // map that doesn't fit the engine's figures counts as unknown.
   void EndPeriod(const GroupMap* current);
 
-  // Begins a plan if the demand rests on enough counts and the map in use,
-  // `current`, is uneven. `slowdowns` holds, for each rank, its step time
+  // Begins a plan if the map in use, `current`, and the demand fit the engine's
+  // figures, the demand rests on enough counts, and the map is uneven.
+  // `slowdowns` holds, for each rank, its step time
   // relative to its usual one. Returns false if no plan was started.
   bool Begin(const GroupMap& current, const std::vector<double>& slowdowns,
              const EngineFigures& engine);
@@ -62,6 +65,7 @@
 
  private:
   Options options_;
+  ExpertLayout layout_;  // of the engine whose counts were added last
   DemandEstimate estimate_;
   std::optional<EvenPlacementPlanner> planner_;
   std::vector<double> slowdowns_;  // of the plan in progress
--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "group/expert_lists.h"
+
 namespace mangohold {
 namespace {
 
@@ -14,6 +16,9 @@
 constexpr std::uint64_t kVersionsInReserve = 256;
 // Maximum number of times that the retry interval of a preparation is doubled.
 constexpr int kMaxDoublings = 3;
+// A rank that takes longer than this many times its usual time counts as this
+// slow.
+constexpr double kMaxSlowdown = 1'000;
 
 bool IsUndoVersion(MapVersion version) { return version.value() % 2 == 1; }
 
@@ -313,12 +318,14 @@
 }
 
 // Returns the map in use as reported by the ranks. One rank may be missing, as
-// it is unknown or only its engine answers: the experts that no other rank
-// holds are assigned to it. Returns nullopt if more ranks are missing, or if
-// there are such experts but no rank is missing.
+// it is unknown, only its engine answers, or its experts can't be right: the
+// experts that no other rank holds are assigned to it. Returns nullopt if more
+// ranks are missing, or if there are such experts but no rank is missing.
 std::optional<GroupMap> MapSwitch::MapOfKnownRanks() const {
-  const auto is_missing = [](const Rank& rank) {
-    return !rank.is_known || rank.status.holdings.empty();
+  const auto is_missing = [this](const Rank& rank) {
+    return !rank.is_known ||
+           !CheckLists(rank.status.holdings, {.experts = options_.experts})
+                .ok();
   };
   const auto missing = std::ranges::find_if(ranks_, is_missing);
   const auto known = std::ranges::find_if_not(ranks_, is_missing);
@@ -569,10 +576,11 @@
 
 std::vector<double> MapSwitch::Slowdowns() const {
   std::vector<double> slowdowns;
-  std::ranges::transform(ranks_, std::back_inserter(slowdowns),
-                         [](const Rank& rank) {
-                           return std::max(1.0, rank.status.report.slowdown);
-                         });
+  std::ranges::transform(
+      ranks_, std::back_inserter(slowdowns), [](const Rank& rank) {
+        return std::min(std::max(1.0, rank.status.report.slowdown),
+                        kMaxSlowdown);
+      });
   return slowdowns;
 }
 
--- a/src/group/own_rank.cc
+++ b/src/group/own_rank.cc
@@ -11,6 +11,8 @@
 
 // Attempts to send an order that isn't answered.
 constexpr int kOrderAttempts = 5;
+// Readings in a row of what has to be read twice, until two of them agree.
+constexpr int kMaxReadings = 4;
 
 }  // namespace
 
@@ -89,25 +91,47 @@
     is_polling_ = false;
     if (!counts.ok()) return LogEngineCall("counts", counts.status());
     if (!report_) return;
-    if (!AreHoldingsKnown()) ReadHoldings(*report_, handlers.on_holdings);
+    if (!AreHoldingsKnown()) ReadHoldings(kMaxReadings, handlers.on_holdings);
     handlers.on_counts(NewCounts(*counts));
   };
   engine_.Counts(address_, on_totals);
 }
 
-void OwnRank::ReadHoldings(const RankReport& report,
-                           std::function<void()> on_holdings) {
-  engine_.Holdings(address_,
-                   [this, version = report.map, epoch = report.epoch,
-                    on_holdings = std::move(on_holdings)](const auto& lists) {
-                     if (!lists.ok()) {
-                       return LogEngineCall("holdings", lists.status());
-                     }
-                     holdings_ = *lists;
-                     holdings_version_ = version;
-                     holdings_epoch_ = epoch;
-                     on_holdings();
-                   });
+void OwnRank::ReadHoldings(int reads_left, std::function<void()> on_holdings) {
+  const auto on_lists = [this, reads_left, version = report_->map,
+                         epoch = report_->epoch,
+                         on_holdings = std::move(on_holdings)](
+                            const absl::StatusOr<ExpertLists>& lists) {
+    if (!lists.ok()) return LogEngineCall("holdings", lists.status());
+    if (!AreValid(*lists)) return;
+    const bool is_confirmed =
+        std::exchange(last_read_holdings_, *lists) == *lists;
+    if (!is_confirmed) {
+      if (reads_left > 1 && report_) ReadHoldings(reads_left - 1, on_holdings);
+      return;
+    }
+    holdings_ = *lists;
+    holdings_version_ = version;
+    holdings_epoch_ = epoch;
+    on_holdings();
+  };
+  engine_.Holdings(address_, on_lists);
+}
+
+void OwnRank::SetLayout(const ExpertLayout& layout) {
+  layout_ = layout;
+  if (!holdings_.empty() && !AreValid(holdings_)) holdings_.clear();
+}
+
+// Lists that can't be right are dropped. The rank is then one whose experts
+// aren't known, for which no leader plans, and the next poll reads them again.
+bool OwnRank::AreValid(const ExpertLists& lists) {
+  const absl::Status status = CheckLists(lists, layout_);
+  if (status.ok()) return true;
+  counters_.Count(Event::kExpertListsRejected);
+  Log(LogLevel::kWarning, "expert_lists_rejected",
+      {{"error", MessageOf(status)}});
+  return false;
 }
 
 // The engine counts from its start. If a count has decreased, the engine was
--- a/src/group/own_rank.h
+++ b/src/group/own_rank.h
@@ -13,6 +13,7 @@
 #include "absl/status/statusor.h"
 #include "backend/engine_api.h"
 #include "core/counters.h"
+#include "group/expert_lists.h"
 #include "group/map_switch.h"
 #include "group/unanswered_arm_orders.h"
 
@@ -41,9 +42,13 @@
     // The experts of a new map were read.
     std::function<void()> on_holdings;
   };
-  // Reads the report and the counts, and the experts if the map has changed.
+  // Reads the report and the counts, and the experts unless those of the map in
+  // use are known. Experts are used once two readings in a row agree.
   // No handler is called if the engine can't be reached or isn't a rank.
   void Poll(PollHandlers handlers);
+  // The figures of the engine, against which its lists are checked, also those
+  // that were read before.
+  void SetLayout(const ExpertLayout& layout);
   // Reads the report; `on_done` is also called if that fails.
   void Refresh(std::function<void()> on_done);
   // Sends the order until it is answered, at most kOrderAttempts times, then
@@ -68,8 +73,8 @@
  private:
   void OnReport(const absl::StatusOr<RankReport>& report);
   void ReadCounts(PollHandlers handlers);
-  void ReadHoldings(const RankReport& report,
-                    std::function<void()> on_holdings);
+  void ReadHoldings(int reads_left, std::function<void()> on_holdings);
+  bool AreValid(const ExpertLists& lists);
   ExpertCounts NewCounts(const ExpertCounts& counts);
   void ExecuteWithRetries(const RankCommand& command, LeaderTerm term,
                           int attempts, std::function<void()> on_done);
@@ -79,7 +84,9 @@
   Endpoint address_;
   Counters& counters_;
   std::optional<RankReport> report_;
-  std::vector<std::vector<int>> holdings_;
+  ExpertLayout layout_;
+  ExpertLists holdings_;
+  ExpertLists last_read_holdings_;  // to be confirmed by a second reading
   MapVersion holdings_version_;
   GroupEpoch holdings_epoch_;
   MapVersion accepted_;  // newest map that the engine accepted to prepare
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -505,7 +505,9 @@
   }
   const auto service = std::ranges::find(deployment->services, options_.service,
                                          &ServiceSpec::name);
-  if (service != deployment->services.end()) engine_ = service->engine;
+  if (service == deployment->services.end()) return;
+  engine_ = service->engine;
+  if (engine_) rank_.SetLayout(LayoutOf(*engine_));
 }
 
 }  // namespace mangohold
--- /dev/null
+++ b/tests/unit/own_rank_test.cc
@@ -0,0 +1,117 @@
+// What an agent keeps of what its own engine says, while some of the answers
+// are wrong.
+#include "group/own_rank.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <functional>
+#include <utility>
+
+namespace mangohold {
+namespace {
+
+constexpr ExpertLayout kLayout = {.sets = 1, .experts = 6, .places = 3};
+
+// An engine that answers at once. Answers in `odd_…` come first, one a call.
+class FakeEngine : public EngineApi {
+ public:
+  void Report(const Endpoint& /*engine*/,
+              Callback<absl::StatusOr<RankReport>> on_report) override {
+    ++reports_read;
+    on_report(Next(odd_reports, report));
+  }
+  void Counts(const Endpoint& /*engine*/,
+              Callback<absl::StatusOr<ExpertCounts>> on_counts) override {
+    on_counts(Next(odd_counts, counts));
+  }
+  void Holdings(const Endpoint& /*engine*/,
+                Callback<absl::StatusOr<ExpertLists>> on_holdings) override {
+    ++lists_read;
+    on_holdings(Next(odd_lists, lists));
+  }
+  void Order(const Endpoint& /*engine*/, const RankOrder& /*order*/,
+             Callback<OrderResult> on_result) override {
+    on_result(OrderResult::kAccepted);
+  }
+
+  RankReport report = {.group = GroupName("g"),
+                       .epoch = GroupEpoch(1),
+                       .rank = 1,
+                       .size = 2,
+                       .is_open = true,
+                       .pass = PassNumber(20)};
+  ExpertCounts counts = {0, 0, 0, 0, 0, 0};
+  ExpertLists lists = {{1, 3, 5}};
+  std::deque<RankReport> odd_reports;
+  std::deque<ExpertCounts> odd_counts;
+  std::deque<ExpertLists> odd_lists;
+  int reports_read = 0;
+  int lists_read = 0;
+
+ private:
+  template <typename Value>
+  static Value Next(std::deque<Value>& odd, const Value& sound) {
+    if (odd.empty()) return sound;
+    Value value = std::move(odd.front());
+    odd.pop_front();
+    return value;
+  }
+};
+
+class OwnRankTest : public ::testing::Test {
+ protected:
+  OwnRankTest() { rank_.SetLayout(kLayout); }
+
+  // Polls once and returns the counts that were new.
+  ExpertCounts Poll() {
+    ExpertCounts new_counts;
+    rank_.Poll({.on_counts = [&](const auto& counts) { new_counts = counts; },
+                .on_holdings = [] {}});
+    return new_counts;
+  }
+
+  FakeEngine engine_;
+  Counters counters_;
+  OwnRank rank_{engine_, Endpoint("10.0.0.1:1"), counters_};
+};
+
+// Guards against a list that can't be right being kept for as long as the map
+// is in use, and sent to each leader (issue 71, review/14).
+TEST_F(OwnRankTest, AListThatCantBeRightIsReadAgain) {
+  engine_.odd_lists = {{{1, 17'929'941}}};
+  Poll();
+  EXPECT_FALSE(rank_.AreHoldingsKnown());
+  EXPECT_TRUE(rank_.Status().holdings.empty());
+  EXPECT_EQ(counters_.Value(Event::kExpertListsRejected), 1U);
+  Poll();
+  EXPECT_EQ(rank_.Status().holdings, engine_.lists);
+}
+
+// Guards against a list that was read before the engine's figures were known,
+// and couldn't be checked, being kept.
+TEST_F(OwnRankTest, AListReadEarlyIsCheckedOnceTheFiguresAreKnown) {
+  OwnRank rank(engine_, Endpoint("10.0.0.1:1"), counters_);
+  const auto poll = [&rank] {
+    rank.Poll({.on_counts = [](const auto&) {}, .on_holdings = [] {}});
+  };
+  engine_.odd_lists = {{{1, 17'929'941}}, {{1, 17'929'941}}};
+  poll();
+  EXPECT_TRUE(rank.AreHoldingsKnown());
+  rank.SetLayout(kLayout);
+  EXPECT_FALSE(rank.AreHoldingsKnown());
+  poll();
+  EXPECT_EQ(rank.Status().holdings, engine_.lists);
+}
+
+// Guards against a wrong list of experts that do exist being kept: the ranks'
+// lists then don't make a map, and the leader plans no other one.
+TEST_F(OwnRankTest, AListIsUsedOnceItIsReadTwice) {
+  engine_.odd_lists = {{{1, 3, 4}}};
+  Poll();
+  EXPECT_EQ(rank_.Status().holdings, engine_.lists);
+  EXPECT_EQ(engine_.lists_read, 3);
+}
+
+}  // namespace
+}  // namespace mangohold
