Use a changed report of an engine once a second one says the same

Callers could have seen (found in the virtual group, not on real processes): a group that never switches its map again, since a new leader read "armed" for a rank that wasn't and waits for that switch for good. By reading the code: a pass of 2^64-1 moved the switch to a pass that the group reaches in hours; a wrong pass made the agent call an unanswered order to arm void, which allows an undo that the late order turns into a pass with two maps; a wrong rank gave one rank's state to another; a wrong size of the leader's own engine allocated that many ranks.

Cause: a report replaced the one before as it was.

The fix: ConfirmedReport. A report in which anything differs that a switch depends on (group, epoch, rank, size, open, map, prepared, armed, held), or whose pass goes back or is over 32 ahead, is read again at once, and used once two in a row agree. The slowdown is the lower one of two, and an order to arm is void once two reports have reached its pass. Agents read their own engine, which is free; leaders do the same with the engines of silent agents. What doesn't change is read once as before, and a change is noticed in the same poll.

The storm now distorts each number of a report (lower by one, higher by one, zero, the largest), drawn with phase, rank, a killed leader and late orders, through the agents and the codec.

--- a/src/core/counters.cc
+++ b/src/core/counters.cc
@@ -49,6 +49,7 @@
                    "connections_unfinished",
                    "prompt_cache_hits",
                    "prompt_tokens_cached",
+                   "reports_unconfirmed",
                    "expert_lists_rejected"};
 
 constexpr std::array<std::string_view, static_cast<int>(Gauge::kCount)>
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -50,6 +50,7 @@
   kConnectionsUnfinished,  // callers', with something in progress
   kPromptCacheHits,     // requests to a server that should hold their beginning
   kPromptTokensCached,  // prompt tokens of these that it should hold
+  kReportsUnconfirmed,  // of the own engine, no two in a row alike
   kExpertListsRejected,  // of the own engine, that can't be right
   kCount
 };
--- a/src/group/group_leader.cc
+++ b/src/group/group_leader.cc
@@ -342,8 +342,10 @@
   const bool is_needed = deps_.remote.FindEngine(report.rank) != nullptr ||
                          Contains(switch_.SilentRanks(now), report.rank);
   if (!is_needed || !IsTermConfirmed()) return;
-  deps_.remote.SetEngine(report.rank, engine);
-  TakeStatus(StatusWithoutAgent(options_.term, report), now);
+  const RankReport* confirmed = deps_.remote.Confirm(engine, report);
+  if (confirmed == nullptr) return;
+  deps_.remote.SetEngine(confirmed->rank, engine);
+  TakeStatus(StatusWithoutAgent(options_.term, *confirmed), now);
 }
 
 // --- Plans ------------------------------------------------------------------
--- a/src/group/own_rank.cc
+++ b/src/group/own_rank.cc
@@ -60,29 +60,46 @@
 }
 
 void OwnRank::Refresh(std::function<void()> on_done) {
-  engine_.Report(address_,
-                 [this, on_done = std::move(on_done)](const auto& report) {
-                   OnReport(report);
-                   on_done();
-                 });
-}
-
-void OwnRank::OnReport(const absl::StatusOr<RankReport>& report) {
-  if (!report.ok()) {
-    if (report_) LogEngineCall("report", report.status());
-    report_.reset();
-    counters_.Count(Event::kBackendReportsLost);
-    return;
-  }
-  if (report_ &&
-      (report_->epoch != report->epoch || report_->map != report->map)) {
-    Log(LogLevel::kInfo, "rank_changed",
-        {{"group", report->group.value()},
-         {"epoch", report->epoch.value()},
-         {"map", report->map.value()},
-         {"pass", report->pass.value()}});
-  }
-  report_ = *report;
+  ReadReport(ConfirmedReport::kMaxReads, std::move(on_done));
+}
+
+void OwnRank::ReadReport(int reads_left, std::function<void()> on_done) {
+  engine_.Report(address_, [this, reads_left, on_done = std::move(on_done)](
+                               const absl::StatusOr<RankReport>& read) {
+    if (!read.ok()) {
+      OnReportLost(read.status());
+      return on_done();
+    }
+    const RankReport* before = report();
+    const auto previous =
+        before != nullptr ? std::optional(*before) : std::nullopt;
+    if (confirmed_.OnRead(*read)) {
+      LogChange(previous);
+    } else if (reads_left > 1) {
+      return ReadReport(reads_left - 1, on_done);
+    } else {
+      counters_.Count(Event::kReportsUnconfirmed);
+    }
+    on_done();
+  });
+}
+
+void OwnRank::OnReportLost(const absl::Status& status) {
+  if (report() != nullptr) LogEngineCall("report", status);
+  confirmed_.Reset();
+  counters_.Count(Event::kBackendReportsLost);
+}
+
+void OwnRank::LogChange(const std::optional<RankReport>& before) const {
+  const RankReport& after = *report();
+  const bool has_changed =
+      before && (before->epoch != after.epoch || before->map != after.map);
+  if (!has_changed) return;
+  Log(LogLevel::kInfo, "rank_changed",
+      {{"group", after.group.value()},
+       {"epoch", after.epoch.value()},
+       {"map", after.map.value()},
+       {"pass", after.pass.value()}});
 }
 
 void OwnRank::ReadCounts(PollHandlers handlers) {
@@ -90,7 +107,7 @@
                              const absl::StatusOr<ExpertCounts>& counts) {
     is_polling_ = false;
     if (!counts.ok()) return LogEngineCall("counts", counts.status());
-    if (!report_) return;
+    if (report() == nullptr) return;
     if (!AreHoldingsKnown()) ReadHoldings(kMaxReadings, handlers.on_holdings);
     handlers.on_counts(NewCounts(*counts));
   };
@@ -98,8 +115,8 @@
 }
 
 void OwnRank::ReadHoldings(int reads_left, std::function<void()> on_holdings) {
-  const auto on_lists = [this, reads_left, version = report_->map,
-                         epoch = report_->epoch,
+  const auto on_lists = [this, reads_left, version = report()->map,
+                         epoch = report()->epoch,
                          on_holdings = std::move(on_holdings)](
                             const absl::StatusOr<ExpertLists>& lists) {
     if (!lists.ok()) return LogEngineCall("holdings", lists.status());
@@ -107,7 +124,8 @@
     const bool is_confirmed =
         std::exchange(last_read_holdings_, *lists) == *lists;
     if (!is_confirmed) {
-      if (reads_left > 1 && report_) ReadHoldings(reads_left - 1, on_holdings);
+      if (reads_left > 1 && report() != nullptr)
+        ReadHoldings(reads_left - 1, on_holdings);
       return;
     }
     holdings_ = *lists;
@@ -149,29 +167,32 @@
 }
 
 bool OwnRank::AreHoldingsKnown() const {
-  return report_ && !holdings_.empty() && holdings_version_ == report_->map &&
-         holdings_epoch_ == report_->epoch;
+  return report() != nullptr && !holdings_.empty() &&
+         holdings_version_ == report()->map &&
+         holdings_epoch_ == report()->epoch;
 }
 
 bool OwnRank::HasPendingTransition() const {
-  if (!report_) return false;
-  const bool is_copying = accepted_epoch_ == report_->epoch &&
-                          accepted_ > report_->map &&
-                          report_->prepared != accepted_;
-  return !report_->is_open || is_copying || report_->armed ||
+  const RankReport* current = report();
+  if (current == nullptr) return false;
+  const bool is_copying = accepted_epoch_ == current->epoch &&
+                          accepted_ > current->map &&
+                          current->prepared != accepted_;
+  return !current->is_open || is_copying || current->armed ||
          !AreHoldingsKnown();
 }
 
 RankStatus OwnRank::Status() const {
-  if (!report_) return {};
-  const bool has_accepted = accepted_epoch_ == report_->epoch;
+  const RankReport* current = report();
+  if (current == nullptr) return {};
+  const bool has_accepted = accepted_epoch_ == current->epoch;
   const bool are_holdings_known = AreHoldingsKnown();
-  return {.report = *report_,
+  return {.report = *current,
           .holdings =
               are_holdings_known ? holdings_ : std::vector<std::vector<int>>(),
           .accepted = has_accepted ? accepted_ : MapVersion(),
           .may_arm_late = unanswered_arm_orders_.MayArm(
-              ordered_epoch_, report_->pass, BootNow())};
+              ordered_epoch_, confirmed_.started_pass(), BootNow())};
 }
 
 void OwnRank::ExecuteOrder(const RankCommand& command, LeaderTerm term,
@@ -184,11 +205,11 @@
 // request a state, which is already reached if the first attempt was executed.
 void OwnRank::ExecuteWithRetries(const RankCommand& command, LeaderTerm term,
                                  int attempts, std::function<void()> on_done) {
-  if (!report_) return on_done();
+  if (report() == nullptr) return on_done();
   if (command.order == OrderKind::kArm) {
     unanswered_arm_orders_.OnSent(command.epoch, command.pass);
   }
-  SendEngineOrder(engine_, address_, *report_, command, term,
+  SendEngineOrder(engine_, address_, *report(), command, term,
                   [this, command, term, attempts,
                    on_done = std::move(on_done)](OrderResult result) {
                     OnOrderResult(command, result);
--- a/src/group/own_rank.h
+++ b/src/group/own_rank.h
@@ -13,6 +13,7 @@
 #include "absl/status/statusor.h"
 #include "backend/engine_api.h"
 #include "core/counters.h"
+#include "group/confirmed_report.h"
 #include "group/expert_lists.h"
 #include "group/map_switch.h"
 #include "group/unanswered_arm_orders.h"
@@ -49,17 +50,18 @@
   // The figures of the engine, against which its lists are checked, also those
   // that were read before.
   void SetLayout(const ExpertLayout& layout);
-  // Reads the report; `on_done` is also called if that fails.
+  // Reads the report, again if it has changed; see `ConfirmedReport`. `on_done`
+  // is also called if that fails.
   void Refresh(std::function<void()> on_done);
   // Sends the order until it is answered, at most kOrderAttempts times, then
   // reads the report.
   void ExecuteOrder(const RankCommand& command, LeaderTerm term,
                     std::function<void()> on_done);
 
-  // The newest report; null while the engine can't be reached.
-  const RankReport* report() const { return report_ ? &*report_ : nullptr; }
+  // The newest confirmed report; null while the engine can't be reached.
+  const RankReport* report() const { return confirmed_.report(); }
   // True if the engine reports that it is a rank of a group.
-  bool is_in_group() const { return report_ && !report_->group.empty(); }
+  bool is_in_group() const { return report() && !report()->group.empty(); }
   // True while a change that a map switch waits for is pending: the group isn't
   // open yet, a map is being prepared or is armed, or the experts of the map in
   // use haven't been read.
@@ -71,7 +73,9 @@
   RankStatus Status() const;
 
  private:
-  void OnReport(const absl::StatusOr<RankReport>& report);
+  void ReadReport(int reads_left, std::function<void()> on_done);
+  void OnReportLost(const absl::Status& status);
+  void LogChange(const std::optional<RankReport>& before) const;
   void ReadCounts(PollHandlers handlers);
   void ReadHoldings(int reads_left, std::function<void()> on_holdings);
   bool AreValid(const ExpertLists& lists);
@@ -83,7 +87,7 @@
   EngineApi& engine_;
   Endpoint address_;
   Counters& counters_;
-  std::optional<RankReport> report_;
+  ConfirmedReport confirmed_;
   ExpertLayout layout_;
   ExpertLists holdings_;
   ExpertLists last_read_holdings_;  // to be confirmed by a second reading
--- a/src/group/remote_ranks.cc
+++ b/src/group/remote_ranks.cc
@@ -11,6 +11,7 @@
 void RemoteRanks::OnLeaderStart(ReportCallback on_report) {
   on_report_ = std::move(on_report);
   engine_by_rank_.clear();
+  readings_.clear();
   search_.Reset();
 }
 
@@ -55,6 +56,17 @@
   });
 }
 
+const RankReport* RemoteRanks::Confirm(const Endpoint& engine,
+                                       const RankReport& report) {
+  Reading& reading = readings_[engine];
+  const bool is_confirmed = reading.report.OnRead(report);
+  const bool is_last = --reading.reads_left == 0;
+  if (is_confirmed || is_last) reading.reads_left = ConfirmedReport::kMaxReads;
+  if (is_confirmed) return reading.report.report();
+  if (!is_last) Query(engine);
+  return nullptr;
+}
+
 void RemoteRanks::SendOrder(const Endpoint& engine, const RankCommand& command,
                             LeaderTerm term, std::function<bool()> may_send,
                             std::function<void()> on_done) {
--- a/src/group/remote_ranks.h
+++ b/src/group/remote_ranks.h
@@ -12,6 +12,7 @@
 
 #include "backend/engine_api.h"
 #include "group/agent_directory.h"
+#include "group/confirmed_report.h"
 #include "group/engine_search.h"
 #include "group/map_switch.h"
 #include "store/store.h"
@@ -26,7 +27,8 @@
     StoreSchema schema;
     ServiceName service;  // of the engines
   };
-  // Called with the report of a queried engine and its address.
+  // Called with the report of a queried engine and its address. The report may
+  // be wrong; see `Confirm`.
   using ReportCallback =
       std::function<void(const RankReport& report, const Endpoint& engine)>;
 
@@ -45,6 +47,9 @@
                   const AgentDirectory& agents, TimePoint now);
   // Reads the report of one engine and delivers it.
   void Query(const Endpoint& engine);
+  // Takes a report of an engine. Returns the confirmed state of the engine, or
+  // null after having queried it again; see `ConfirmedReport`.
+  const RankReport* Confirm(const Endpoint& engine, const RankReport& report);
   // Reads the engine's report, and sends it the order if it still is the
   // command's rank and `may_send` returns true. Calls `on_done` once the order
   // was answered or has timed out, and not at all if it wasn't sent.
@@ -69,6 +74,11 @@
   ReportCallback on_report_;
   EngineSearch search_;
   std::map<int, Endpoint> engine_by_rank_;  // key: rank
+  struct Reading {
+    ConfirmedReport report;
+    int reads_left = ConfirmedReport::kMaxReads;
+  };
+  std::map<Endpoint, Reading> readings_;
 };
 
 }  // namespace mangohold
--- a/tests/unit/map_switch_odd_reports_test.cc
+++ b/tests/unit/map_switch_odd_reports_test.cc
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "core/random.h"
 #include "virtual_agents.h"
 
 namespace mangohold {
@@ -34,6 +35,10 @@
 // By design, a hold outlives the loss of its leader by two seconds at most.
 constexpr Millis kLongestHold{2'000};
 
+// Orders of a switch that follow its preparation: the hold, the arming of each
+// rank and the release.
+constexpr int kOrders = kRanks + 2;
+
 // What one rank reports instead, from the first report in a phase on.
 struct WrongReport {
   std::string name;
@@ -41,14 +46,17 @@
   int rank = kOther;
   MapSwitch::Phase phase = MapSwitch::Phase::kIdle;
   Duration lasts = kOnce;
-  int kill_order = 0;  // the leader is killed at this order; 0: never
+  int kill_order = 0;    // the leader is killed at this order; 0: never
+  int late_percent = 0;  // of the orders
+  std::uint64_t seed = 1;
 };
 
 std::ostream& operator<<(std::ostream& out, const WrongReport& wrong) {
   return out << wrong.name << " of rank " << wrong.rank << " in phase "
              << static_cast<int>(wrong.phase) << " for "
              << ToMillis(wrong.lasts) << " ms, leader killed at order "
-             << wrong.kill_order;
+             << wrong.kill_order << ", " << wrong.late_percent
+             << "% late, seed " << wrong.seed;
 }
 
 struct Outcome {
@@ -59,10 +67,14 @@
   bool has_switched_again = false;  // the second switch was completed
 };
 
-class Run {
+class GroupRun {
  public:
-  explicit Run(const WrongReport& wrong)
-      : wrong_(wrong), agents_({.ranks = kRanks, .first_leader = kLeader}) {
+  explicit GroupRun(const WrongReport& wrong)
+      : wrong_(wrong),
+        agents_({.ranks = kRanks,
+                 .first_leader = kLeader,
+                 .late_percent = wrong.late_percent,
+                 .seed = wrong.seed}) {
     agents_.SetDistortion([this](RankReport& report) { Distort(report); });
     agents_.SetOnOrder([this] {
       if (++orders_ != wrong_.kill_order) return;
@@ -124,16 +136,15 @@
 // Plays a wrong report in all phases, at three ranks, without and with the loss
 // of the leader at any order. Returns how often the phase was reached.
 int PlayAll(WrongReport wrong, Duration longest_hold) {
-  constexpr int kKillOrders = 7;
   int told = 0;
   for (int phase = 0; phase < static_cast<int>(MapSwitch::Phase::kDeposed);
        ++phase) {
     for (const int rank : {kLeader, kHolder, kOther}) {
-      for (int order = 0; order <= kKillOrders; ++order) {
+      for (int order = 0; order <= kOrders; ++order) {
         wrong.phase = static_cast<MapSwitch::Phase>(phase);
         wrong.rank = rank;
         wrong.kill_order = order;
-        const Outcome outcome = Run(wrong).Play();
+        const Outcome outcome = GroupRun(wrong).Play();
         told += outcome.was_told ? 1 : 0;
         EXPECT_FALSE(outcome.has_mixed_maps) << wrong;
         if (outcome.has_mixed_maps) continue;
@@ -164,6 +175,105 @@
   }
 }
 
+// A number of a report, as it is and as it is changed.
+struct Field {
+  const char* name;
+  std::uint64_t (*read)(const RankReport&);
+  void (*write)(RankReport&, std::uint64_t);
+};
+
+template <typename Value>
+std::uint64_t ValueOf(const std::optional<Value>& value) {
+  return value ? value->value() : 0;
+}
+
+constexpr std::array kFields = {
+    Field{"epoch", [](const RankReport& r) { return r.epoch.value(); },
+          [](RankReport& r, std::uint64_t n) { r.epoch = GroupEpoch(n); }},
+    Field{
+        "rank",
+        [](const RankReport& r) { return static_cast<std::uint64_t>(r.rank); },
+        [](RankReport& r, std::uint64_t n) { r.rank = static_cast<int>(n); }},
+    Field{
+        "size",
+        [](const RankReport& r) { return static_cast<std::uint64_t>(r.size); },
+        [](RankReport& r, std::uint64_t n) {
+          constexpr std::uint64_t kMostRanks = 4'096;
+          r.size = static_cast<int>(std::min(n, kMostRanks));
+        }},
+    Field{"pass", [](const RankReport& r) { return r.pass.value(); },
+          [](RankReport& r, std::uint64_t n) { r.pass = PassNumber(n); }},
+    Field{
+        "sequence", [](const RankReport& r) { return r.sequence.value(); },
+        [](RankReport& r, std::uint64_t n) { r.sequence = OrderSequence(n); }},
+    Field{"map", [](const RankReport& r) { return r.map.value(); },
+          [](RankReport& r, std::uint64_t n) { r.map = MapVersion(n); }},
+    Field{"prepared", [](const RankReport& r) { return ValueOf(r.prepared); },
+          [](RankReport& r, std::uint64_t n) { r.prepared = MapVersion(n); }},
+    Field{"armed", [](const RankReport& r) { return ValueOf(r.armed); },
+          [](RankReport& r, std::uint64_t n) { r.armed = MapVersion(n); }},
+    Field{"armed_at", [](const RankReport& r) { return ValueOf(r.armed_at); },
+          [](RankReport& r, std::uint64_t n) { r.armed_at = PassNumber(n); }},
+    Field{"held", [](const RankReport& r) { return ValueOf(r.held); },
+          [](RankReport& r, std::uint64_t n) { r.held = PassNumber(n); }},
+    Field{"running",
+          [](const RankReport& r) {
+            return static_cast<std::uint64_t>(r.running);
+          },
+          [](RankReport& r, std::uint64_t n) {
+            r.running = static_cast<int>(n);
+          }},
+};
+
+// Lower by one, higher by one, zero, the largest.
+std::uint64_t OddValue(int kind, std::uint64_t value) {
+  const std::array values = {value - 1, value + 1, std::uint64_t{0}, kLargest};
+  return values[static_cast<std::size_t>(kind)];
+}
+constexpr int kOddValues = 4;
+
+// One wrong number in one report, in a phase, at a rank and with losses that
+// are drawn.
+WrongReport Draw(std::uint64_t seed) {
+  Random random(seed);
+  const auto below = [&random](std::size_t limit) {
+    return static_cast<int>(random.Below(limit));
+  };
+  const Field& field = kFields[below(kFields.size())];
+  const int kind = below(kOddValues);
+  return {.name = std::string(field.name) + " of kind " + std::to_string(kind),
+          .change =
+              [&field, kind](RankReport& report) {
+                field.write(report, OddValue(kind, field.read(report)));
+              },
+          .rank = below(kRanks),
+          .phase = static_cast<MapSwitch::Phase>(
+              below(static_cast<std::size_t>(MapSwitch::Phase::kDeposed))),
+          .kill_order = below(2) == 0 ? 0 : 1 + below(kOrders),
+          .late_percent = below(2) == 0 ? 0 : 10 + below(30),
+          .seed = seed};
+}
+
+// Guards against a number that an engine reports wrongly once and that is kept
+// or acted on: a pass with two maps, a hold for good, or a group that never
+// switches its map again.
+TEST(MapSwitchOddReports, AWrongNumberOnceChangesNothing) {
+  constexpr std::uint64_t kSeeds = 2'000;
+  int told = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const WrongReport wrong = Draw(seed);
+    const Outcome outcome = GroupRun(wrong).Play();
+    told += outcome.was_told ? 1 : 0;
+    EXPECT_FALSE(outcome.has_mixed_maps) << wrong;
+    // Late orders may delay a switch beyond the end.
+    if (outcome.has_mixed_maps || wrong.late_percent > 0) continue;
+    EXPECT_FALSE(outcome.is_held) << wrong;
+    EXPECT_LE(outcome.longest_hold, kLongestHold) << wrong;
+    EXPECT_TRUE(outcome.has_switched_again) << wrong;
+  }
+  EXPECT_GT(told, static_cast<int>(kSeeds / 2));
+}
+
 // Guards against a group that is noticed late to have formed anew, although its
 // leader doesn't take one rank's word for it.
 TEST(MapSwitchOddReports, AGroupThatFormsAnewIsNoticedWithinAPoll) {
--- a/tests/unit/own_rank_test.cc
+++ b/tests/unit/own_rank_test.cc
@@ -32,7 +32,7 @@
   }
   void Order(const Endpoint& /*engine*/, const RankOrder& /*order*/,
              Callback<OrderResult> on_result) override {
-    on_result(OrderResult::kAccepted);
+    on_result(order_result);
   }
 
   RankReport report = {.group = GroupName("g"),
@@ -46,6 +46,7 @@
   std::deque<RankReport> odd_reports;
   std::deque<ExpertCounts> odd_counts;
   std::deque<ExpertLists> odd_lists;
+  OrderResult order_result = OrderResult::kAccepted;
   int reports_read = 0;
   int lists_read = 0;
 
@@ -63,12 +64,9 @@
  protected:
   OwnRankTest() { rank_.SetLayout(kLayout); }
 
-  // Polls once and returns the counts that were new.
-  ExpertCounts Poll() {
-    ExpertCounts new_counts;
-    rank_.Poll({.on_counts = [&](const auto& counts) { new_counts = counts; },
-                .on_holdings = [] {}});
-    return new_counts;
+  void Poll() {
+    rank_.Poll(
+        {.on_counts = [](const auto& /*counts*/) {}, .on_holdings = [] {}});
   }
 
   FakeEngine engine_;
@@ -113,5 +111,81 @@
   EXPECT_EQ(engine_.lists_read, 3);
 }
 
+// Guards against an agent that acts on, keeps or passes on a number that its
+// engine reports wrongly once.
+TEST_F(OwnRankTest, AReportIsUsedOnceItIsReadTwice) {
+  Poll();
+  const auto odd = [this](auto change) {
+    RankReport report = engine_.report;
+    change(report);
+    engine_.odd_reports = {report};
+    Poll();
+    return *rank_.report();
+  };
+  EXPECT_EQ(odd([](RankReport& r) { r.epoch = GroupEpoch(7); }).epoch,
+            engine_.report.epoch);
+  EXPECT_EQ(odd([](RankReport& r) { r.rank = 0; }).rank, 1);
+  EXPECT_EQ(odd([](RankReport& r) { r.size = 9; }).size, 2);
+  EXPECT_EQ(odd([](RankReport& r) { r.map = MapVersion(9); }).map,
+            engine_.report.map);
+  EXPECT_FALSE(odd([](RankReport& r) { r.armed = MapVersion(9); }).armed);
+  EXPECT_FALSE(odd([](RankReport& r) { r.held = PassNumber(9); }).held);
+  EXPECT_EQ(odd([](RankReport& r) { r.pass = PassNumber(999'999); }).pass,
+            engine_.report.pass);
+  EXPECT_EQ(odd([](RankReport& r) { r.slowdown = 1e300; }).slowdown, 1);
+}
+
+// A report that has changed is read once more in the same poll, so that nothing
+// is noticed later.
+TEST_F(OwnRankTest, AChangeIsNoticedInTheSamePoll) {
+  Poll();
+  engine_.report.epoch = GroupEpoch(2);
+  engine_.report.pass = PassNumber(0);
+  engine_.reports_read = 0;
+  Poll();
+  EXPECT_EQ(rank_.report()->epoch, GroupEpoch(2));
+  EXPECT_EQ(engine_.reports_read, 2);
+}
+
+// Guards against an order to arm that is taken for void because of one wrong
+// pass, so that it arms its rank after the switch was undone (MAP).
+TEST_F(OwnRankTest, OneWrongPassVoidsNoUnansweredOrder) {
+  Poll();
+  engine_.order_result = OrderResult::kUnknown;
+  rank_.ExecuteOrder({.rank = 1,
+                      .order = OrderKind::kArm,
+                      .epoch = GroupEpoch(1),
+                      .version = MapVersion(2),
+                      .pass = PassNumber(24)},
+                     LeaderTerm(1), [] {});
+  EXPECT_TRUE(rank_.Status().may_arm_late);
+  RankReport wrong = engine_.report;
+  wrong.pass = PassNumber(24);
+  engine_.odd_reports = {wrong};
+  Poll();
+  EXPECT_TRUE(rank_.Status().may_arm_late);
+  engine_.report.pass = PassNumber(24);
+  Poll();
+  Poll();
+  EXPECT_FALSE(rank_.Status().may_arm_late);
+}
+
+// Guards against an order to arm that is taken for void because its engine
+// reports a wrong epoch, however often.
+TEST_F(OwnRankTest, AWrongEpochVoidsNoUnansweredOrder) {
+  Poll();
+  engine_.order_result = OrderResult::kUnknown;
+  rank_.ExecuteOrder({.rank = 1,
+                      .order = OrderKind::kArm,
+                      .epoch = GroupEpoch(1),
+                      .version = MapVersion(2),
+                      .pass = PassNumber(24)},
+                     LeaderTerm(1), [] {});
+  engine_.report.epoch = GroupEpoch(7);
+  Poll();
+  EXPECT_EQ(rank_.report()->epoch, GroupEpoch(7));
+  EXPECT_TRUE(rank_.Status().may_arm_late);
+}
+
 }  // namespace
 }  // namespace mangohold
--- a/tests/virtual_agents.cc
+++ b/tests/virtual_agents.cc
@@ -166,11 +166,11 @@
     OnMessage(rank, *message);
   }
   if (IsDue(steps_ + rank, kTransitionPollInterval)) {
-    agent.report = ReadReport(rank);
+    const RankReport* report = ReadOwnReport(rank);
     const bool is_due = now_ - agent.status_sent_at >= kPollInterval;
-    if (is_due || HasTransitioned(agent.last_report, agent.report)) {
-      SendStatus(rank);
-    }
+    const bool has_transitioned =
+        report != nullptr && HasTransitioned(agent.last_report, *report);
+    if (is_due || has_transitioned) SendStatus(rank);
   }
   if (IsDue(steps_, kSwitchInterval)) WatchLeader(rank);
   if (!agent.leadership) return;
@@ -198,8 +198,9 @@
           .rank = from};
 }
 
+// Nobody receives what is sent to a rank that doesn't exist.
 void VirtualAgents::Send(int to, const RankMessage& message) {
-  if (!agents_[to].is_running) return;
+  if (to >= options_.ranks || !agents_[to].is_running) return;
   agents_[to].inbox.push_back(
       {.bytes = EncodeRankMessage(message), .due_at = now_ + kLatency});
 }
@@ -235,22 +236,31 @@
   }
 }
 
-RankReport VirtualAgents::ReadReport(int rank) const {
-  RankReport report = group_.Report(rank);
-  if (distort_) distort_(report);
-  return report;
+const RankReport* VirtualAgents::ReadReport(int rank,
+                                            ConfirmedReport& confirmed) const {
+  for (int reads = 0; reads < ConfirmedReport::kMaxReads; ++reads) {
+    RankReport report = group_.Report(rank);
+    if (distort_) distort_(report);
+    if (confirmed.OnRead(report)) break;
+  }
+  return confirmed.report();
+}
+
+const RankReport* VirtualAgents::ReadOwnReport(int rank) {
+  return ReadReport(rank, agents_[rank].confirmed);
 }
 
 RankStatus VirtualAgents::StatusOf(int rank) const {
   const Agent& agent = agents_[rank];
+  const RankReport* report = agent.confirmed.report();
   return {.agent = InstanceId(std::to_string(rank)),
           .term = agent.leader.term,
-          .report = agent.report,
+          .report = report != nullptr ? *report : RankReport(),
           .holdings = {{rank}},
           .granted = agent.promises.granted(),
           .ready_for = agent.promises.ready_for(),
-          .may_arm_late = agent.unanswered.MayArm(agent.ordered_epoch,
-                                                  agent.report.pass, now_)};
+          .may_arm_late = agent.unanswered.MayArm(
+              agent.ordered_epoch, agent.confirmed.started_pass(), now_)};
 }
 
 // A leader knows its own rank from its own engine, and not by a message.
@@ -295,7 +305,8 @@
 }
 
 Duration VirtualAgents::LeaderTimeout(int rank) const {
-  if (agents_[rank].report.held) return kLeaderTimeoutWhenHeld;
+  const RankReport* report = agents_[rank].confirmed.report();
+  if (report != nullptr && report->held) return kLeaderTimeoutWhenHeld;
   const int ranks_after_leader =
       (rank + options_.ranks - agents_[rank].leader.rank.value_or(0)) %
       options_.ranks;
@@ -372,7 +383,7 @@
   const RankCommand& command = queued.command;
   const auto finish = [this, rank] {
     agents_[rank].is_running_command = false;
-    agents_[rank].report = ReadReport(rank);
+    ReadOwnReport(rank);
     SendStatus(rank);
     RunNextCommand(rank);
   };
@@ -380,12 +391,13 @@
   if (command.is_grant && is_current_term) {
     agent.promises.OnGrantRequest(command.version);
   }
-  agent.report = ReadReport(rank);
-  if (command.is_readiness_query && is_current_term) {
-    agent.promises.OnReadinessQuery(command.version, agent.report);
+  const RankReport* report = ReadOwnReport(rank);
+  if (command.is_readiness_query && is_current_term && report != nullptr) {
+    agent.promises.OnReadinessQuery(command.version, *report);
   }
-  const bool is_void = !command.order || queued.term < agent.leader.term ||
-                       agent.report.rank != command.rank;
+  const bool is_void = report == nullptr || !command.order ||
+                       queued.term < agent.leader.term ||
+                       report->rank != command.rank;
   if (is_void) return finish();
   agent.ordered_epoch = command.epoch;
   const bool is_arm = command.order == OrderKind::kArm;
@@ -460,9 +472,11 @@
     const bool is_needed = agent.located.contains(of) ||
                            std::ranges::find(silent, of) != silent.end();
     if (!is_needed || stored_term_ != agent.leader.term) return;
+    const RankReport* report = ReadReport(of, agent.confirmed_of_others[of]);
+    if (report == nullptr) return;
     agent.located.insert(of);
-    agent.leadership->OnStatus(
-        StatusWithoutAgent(agent.leader.term, ReadReport(of)), now_);
+    agent.leadership->OnStatus(StatusWithoutAgent(agent.leader.term, *report),
+                               now_);
     Advance(rank);
   });
 }
--- a/tests/virtual_agents.h
+++ b/tests/virtual_agents.h
@@ -8,6 +8,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -16,6 +17,7 @@
 
 #include "core/random.h"
 #include "group/agent_promises.h"
+#include "group/confirmed_report.h"
 #include "group/known_leader.h"
 #include "group/map_switch.h"
 #include "group/rank_messages.h"
@@ -107,8 +109,9 @@
     bool has_heard_leader = false;
     AgentPromises promises;
     UnansweredArmOrders unanswered;
-    RankReport report;         // the newest one that was read
-    GroupEpoch ordered_epoch;  // of the newest order
+    ConfirmedReport confirmed;                           // of its own engine
+    std::map<int, ConfirmedReport> confirmed_of_others;  // key: rank
+    GroupEpoch ordered_epoch;                            // of the newest order
     std::deque<QueuedCommand> commands;
     bool is_running_command = false;
     bool is_campaigning = false;
@@ -137,7 +140,10 @@
   RankMessage NewMessage(RankMessageKind kind, int from) const;
   void Send(int to, const RankMessage& message);
   void OnMessage(int rank, const RankMessage& message);
-  RankReport ReadReport(int rank) const;
+  // Reads the report of an engine until it is confirmed. Null without a
+  // confirmed one.
+  const RankReport* ReadReport(int rank, ConfirmedReport& confirmed) const;
+  const RankReport* ReadOwnReport(int rank);
   void SendStatus(int rank);
   RankStatus StatusOf(int rank) const;
   void OnStatus(int rank, const RankMessage& message);
