Count an engine's choice of experts once two answers have reached it

Before: a joined number ("1,2" to "12") or a lower one was taken for a restart of the engine, so that its whole past counted again, in one poll and once more in the next; a higher one counted as it was, up to 2^63, and again in full when it was gone.

The fix: ConfirmedCounts. Each number counts once two answers in a row have reached it, so that one answer adds nothing that the engine hasn't counted. An engine has started again if two answers in a row are below what was counted. The first counts that an agent reads are new to nobody: after a restart of the agent they were its engine's whole past. New counts come one poll (150 ms) later.

--- a/src/group/own_rank.cc
+++ b/src/group/own_rank.cc
@@ -1,6 +1,5 @@
 #include "group/own_rank.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "core/log.h"
@@ -109,7 +108,7 @@
     if (!counts.ok()) return LogEngineCall("counts", counts.status());
     if (report() == nullptr) return;
     if (!AreHoldingsKnown()) ReadHoldings(kMaxReadings, handlers.on_holdings);
-    handlers.on_counts(NewCounts(*counts));
+    handlers.on_counts(counts_.OnRead(*counts));
   };
   engine_.Counts(address_, on_totals);
 }
@@ -152,20 +151,6 @@
   return false;
 }
 
-// The engine counts from its start. If a count has decreased, the engine was
-// restarted, and all its counts are new.
-ExpertCounts OwnRank::NewCounts(const ExpertCounts& counts) {
-  ExpertCounts new_counts = counts;
-  const bool is_monotonic =
-      std::ranges::equal(last_counts_, counts, std::less_equal<>());
-  if (is_monotonic) {
-    std::ranges::transform(counts, last_counts_, new_counts.begin(),
-                           std::minus<>());
-  }
-  last_counts_ = counts;
-  return new_counts;
-}
-
 bool OwnRank::AreHoldingsKnown() const {
   return report() != nullptr && !holdings_.empty() &&
          holdings_version_ == report()->map &&
--- a/src/group/own_rank.h
+++ b/src/group/own_rank.h
@@ -13,6 +13,7 @@
 #include "absl/status/statusor.h"
 #include "backend/engine_api.h"
 #include "core/counters.h"
+#include "group/confirmed_counts.h"
 #include "group/confirmed_report.h"
 #include "group/expert_lists.h"
 #include "group/map_switch.h"
@@ -79,7 +80,6 @@
   void ReadCounts(PollHandlers handlers);
   void ReadHoldings(int reads_left, std::function<void()> on_holdings);
   bool AreValid(const ExpertLists& lists);
-  ExpertCounts NewCounts(const ExpertCounts& counts);
   void ExecuteWithRetries(const RankCommand& command, LeaderTerm term,
                           int attempts, std::function<void()> on_done);
   void OnOrderResult(const RankCommand& command, OrderResult result);
@@ -100,7 +100,7 @@
   // from most ranks. The engine's own report may tell a wrong one, and doesn't
   // void an unanswered order by it.
   GroupEpoch ordered_epoch_;
-  ExpertCounts last_counts_;
+  ConfirmedCounts counts_;
   bool is_polling_ = false;
 };
 
--- a/tests/unit/own_rank_test.cc
+++ b/tests/unit/own_rank_test.cc
@@ -187,5 +187,45 @@
   EXPECT_TRUE(rank_.Status().may_arm_late);
 }
 
+using Counts = ExpertCounts;
+
+// Guards against one answer that bends the demand by which maps are planned: a
+// joined or a lower number was taken for a restart of the engine, so that its
+// whole past counted again, and a higher one counted as it was.
+TEST_F(OwnRankTest, OneWrongCountChangesNoDemand) {
+  const Counts sound = {900, 50, 60, 70, 80, 90};
+  const Counts odd_counts[] = {{900, 50, 60, 70, 80},
+                               {900, 50, 60, 70, 80, 90, 10},
+                               {90, 50, 60, 70, 80, 90},
+                               {900, 50, 60, 70, 80, 1'000'000'000}};
+  for (const Counts& odd : odd_counts) {
+    ConfirmedCounts counts;
+    counts.OnRead(sound);
+    counts.OnRead(sound);
+    std::int64_t sum = 0;
+    for (const Counts& read : {odd, sound, sound}) {
+      for (const std::int64_t count : counts.OnRead(read)) sum += count;
+    }
+    EXPECT_EQ(sum, 0);
+  }
+}
+
+TEST_F(OwnRankTest, CountsAreNewOnce) {
+  ConfirmedCounts counts;
+  EXPECT_TRUE(counts.OnRead({100, 100}).empty());
+  EXPECT_TRUE(counts.OnRead({110, 100}).empty()) << "of any age";
+  EXPECT_EQ(counts.OnRead({130, 105}), Counts({10, 0}));
+  EXPECT_EQ(counts.OnRead({130, 105}), Counts({20, 5}));
+  EXPECT_EQ(counts.OnRead({130, 105}), Counts({0, 0}));
+}
+
+TEST_F(OwnRankTest, CountsOfAnEngineThatStartedAgainAreNew) {
+  ConfirmedCounts counts;
+  for (int i = 0; i < 3; ++i) counts.OnRead({100, 100});
+  EXPECT_EQ(counts.OnRead({3, 4}), Counts({0, 0}));
+  EXPECT_EQ(counts.OnRead({5, 6}), Counts({3, 4}));
+  EXPECT_EQ(counts.OnRead({9, 6}), Counts({2, 2}));
+}
+
 }  // namespace
 }  // namespace mangohold
