Read the ranks again if none of them will make the awaited switch

No later switch begins.

Cause: kAwaitingSwitch ended only with all ranks on the version that it awaits. The fix: if all ranks are known and none is armed any more, nothing will happen; the leader reads the ranks again, which sends no order.

Before the fix: MapSwitchOddReports.ASwitchThatNeverWasIsNotAwaitedForGood fails (has_switched_again is false after 5 s of a wrong "armed"). After: it passes.

--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -199,6 +199,9 @@
         EnterPhase(Phase::kReleasing, now);
       } else if (all([this](const Rank& rank) { return HasSwitched(rank); })) {
         EnterPhase(Phase::kIdle, now);
+      } else if (AllKnown(now) && armed_ranks().armed == 0) {
+        // No rank will switch: a wrong report named the version.
+        EnterPhase(Phase::kReading, now);
       }
       break;
     case Phase::kDeposed:
--- a/tests/unit/map_switch_odd_reports_test.cc
+++ b/tests/unit/map_switch_odd_reports_test.cc
@@ -274,6 +274,23 @@
   EXPECT_GT(told, static_cast<int>(kSeeds / 2));
 }
 
+// Guards against a group that never switches its map again: a new leader reads
+// "armed" at a rank that isn't, and waits for that switch for good.
+TEST(MapSwitchOddReports, ASwitchThatNeverWasIsNotAwaitedForGood) {
+  for (int rank = 0; rank < kRanks; ++rank) {
+    const WrongReport wrong = {
+        .name = "armed",
+        .change = [](RankReport& report) { report.armed = MapVersion(9); },
+        .rank = rank,
+        .phase = MapSwitch::Phase::kReading,
+        .lasts = seconds(5)};
+    const Outcome outcome = GroupRun(wrong).Play();
+    EXPECT_TRUE(outcome.was_told) << wrong;
+    EXPECT_FALSE(outcome.is_held) << wrong;
+    EXPECT_TRUE(outcome.has_switched_again) << wrong;
+  }
+}
+
 // Guards against a group that is noticed late to have formed anew, although its
 // leader doesn't take one rank's word for it.
 TEST(MapSwitchOddReports, AGroupThatFormsAnewIsNoticedWithinAPoll) {
