Reject numbers of engines and agents that are out of range

A number that an engine or another agent says was converted, not checked: became rank 0, 1.5 rank 1, -1 and 2,000,000,000 a size for which ranks are allocated or by which is divided, -1 a rank of a former leader that indexes a vector; counts near 2^63 overflowed when added up. By reading, a size of zero of the own engine divides by zero when a leader sends a map as its difference to the first one.

The waiting time of a candidate allows for a leader whose rank isn't below its group's size.

--- a/src/backend/engine_api.h
+++ b/src/backend/engine_api.h
@@ -22,6 +22,12 @@
 // The number of orders that an engine has accepted since its start.
 using OrderSequence = Number<struct OrderSequenceTag>;
 
+// Ranks of a group at the most. A larger number isn't read as one.
+constexpr int kMaxRanks = 4'096;
+// How often an expert can have been selected at the most; sums of some hundred
+// such counts are exact.
+constexpr std::int64_t kMaxExpertCount = std::int64_t{1} << 53U;
+
 // The state of an engine as it reports it.
 struct RankReport {
   GroupName group;  // empty if the engine is not a rank
--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -369,8 +369,9 @@
   const RankReport* report = rank_.report();
   if (report && report->held) return options_.leader_timeout_when_held;
   if (!report || report->size <= 0) return options_.leader_timeout;
+  const int leader_rank = leader_.rank.value_or(0) % report->size;
   const int ranks_after_leader =
-      (report->rank + report->size - leader_.rank.value_or(0)) % report->size;
+      (report->rank + report->size - leader_rank) % report->size;
   const Duration delay_per_rank = std::min<Duration>(
       kCandidateDelayPerRank, Duration(kMaxCandidateDelay) / report->size);
   return options_.leader_timeout + delay_per_rank * ranks_after_leader;
--- a/src/group/rank_messages.cc
+++ b/src/group/rank_messages.cc
@@ -1,5 +1,7 @@
 #include "group/rank_messages.h"
 
+#include <algorithm>
+
 #include "core/cbor.h"
 #include "core/json_types.h"
 
@@ -21,6 +23,26 @@
   return json.get<Number>();
 }
 
+// Numbers that receivers use as indexes, or add up.
+void RejectOutOfRange(bool is_in_range) {
+  if (is_in_range) return;
+  throw Json::other_error::create(501, "number out of range", nullptr);
+}
+
+int ToRank(const Json& json) {
+  const auto rank = json.get<std::int64_t>();
+  RejectOutOfRange(rank >= 0 && rank < kMaxRanks);
+  return static_cast<int>(rank);
+}
+
+ExpertCounts ToCounts(const Json& json) {
+  auto counts = json.get<ExpertCounts>();
+  RejectOutOfRange(std::ranges::all_of(counts, [](std::int64_t count) {
+    return count >= 0 && count <= kMaxExpertCount;
+  }));
+  return counts;
+}
+
 Json FromReport(const RankReport& report) {
   return {{"group", report.group},
           {"epoch", report.epoch},
@@ -44,8 +66,9 @@
   RankReport report;
   report.group = json.at("group").get<GroupName>();
   report.epoch = json.at("epoch").get<GroupEpoch>();
-  report.rank = json.at("rank").get<int>();
+  report.rank = ToRank(json.at("rank"));
   report.size = json.at("size").get<int>();
+  RejectOutOfRange(report.size >= 0 && report.size <= kMaxRanks);
   report.is_open = json.at("open").get<bool>();
   report.pass = json.at("pass").get<PassNumber>();
   report.sequence = json.at("sequence").get<OrderSequence>();
@@ -102,7 +125,7 @@
 
 RankCommand ToCommand(const Json& json) {
   RankCommand command;
-  command.rank = json.at("rank").get<int>();
+  command.rank = ToRank(json.at("rank"));
   command.epoch = json.at("epoch").get<GroupEpoch>();
   command.version = json.at("version").get<MapVersion>();
   command.pass = json.at("pass").get<PassNumber>();
@@ -159,7 +182,7 @@
   message.group = json.at("group").get<GroupName>();
   message.term = json.at("term").get<LeaderTerm>();
   message.sender = json.at("sender").get<InstanceId>();
-  message.rank = json.at("rank").get<int>();
+  message.rank = ToRank(json.at("rank"));
   message.reply_to = json.at("reply_to").get<Endpoint>();
   switch (message.kind) {
     case RankMessageKind::kHeartbeat:
@@ -172,7 +195,7 @@
       message.command = ToCommand(json.at("command"));
       break;
     case RankMessageKind::kChoices:
-      message.counts = json.at("choices").get<ExpertCounts>();
+      message.counts = ToCounts(json.at("choices"));
       break;
     case RankMessageKind::kCount:
       break;
--- a/tests/unit/control_replies_test.cc
+++ b/tests/unit/control_replies_test.cc
@@ -55,6 +55,74 @@
   }
 }
 
+std::string AnswerWithBody(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+// Calls `ask` on a client of an engine that answers with `body`, and returns
+// whether the answer was readable.
+template <typename Ask>
+bool IsReadable(const std::string& body, Ask ask) {
+  FixedAnswerServer server(AnswerWithBody(body));
+  EventLoop loop;
+  HttpClient http(loop.io());
+  Counters counters;
+  platform::EngineClient engine(http, counters);
+  bool is_readable = false;
+  ask(engine, server.address(), [&](const auto& answer) {
+    is_readable = answer.ok();
+    loop.Stop();
+  });
+  loop.Run();
+  return is_readable;
+}
+
+// Guards against a number of an engine that becomes another one when it is
+// converted, or as many ranks or bytes as it says (issue 72, part 3).
+TEST(ControlReplies, NumbersOfAnEngineOutOfRangeAreUnreadable) {
+  const auto report = [](const std::string& rank, const std::string& size,
+                         const std::string& step) {
+    return IsReadable(
+        R"({"group":{"name":"g","epoch":1,"state":"open","rank":)" + rank +
+            R"(},"size":)" + size + R"(,"step":)" + step + R"(,"sequence":0})",
+        [](auto& engine, const auto& at, auto on_answer) {
+          engine.Report(at, on_answer);
+        });
+  };
+  EXPECT_TRUE(report("11", "12", "812"));
+  EXPECT_TRUE(report("0", "1", "18446744073709551615"));
+  for (const char* odd : {"-1", "12", "4294967296", "1.5", "true", "1e300"}) {
+    EXPECT_FALSE(report(odd, "12", "812")) << "rank " << odd;
+  }
+  for (const char* odd : {"0", "-1", "4097", "2000000000", "4294967308"}) {
+    EXPECT_FALSE(report("0", odd, "812")) << "size " << odd;
+  }
+  for (const char* odd : {"-1", "1.5", "1e300", "18446744073709551616"}) {
+    EXPECT_FALSE(report("0", "12", odd)) << "step " << odd;
+  }
+  const auto counts = [](const std::string& text) {
+    return IsReadable(R"({"counts":[)" + text + "]}",
+                      [](auto& engine, const auto& at, auto on_answer) {
+                        engine.Counts(at, on_answer);
+                      });
+  };
+  EXPECT_TRUE(counts("5120,88,940"));
+  for (const char* odd : {"-1", "9223372036854775807", "0.5", "\"1\""}) {
+    EXPECT_FALSE(counts(odd)) << "count " << odd;
+  }
+  const auto lists = [](const std::string& text) {
+    return IsReadable(R"({"map":{"version":0,"experts":)" + text + "}}",
+                      [](auto& engine, const auto& at, auto on_answer) {
+                        engine.Holdings(at, on_answer);
+                      });
+  };
+  EXPECT_TRUE(lists("[[0,2],[1]]"));
+  for (const char* odd : {"[[-1]]", "[[4294967296]]", "[1]", "[[0.5]]", "{}"}) {
+    EXPECT_FALSE(lists(odd)) << "lists " << odd;
+  }
+}
+
 // Guards against a decision on a reply without a status: a report, an item, a
 // lease or a change.
 TEST(ControlReplies, NothingFollowsFromAReplyWithoutAStatus) {
--- a/tests/unit/odd_messages_test.cc
+++ b/tests/unit/odd_messages_test.cc
@@ -55,6 +55,35 @@
   }
 }
 
+// Guards against a rank, a size or a count of another agent that is used as an
+// index or added up (issue 72, part 3).
+TEST(OddMessages, RanksAndCountsOutOfRangeAreRejected) {
+  const auto is_readable = [](const RankMessage& message) {
+    return DecodeRankMessage(EncodeRankMessage(message)).has_value();
+  };
+  const auto with_report = [](int rank, int size) {
+    return RankMessage{.kind = RankMessageKind::kStatus,
+                       .status = {.report = {.rank = rank, .size = size}}};
+  };
+  EXPECT_TRUE(is_readable({.kind = RankMessageKind::kHeartbeat, .rank = 11}));
+  EXPECT_TRUE(is_readable(with_report(11, 12)));
+  EXPECT_TRUE(
+      is_readable({.kind = RankMessageKind::kChoices, .counts = {5, 0}}));
+  for (const int odd : {-1, kMaxRanks, std::numeric_limits<int>::max()}) {
+    EXPECT_FALSE(
+        is_readable({.kind = RankMessageKind::kHeartbeat, .rank = odd}));
+    EXPECT_FALSE(is_readable(with_report(odd, 12)));
+    EXPECT_FALSE(is_readable(
+        {.kind = RankMessageKind::kCommand, .command = {.rank = odd}}));
+  }
+  EXPECT_FALSE(is_readable(with_report(0, -1)));
+  EXPECT_FALSE(is_readable(with_report(0, kMaxRanks + 1)));
+  for (const std::int64_t odd : {std::int64_t{-1}, kMaxExpertCount + 1}) {
+    EXPECT_FALSE(
+        is_readable({.kind = RankMessageKind::kChoices, .counts = {odd}}));
+  }
+}
+
 // Times that no clock tells don't overflow.
 TEST(OddMessages, TimesOutOfRangeAreBounded) {
   constexpr auto kMax = std::numeric_limits<std::int64_t>::max();
