--- a/src/group/own_rank.cc
+++ b/src/group/own_rank.cc
@@ -120,11 +120,10 @@
                             const absl::StatusOr<ExpertLists>& lists) {
     if (!lists.ok()) return LogEngineCall("holdings", lists.status());
     if (!AreValid(*lists)) return;
-    const bool is_confirmed =
-        std::exchange(last_read_holdings_, *lists) == *lists;
-    if (!is_confirmed) {
-      if (reads_left > 1 && report() != nullptr)
-        ReadHoldings(reads_left - 1, on_holdings);
+    const ExpertLists previous = std::exchange(last_read_holdings_, *lists);
+    if (*lists != previous) {
+      const bool may_read = reads_left > 1 && report() != nullptr;
+      if (may_read) ReadHoldings(reads_left - 1, on_holdings);
       return;
     }
     holdings_ = *lists;
