Read the leader's own rank at the beginning of its term

The agent now reads its engine when it becomes the leader and hands the status over at once. The status is a new one, as the term begins with it.

--- a/src/group/rank_agent.cc
+++ b/src/group/rank_agent.cc
@@ -482,6 +482,8 @@
                 ConfirmTerm(std::move(on_confirmed));
               }});
   leadership_->Start();
+  // The leader's own rank names the formation of its group.
+  rank_.Refresh([this] { SendStatus(); });
 }
 
 // Reads the figures of the service's engines, which operators publish in the
--- a/tests/virtual_agents.cc
+++ b/tests/virtual_agents.cc
@@ -337,6 +337,10 @@
                          .former_leader_rank = former.rank,
                          .former_term = former.term,
                          .experts = options_.ranks});
+  After(rank, kLatency, [this, rank] {
+    ReadOwnReport(rank);
+    SendStatus(rank);
+  });
 }
 
 void VirtualAgents::Advance(int rank) {
