Take counts that can be right at once

Counts in which no number is below what was counted, and none has grown by more than all others together, are new at once again; the first ones too. All others wait for a second answer. So a wrong number that passes adds no more than all others together, and what it was too high isn't counted again; one that is a power of ten off, a joined or a lower one waits.

--- a/src/group/confirmed_counts.h
+++ b/src/group/confirmed_counts.h
@@ -1,10 +1,13 @@
 // How often an engine's requests have chosen each expert, cleared of numbers
-// that are wrong in one answer: a number counts once two answers in a row have
-// reached it. Uses neither clock nor network.
+// that are wrong in one answer. Counts that can be right are new at once: none
+// is below what was counted, and none has grown by more than all others
+// together. Others count once two answers in a row have reached them. Uses
+// neither clock nor network.
 #pragma once
 
 #include <algorithm>
 #include <functional>
+#include <numeric>
 #include <utility>
 
 #include "backend/engine_api.h"
@@ -14,25 +17,23 @@
 class ConfirmedCounts {
  public:
   // Takes the counts since the engine's start as they were read. Returns what
-  // is new since the call before, one answer late. The first counts of an agent
-  // are new to nobody: they may be of any age.
+  // is new since the call before.
   ExpertCounts OnRead(const ExpertCounts& counts) {
     const ExpertCounts previous = std::exchange(last_read_, counts);
-    if (previous.size() != counts.size()) return {};
-    ExpertCounts reached = Combine(previous, counts, kLower);
-    if (counted_.size() != counts.size()) {
-      counted_ = std::move(reached);
+    const bool is_confirmed_length = previous.size() == counts.size();
+    const bool has_other_length = counted_.size() != counts.size();
+    if (has_other_length && !counted_.empty() && !is_confirmed_length)
       return {};
-    }
-    // Both answers are below what was counted: the engine has started again.
+    if (has_other_length) counted_.assign(counts.size(), 0);
+    if (CanBeRight(counts)) return Count(counts);
+    if (!is_confirmed_length) return {};
+    const ExpertCounts lower = Combine(previous, counts, kLower);
     const ExpertCounts higher = Combine(previous, counts, kHigher);
+    // Both answers are below what was counted: the engine has started again.
     const bool has_restarted =
         !std::ranges::equal(counted_, higher, std::less_equal<>());
-    if (has_restarted) return counted_ = std::move(reached);
-    reached = Combine(reached, counted_, kHigher);
-    ExpertCounts new_counts = Combine(reached, counted_, std::minus<>());
-    counted_ = std::move(reached);
-    return new_counts;
+    if (has_restarted) return counted_ = lower;
+    return Count(Combine(lower, counted_, kHigher));
   }
 
  private:
@@ -47,6 +48,23 @@
     return result;
   }
 
+  // `reached` isn't below what was counted.
+  ExpertCounts Count(const ExpertCounts& reached) {
+    ExpertCounts new_counts = Combine(reached, counted_, std::minus<>());
+    counted_ = reached;
+    return new_counts;
+  }
+
+  bool CanBeRight(const ExpertCounts& counts) const {
+    if (!std::ranges::equal(counted_, counts, std::less_equal<>()))
+      return false;
+    const ExpertCounts growth = Combine(counts, counted_, std::minus<>());
+    const std::int64_t most = growth.empty() ? 0 : std::ranges::max(growth);
+    const std::int64_t sum =
+        std::accumulate(growth.begin(), growth.end(), std::int64_t{0});
+    return most <= sum - most;
+  }
+
   ExpertCounts last_read_;
   ExpertCounts counted_;  // since the engine's start
 };
