--- a/src/group/confirmed_counts.h
+++ b/src/group/confirmed_counts.h
@@ -22,8 +22,9 @@
     const ExpertCounts previous = std::exchange(last_read_, counts);
     const bool is_confirmed_length = previous.size() == counts.size();
     const bool has_other_length = counted_.size() != counts.size();
-    if (has_other_length && !counted_.empty() && !is_confirmed_length)
+    if (has_other_length && !counted_.empty() && !is_confirmed_length) {
       return {};
+    }
     if (has_other_length) counted_.assign(counts.size(), 0);
     if (CanBeRight(counts)) return Count(counts);
     if (!is_confirmed_length) return {};
@@ -56,8 +57,9 @@
   }
 
   bool CanBeRight(const ExpertCounts& counts) const {
-    if (!std::ranges::equal(counted_, counts, std::less_equal<>()))
-      return false;
+    const bool is_below =
+        !std::ranges::equal(counted_, counts, std::less_equal<>());
+    if (is_below) return false;
     const ExpertCounts growth = Combine(counts, counted_, std::minus<>());
     const std::int64_t most = growth.empty() ? 0 : std::ranges::max(growth);
     const std::int64_t sum =
