Add up the growth of counts without overflow

Found when reading the diff: some thousand counts of 2^53 each overflow the sum by which counts are judged. It is a floating-point number now, which only a comparison uses.

--- a/src/group/confirmed_counts.h
+++ b/src/group/confirmed_counts.h
@@ -62,9 +62,9 @@
     if (is_below) return false;
     const ExpertCounts growth = Combine(counts, counted_, std::minus<>());
     const std::int64_t most = growth.empty() ? 0 : std::ranges::max(growth);
-    const std::int64_t sum =
-        std::accumulate(growth.begin(), growth.end(), std::int64_t{0});
-    return most <= sum - most;
+    // As a fraction, which can't overflow.
+    const double sum = std::accumulate(growth.begin(), growth.end(), 0.0);
+    return 2 * static_cast<double>(most) <= sum;
   }
 
   ExpertCounts last_read_;
