--- a/src/group/confirmed_counts.h
+++ b/src/group/confirmed_counts.h
@@ -17,23 +17,20 @@
 class ConfirmedCounts {
  public:
   // Takes the counts since the engine's start as they were read. Returns what
-  // is new since the call before.
+  // is new since the call before. The first counts of an agent are new to
+  // nobody: they may be of any age.
   ExpertCounts OnRead(const ExpertCounts& counts) {
     const ExpertCounts previous = std::exchange(last_read_, counts);
-    const bool is_confirmed_length = previous.size() == counts.size();
-    const bool has_other_length = counted_.size() != counts.size();
-    if (has_other_length && !counted_.empty() && !is_confirmed_length) {
+    if (counted_.size() != counts.size()) {
+      if (CanFollow(previous, counts)) counted_ = counts;
       return {};
     }
-    if (has_other_length) counted_.assign(counts.size(), 0);
-    if (CanBeRight(counts)) return Count(counts);
-    if (!is_confirmed_length) return {};
+    if (CanFollow(counted_, counts)) return Count(counts);
+    if (previous.size() != counts.size()) return {};
     const ExpertCounts lower = Combine(previous, counts, kLower);
     const ExpertCounts higher = Combine(previous, counts, kHigher);
     // Both answers are below what was counted: the engine has started again.
-    const bool has_restarted =
-        !std::ranges::equal(counted_, higher, std::less_equal<>());
-    if (has_restarted) return counted_ = lower;
+    if (!IsReached(counted_, higher)) return counted_ = lower;
     return Count(Combine(lower, counted_, kHigher));
   }
 
@@ -56,11 +53,18 @@
     return new_counts;
   }
 
-  bool CanBeRight(const ExpertCounts& counts) const {
-    const bool is_below =
-        !std::ranges::equal(counted_, counts, std::less_equal<>());
-    if (is_below) return false;
-    const ExpertCounts growth = Combine(counts, counted_, std::minus<>());
+  static bool IsReached(const ExpertCounts& counted,
+                        const ExpertCounts& counts) {
+    return std::ranges::equal(counted, counts, std::less_equal<>());
+  }
+
+  // True if `after` can be what comes after `before`: of the same length, with
+  // no number that is lower or has grown by more than all others together.
+  static bool CanFollow(const ExpertCounts& before, const ExpertCounts& after) {
+    if (before.size() != after.size() || !IsReached(before, after)) {
+      return false;
+    }
+    const ExpertCounts growth = Combine(after, before, std::minus<>());
     const std::int64_t most = growth.empty() ? 0 : std::ranges::max(growth);
     // As a fraction, which can't overflow.
     const double sum = std::accumulate(growth.begin(), growth.end(), 0.0);
--- a/tests/unit/own_rank_test.cc
+++ b/tests/unit/own_rank_test.cc
@@ -214,7 +214,8 @@
 // right need no second answer.
 TEST_F(OwnRankTest, CountsAreNewAtOnceAndOnce) {
   ConfirmedCounts counts;
-  EXPECT_EQ(counts.OnRead({100, 100}), Counts({100, 100}));
+  EXPECT_TRUE(counts.OnRead({90, 90}).empty());
+  EXPECT_TRUE(counts.OnRead({100, 100}).empty()) << "of any age";
   EXPECT_EQ(counts.OnRead({130, 130}), Counts({30, 30}));
   EXPECT_EQ(counts.OnRead({130, 130}), Counts({0, 0}));
   EXPECT_EQ(counts.OnRead({190, 140}), Counts({0, 0})) << "to be confirmed";
@@ -231,6 +232,21 @@
   EXPECT_EQ(counts.OnRead({125, 130, 130}), Counts({5, 20, 20}));
 }
 
+// Guards against an agent that starts on a wrong count and takes its engine's
+// past for new, or its engine for one that has started again.
+TEST_F(OwnRankTest, AWrongFirstCountAddsNothing) {
+  const Counts sound = {900, 50, 60};
+  for (const Counts& odd : {Counts({90, 50, 60}), Counts({9'000, 50, 60}),
+                            Counts({900, 50}), Counts({900, 50, 60, 7})}) {
+    ConfirmedCounts counts;
+    std::int64_t sum = 0;
+    for (const Counts& read : {odd, sound, sound, sound}) {
+      for (const std::int64_t count : counts.OnRead(read)) sum += count;
+    }
+    EXPECT_EQ(sum, 0);
+  }
+}
+
 TEST_F(OwnRankTest, CountsOfAnEngineThatStartedAgainAreNew) {
   ConfirmedCounts counts;
   for (int i = 0; i < 3; ++i) counts.OnRead({100, 100});
