Split versions and the completed map from the map switch

One name for one thing: the lists of a rank's experts are ExpertLists from the engine's interface to the messages. The number of readings in a row stood twice (ConfirmedReport::kMaxReads). RemoteRanks declares its type before its members, and FormationVotes says that the leader's own vote doesn't lapse.

One fault came to light and is mended with it: CheckMap indexed a vector of as many experts as the figures say, also where they say nothing (0). No caller did that, as the planner asks for the figures first; UnknownFiguresAreNotChecked covers it now.

--- a/src/backend/engine_api.h
+++ b/src/backend/engine_api.h
@@ -51,6 +51,8 @@
 // How often the rank's requests selected each expert since its start,
 // concatenated by expert set.
 using ExpertCounts = std::vector<std::int64_t>;
+// The experts whose weights one rank holds, by expert set.
+using ExpertLists = std::vector<std::vector<int>>;
 
 enum class OrderKind { kPrepare, kArm, kDisarm, kHold, kGo, kCount };
 
@@ -84,10 +86,8 @@
                       Callback<absl::StatusOr<RankReport>> on_report) = 0;
   virtual void Counts(const Endpoint& engine,
                       Callback<absl::StatusOr<ExpertCounts>> on_counts) = 0;
-  // The experts whose weights the rank holds, by expert set.
-  virtual void Holdings(
-      const Endpoint& engine,
-      Callback<absl::StatusOr<std::vector<std::vector<int>>>> on_holdings) = 0;
+  virtual void Holdings(const Endpoint& engine,
+                        Callback<absl::StatusOr<ExpertLists>> on_holdings) = 0;
   virtual void Order(const Endpoint& engine, const RankOrder& order,
                      Callback<OrderResult> on_result) = 0;
 };
--- a/src/group/confirmed_report.h
+++ b/src/group/confirmed_report.h
@@ -1,6 +1,6 @@
 // The state of an engine that can be relied on. An engine may put a wrong
 // number into an answer, so that a report that differs from the one before is
-// believed only once a second one says the same. Uses neither clock nor
+// used only once a second one says the same. Uses neither clock nor
 // network.
 #pragma once
 
--- a/src/group/expert_lists.cc
+++ b/src/group/expert_lists.cc
@@ -1,6 +1,8 @@
 #include "group/expert_lists.h"
 
 #include <algorithm>
+#include <iterator>
+#include <ranges>
 #include <string>
 #include <utility>
 
@@ -37,12 +39,16 @@
   return absl::OkStatus();
 }
 
-bool IsEachHeld(const SetMap& map, int experts) {
+// The experts that no rank holds, in ascending order.
+std::vector<int> UnheldExperts(const SetMap& map, int experts) {
   std::vector<bool> is_held(static_cast<std::size_t>(experts));
   for (const auto& list : map) {
     for (const int expert : list) is_held[expert] = true;
   }
-  return std::ranges::find(is_held, false) == is_held.end();
+  std::vector<int> unheld;
+  std::ranges::copy_if(std::views::iota(0, experts), std::back_inserter(unheld),
+                       [&](int expert) { return !is_held[expert]; });
+  return unheld;
 }
 
 }  // namespace
@@ -65,11 +71,37 @@
       status = CheckList(list, set, layout);
       if (!status.ok()) return status;
     }
-    if (!IsEachHeld(map[set], layout.experts)) {
+    const bool is_complete =
+        layout.experts <= 0 || UnheldExperts(map[set], layout.experts).empty();
+    if (!is_complete) {
       return Fault("an expert that no rank holds", set);
     }
   }
   return status;
 }
 
+std::optional<GroupMap> CompleteMap(const std::vector<ExpertLists>& ranks,
+                                    int experts) {
+  const auto is_missing = [experts](const ExpertLists& lists) {
+    return !CheckLists(lists, {.experts = experts}).ok();
+  };
+  const auto missing = std::ranges::find_if(ranks, is_missing);
+  const auto known = std::ranges::find_if_not(ranks, is_missing);
+  if (experts <= 0 || known == ranks.end()) return std::nullopt;
+  if (std::ranges::count_if(ranks, is_missing) > 1) return std::nullopt;
+  GroupMap map(known->size(), SetMap(ranks.size()));
+  for (std::size_t set = 0; set < map.size(); ++set) {
+    for (std::size_t rank = 0; rank < ranks.size(); ++rank) {
+      if (is_missing(ranks[rank])) continue;
+      if (ranks[rank].size() != map.size()) return std::nullopt;
+      map[set][rank] = ranks[rank][set];
+    }
+    const std::vector<int> unheld = UnheldExperts(map[set], experts);
+    if (unheld.empty()) continue;
+    if (missing == ranks.end()) return std::nullopt;
+    map[set][missing - ranks.begin()] = unheld;
+  }
+  return map;
+}
+
 }  // namespace mangohold
--- a/src/group/expert_lists.h
+++ b/src/group/expert_lists.h
@@ -4,9 +4,11 @@
 // network.
 #pragma once
 
+#include <optional>
 #include <vector>
 
 #include "absl/status/status.h"
+#include "backend/engine_api.h"
 #include "config/deployment.h"
 #include "group/even_placement.h"
 
@@ -26,9 +28,6 @@
           .places = engine.places};
 }
 
-// The experts of one rank, by set.
-using ExpertLists = std::vector<std::vector<int>>;
-
 // Checks the experts of one rank: the number of sets, the range of each
 // expert, that none is listed twice, and how many there are. InvalidArgument
 // names the first fault.
@@ -37,4 +36,11 @@
 // held by a rank.
 absl::Status CheckMap(const GroupMap& map, const ExpertLayout& layout);
 
+// Returns the map that the lists of a group's ranks make up. One rank may be
+// missing, as its lists are empty or can't be right: the experts that no other
+// rank holds are assigned to it. Returns nullopt if more ranks are missing, or
+// if there are such experts but no rank is missing.
+std::optional<GroupMap> CompleteMap(const std::vector<ExpertLists>& ranks,
+                                    int experts);
+
 }  // namespace mangohold
--- a/src/group/formation_votes.h
+++ b/src/group/formation_votes.h
@@ -26,8 +26,8 @@
 
 class FormationVotes {
  public:
-  // Votes older than `timeout` don't count. `own_rank` counts as a rank of the
-  // group even before its own vote.
+  // A vote older than `timeout` doesn't count, except that of `own_rank`, which
+  // counts as a rank of the group even before its first one.
   FormationVotes(int own_rank, Duration timeout)
       : own_rank_(own_rank), timeout_(timeout) {}
 
--- a/src/group/map_switch.cc
+++ b/src/group/map_switch.cc
@@ -8,20 +8,12 @@
 namespace mangohold {
 namespace {
 
-// Number of versions per term. Versions start at the term times this number, so
-// that no two leaders assign a version to different maps. Odd versions are
-// never armed: preparing one voids orders to arm earlier versions.
-constexpr std::uint64_t kVersionsPerTerm = 1U << 14U;
-// Versions that are reserved for undoing a switch in progress.
-constexpr std::uint64_t kVersionsInReserve = 256;
 // Maximum number of times that the retry interval of a preparation is doubled.
 constexpr int kMaxDoublings = 3;
 // A rank that takes longer than this many times its usual time counts as this
 // slow.
 constexpr double kMaxSlowdown = 1'000;
 
-bool IsUndoVersion(MapVersion version) { return version.value() % 2 == 1; }
-
 // Returns the version that the rank has armed or, if none, prepared, if it is
 // newer than the map in use.
 std::optional<MapVersion> PendingVersion(const RankReport& report) {
@@ -237,7 +229,7 @@
 }
 
 void MapSwitch::Undo(TimePoint now) {
-  version_ = NextVersion(/*is_undo=*/true);
+  version_ = versions_.Next(/*is_undo=*/true);
   delta_.reset();
   map_ = MapOfKnownRanks().value_or(GroupMap());
   is_former_unarmed_ = false;
@@ -271,7 +263,9 @@
   }
   // Step 2: they are at the former leader's switch, and its grant wasn't given.
   const auto pending = PendingOfOthers(former);
-  if (!is_serving || !pending || !IsOfFormerLeader(*pending)) return false;
+  const bool is_of_former =
+      pending && MapVersions::IsArmedIn(options_.former_term, *pending);
+  if (!is_serving || !is_of_former) return false;
   const RankStatus& holder = ranks_[HolderFor(former, size())].status;
   return GrantOf(*pending, holder.ready_for, holder.granted) ==
          Grant::kNotGiven;
@@ -292,12 +286,6 @@
   return common;
 }
 
-// True if the former leader may have armed ranks for `version`.
-bool MapSwitch::IsOfFormerLeader(MapVersion version) const {
-  return !IsUndoVersion(version) &&
-         version.value() / kVersionsPerTerm == options_.former_term.value();
-}
-
 // True if the rank isn't armed and can't be armed by a delayed order, which is
 // void once the rank has prepared the undo's version.
 bool MapSwitch::IsUndone(const Rank& rank) const {
@@ -320,48 +308,13 @@
          });
 }
 
-// Returns the map in use as reported by the ranks. One rank may be missing, as
-// it is unknown, only its engine answers, or its experts can't be right: the
-// experts that no other rank holds are assigned to it. Returns nullopt if more
-// ranks are missing, or if there are such experts but no rank is missing.
 std::optional<GroupMap> MapSwitch::MapOfKnownRanks() const {
-  const auto is_missing = [this](const Rank& rank) {
-    return !rank.is_known ||
-           !CheckLists(rank.status.holdings, {.experts = options_.experts})
-                .ok();
-  };
-  const auto missing = std::ranges::find_if(ranks_, is_missing);
-  const auto known = std::ranges::find_if_not(ranks_, is_missing);
-  if (options_.experts <= 0 || known == ranks_.end()) return std::nullopt;
-  if (std::ranges::count_if(ranks_, is_missing) > 1) return std::nullopt;
-  const std::size_t sets = known->status.holdings.size();
-  GroupMap map(sets, SetMap(ranks_.size()));
-  for (std::size_t set = 0; set < sets; ++set) {
-    std::vector<bool> is_held(static_cast<std::size_t>(options_.experts));
-    for (std::size_t index = 0; index < ranks_.size(); ++index) {
-      const Rank& rank = ranks_[index];
-      if (is_missing(rank)) continue;
-      if (rank.status.holdings.size() != sets) return std::nullopt;
-      map[set][index] = rank.status.holdings[set];
-      for (const int expert : map[set][index]) is_held[expert] = true;
-    }
-    for (int expert = 0; expert < options_.experts; ++expert) {
-      if (is_held[expert]) continue;
-      if (missing == ranks_.end()) return std::nullopt;
-      map[set][missing - ranks_.begin()].push_back(expert);
-    }
-  }
-  return map;
-}
-
-bool MapSwitch::HasVersionsLeft() const {
-  return versions_issued_ + kVersionsInReserve < kVersionsPerTerm;
-}
-
-MapVersion MapSwitch::NextVersion(bool is_undo) {
-  versions_issued_ += 2;
-  return MapVersion(options_.term.value() * kVersionsPerTerm +
-                    versions_issued_ + (is_undo ? 1 : 0));
+  std::vector<ExpertLists> lists;
+  std::ranges::transform(
+      ranks_, std::back_inserter(lists), [](const Rank& rank) {
+        return rank.is_known ? rank.status.holdings : ExpertLists();
+      });
+  return CompleteMap(lists, options_.experts);
 }
 
 // True if the rank is armed for this leader's own switch. The version tells
@@ -588,7 +541,7 @@
 }
 
 void MapSwitch::Begin(GroupMap map, TimePoint now) {
-  version_ = NextVersion(/*is_undo=*/false);
+  version_ = versions_.Next(/*is_undo=*/false);
   const auto current = CurrentMap(now);
   delta_ = current ? std::make_shared<MapDelta>(
                          MakeDelta(CurrentVersion(), *current, map))
--- a/src/group/map_switch.h
+++ b/src/group/map_switch.h
@@ -57,6 +57,7 @@
 #include "group/formation_votes.h"
 #include "group/leader_term.h"
 #include "group/map_delta.h"
+#include "group/map_versions.h"
 #include "group/pass_forecast.h"
 
 namespace mangohold {
@@ -68,7 +69,7 @@
   InstanceId agent;
   LeaderTerm term;  // the highest one that the agent has seen
   RankReport report;
-  std::vector<std::vector<int>> holdings;  // by set, of the map in use
+  ExpertLists holdings;  // of the map in use
   // The newest version whose preparation the engine has accepted in this epoch.
   MapVersion accepted;
   // The newest version for which the agent granted the leader the arming of its
@@ -164,6 +165,7 @@
   explicit MapSwitch(Options options)
       : options_(options),
         votes_(options.own_rank, options.status_timeout),
+        versions_(options.term),
         forecast_(options.min_arming_time) {}
 
   // Takes the status of a rank. The first formation of the group is the one
@@ -191,7 +193,7 @@
   void Begin(GroupMap map, TimePoint now);
   // False if the versions of this term are nearly used up. Then no further
   // switch may begin in this term.
-  bool HasVersionsLeft() const;
+  bool HasVersionsLeft() const { return versions_.HasLeft(); }
   // True if this term can't go on and its leader should claim a new one: its
   // versions are used up, or the agent that has to grant the arming of the
   // leader's own rank is silent while its engine answers. A new term can undo
@@ -233,12 +235,11 @@
   bool HasSwitched(const Rank& rank) const;
   bool CanUndo(TimePoint now) const;
   std::optional<MapVersion> PendingOfOthers(int unreachable) const;
-  bool IsOfFormerLeader(MapVersion version) const;
   bool IsUndone(const Rank& rank) const;
   bool CanDisarm() const;
   void Undo(TimePoint now);
+  // The map in use as reported by the ranks; see `CompleteMap`.
   std::optional<GroupMap> MapOfKnownRanks() const;
-  MapVersion NextVersion(bool is_undo);
   bool OthersAreArmed() const;
   bool IsGranted() const;
   bool NeedsGrant() const;
@@ -262,7 +263,7 @@
   std::map<int, HeardStatus> of_other_formations_;
   // The switch in progress.
   MapVersion version_;
-  std::uint64_t versions_issued_ = 0;
+  MapVersions versions_;
   GroupMap map_;
   // From the map in use to `map_`; null if the map in use is unknown.
   std::shared_ptr<const MapDelta> delta_;
--- a/src/group/own_rank.cc
+++ b/src/group/own_rank.cc
@@ -10,8 +10,6 @@
 
 // Attempts to send an order that isn't answered.
 constexpr int kOrderAttempts = 5;
-// Readings in a row of what has to be read twice, until two of them agree.
-constexpr int kMaxReadings = 4;
 
 }  // namespace
 
@@ -107,7 +105,8 @@
     is_polling_ = false;
     if (!counts.ok()) return LogEngineCall("counts", counts.status());
     if (report() == nullptr) return;
-    if (!AreHoldingsKnown()) ReadHoldings(kMaxReadings, handlers.on_holdings);
+    if (!AreHoldingsKnown())
+      ReadHoldings(ConfirmedReport::kMaxReads, handlers.on_holdings);
     handlers.on_counts(counts_.OnRead(*counts));
   };
   engine_.Counts(address_, on_totals);
@@ -172,8 +171,7 @@
   const bool has_accepted = accepted_epoch_ == current->epoch;
   const bool are_holdings_known = AreHoldingsKnown();
   return {.report = *current,
-          .holdings =
-              are_holdings_known ? holdings_ : std::vector<std::vector<int>>(),
+          .holdings = are_holdings_known ? holdings_ : ExpertLists(),
           .accepted = has_accepted ? accepted_ : MapVersion(),
           .may_arm_late = unanswered_arm_orders_.MayArm(
               ordered_epoch_, confirmed_.started_pass(), BootNow())};
--- a/src/group/rank_messages.cc
+++ b/src/group/rank_messages.cc
@@ -150,7 +150,7 @@
       .agent = message.sender,
       .term = message.term,
       .report = ToReport(json.at("report")),
-      .holdings = json.at("holdings").get<std::vector<std::vector<int>>>(),
+      .holdings = json.at("holdings").get<ExpertLists>(),
       .accepted = json.at("accepted").get<MapVersion>(),
       .granted = json.at("granted").get<MapVersion>(),
       // Absent in messages of agents older than the readiness question. Their
--- a/src/group/remote_ranks.h
+++ b/src/group/remote_ranks.h
@@ -65,6 +65,12 @@
   void OnAgentStatus(int rank) { engine_by_rank_.erase(rank); }
 
  private:
+  // The reports of one engine until two in a row agree.
+  struct Reading {
+    ConfirmedReport report;
+    int reads_left = ConfirmedReport::kMaxReads;
+  };
+
   void QueryListedEngines(const std::vector<StoreItem>& engines,
                           const GroupName& group);
 
@@ -74,10 +80,6 @@
   ReportCallback on_report_;
   EngineSearch search_;
   std::map<int, Endpoint> engine_by_rank_;  // key: rank
-  struct Reading {
-    ConfirmedReport report;
-    int reads_left = ConfirmedReport::kMaxReads;
-  };
   std::map<Endpoint, Reading> readings_;
 };
 
--- a/tests/unit/expert_lists_test.cc
+++ b/tests/unit/expert_lists_test.cc
@@ -41,6 +41,20 @@
   EXPECT_TRUE(CheckLists({{0, 1000}}, {}).ok());
   EXPECT_FALSE(CheckLists({{-1}}, {}).ok());
   EXPECT_FALSE(CheckLists({{7, 7}}, {}).ok());
+  EXPECT_TRUE(CheckMap({{{0, 1000}, {1}}}, {}).ok());
+}
+
+TEST(ExpertLists, ARankWithoutListsGetsWhatNoOtherHolds) {
+  constexpr int kExperts = 4;
+  const GroupMap map = {{{0, 1}, {2, 3}}, {{3, 2}, {0, 1}}};
+  const ExpertLists first = {{0, 1}, {3, 2}};
+  EXPECT_EQ(CompleteMap({first, {{2, 3}, {0, 1}}}, kExperts), map);
+  EXPECT_EQ(CompleteMap({first, {}}, kExperts), map);
+  EXPECT_EQ(CompleteMap({first, {{2, 17'929'941}, {0, 1}}}, kExperts), map);
+  EXPECT_EQ(CompleteMap({first, {}, {}}, kExperts), std::nullopt);
+  EXPECT_EQ(CompleteMap({first, {{2}, {0, 1}}}, kExperts), std::nullopt);
+  EXPECT_EQ(CompleteMap({first, {{2, 3}}}, kExperts), std::nullopt);
+  EXPECT_EQ(CompleteMap({first, first}, 0), std::nullopt);
 }
 
 constexpr EngineFigures kEngine = {
