--- a/src/group/own_rank.cc
+++ b/src/group/own_rank.cc
@@ -105,8 +105,9 @@
     is_polling_ = false;
     if (!counts.ok()) return LogEngineCall("counts", counts.status());
     if (report() == nullptr) return;
-    if (!AreHoldingsKnown())
+    if (!AreHoldingsKnown()) {
       ReadHoldings(ConfirmedReport::kMaxReads, handlers.on_holdings);
+    }
     handlers.on_counts(counts_.OnRead(*counts));
   };
   engine_.Counts(address_, on_totals);
