Say each number of an engine wrongly once, on real processes

The storm has the reports, in virtual time; lists and counts were tested at the modules that read them only.

After each the group has an even map, no hold, and all agents run; no pass begins with two maps. The stand-in of a group gets a spoiler. The storm distorts waiting and slowdown, too.

--- a/tests/standins/rank_group.cc
+++ b/tests/standins/rank_group.cc
@@ -189,6 +189,15 @@
   return kAccepted;
 }
 
+void RankGroup::SetSpoiler(Spoiler spoiler) {
+  const std::lock_guard lock(mutex_);
+  spoiler_ = std::move(spoiler);
+}
+
+std::string RankGroup::Spoil(Answer answer, const std::string& body) const {
+  return spoiler_ ? spoiler_(answer, body) : body;
+}
+
 std::string RankGroup::ReportOf(int index) const {
   const Rank& rank = ranks_[index];
   Json json = {
@@ -240,9 +249,11 @@
     if (!has_answer || is_endless) {
       // Nothing is carried out either.
     } else if (request.path == "/mangohold/report") {
-      body = ReportOf(rank);
+      body = Spoil(Answer::kReport, ReportOf(rank));
     } else if (request.path.starts_with("/mangohold/picked")) {
-      body = PickedOf(rank, !request.QueryValue("lists").empty());
+      const bool has_lists = !request.QueryValue("lists").empty();
+      body = Spoil(has_lists ? Answer::kLists : Answer::kCounts,
+                   PickedOf(rank, has_lists));
     } else if (request.path == "/mangohold/order") {
       const Json order = Json::parse(request.body);
       const auto operation = order.at("operation").get<std::string>();
--- a/tests/standins/rank_group.h
+++ b/tests/standins/rank_group.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -44,6 +45,13 @@
   // The rank's engine answers everything by bytes without end.
   void SetEndless(int rank, bool is_endless);
 
+  // What an engine answers to a question of its state.
+  enum class Answer { kReport, kCounts, kLists };
+  // Sets what becomes of each such answer. Called with the group locked.
+  using Spoiler =
+      std::function<std::string(Answer answer, const std::string& body)>;
+  void SetSpoiler(Spoiler spoiler);
+
   // From now on, of 100 orders of this kind so many get no answer and are
   // carried out `lateness` later.
   void SetLate(const std::string& operation, int percent,
@@ -91,12 +99,14 @@
   void DealOut();
   void BeginPass();
   int Carry(Rank& rank, const nlohmann::json& order);
+  std::string Spoil(Answer answer, const std::string& body) const;
   std::string ReportOf(int rank) const;
   std::string PickedOf(int rank, bool has_lists) const;
 
   Options options_;
   mutable std::recursive_mutex mutex_;
   Random random_;
+  Spoiler spoiler_;
   std::vector<Rank> ranks_;
   std::vector<double> popularity_;
   std::uint64_t epoch_ = 1;
--- a/tests/system/rank_agent_test.cc
+++ b/tests/system/rank_agent_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <asio.hpp>
+#include <atomic>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -262,6 +263,85 @@
   EXPECT_EQ(site.group().split_passes(), 0);
 }
 
+// A number of an engine's answer that is wrong once: the first one after `key`.
+struct WrongNumber {
+  standin::RankGroup::Answer answer;
+  std::string key;
+  std::string value;
+};
+
+// Puts `wrong` into the first answer that has its key; into a report only while
+// a pass is held.
+class SpoilOnce {
+ public:
+  SpoilOnce(standin::RankGroup& group, WrongNumber wrong)
+      : group_(group), wrong_(std::move(wrong)) {
+    group_.SetSpoiler([this](auto answer, const std::string& body) {
+      return Spoil(answer, body);
+    });
+  }
+  ~SpoilOnce() { group_.SetSpoiler(nullptr); }
+  SpoilOnce(const SpoilOnce&) = delete;
+  SpoilOnce& operator=(const SpoilOnce&) = delete;
+
+  bool was_told() const { return was_told_; }
+
+ private:
+  std::string Spoil(standin::RankGroup::Answer answer, std::string body) {
+    constexpr std::string_view kDigits = "0123456789";
+    const bool is_now = answer != standin::RankGroup::Answer::kReport ||
+                        group_.holder().has_value();
+    const std::size_t key = body.find(wrong_.key);
+    if (was_told_ || answer != wrong_.answer || !is_now) return body;
+    if (key == std::string::npos) return body;
+    const std::size_t begin =
+        body.find_first_of(kDigits, key + wrong_.key.size());
+    if (begin == std::string::npos) return body;
+    const std::size_t end = body.find_first_not_of(kDigits, begin);
+    was_told_ = true;
+    return body.replace(begin, end - begin, wrong_.value);
+  }
+
+  standin::RankGroup& group_;
+  WrongNumber wrong_;
+  std::atomic<bool> was_told_ = false;
+};
+
+// Guards against a number that an engine says wrongly once and that stops its
+// group or ends an agent (issue 71, review/11 and review/14).
+TEST(RankAgent, AWrongNumberEndsNoAgentAndStopsNoGroup) {
+  using Answer = standin::RankGroup::Answer;
+  constexpr const char* kLargest = "18446744073709551615";
+  std::vector<WrongNumber> all;
+  for (const char* key : {"\"epoch\":", "\"rank\":", "\"size\":", "\"step\":",
+                          "\"sequence\":", "\"map\":", "\"prepared\":",
+                          "\"version\":", "\"held\":", "\"running\":"}) {
+    for (const char* value : {"0", "3", kLargest}) {
+      all.push_back({Answer::kReport, key, value});
+    }
+  }
+  for (const char* value : {"7", "9", "17929941", kLargest}) {
+    all.push_back({Answer::kLists, "\"experts\":", value});
+    all.push_back({Answer::kCounts, "\"counts\":", value});
+  }
+  RankSite site(0);
+  ASSERT_TRUE(WaitFor([&] { return site.IsEven(); }));
+  for (const WrongNumber& wrong : all) {
+    const SpoilOnce spoil(site.group(), wrong);
+    // So that a map is planned and switched to again.
+    site.group().FormAnew();
+    EXPECT_TRUE(WaitFor([&] { return spoil.was_told(); }))
+        << wrong.key << wrong.value;
+    EXPECT_TRUE(WaitFor([&] { return site.IsEven(); }))
+        << wrong.key << wrong.value;
+    EXPECT_TRUE(WaitFor([&] { return !site.group().holder().has_value(); }));
+    for (int rank = 0; rank < kRanks; ++rank) {
+      EXPECT_TRUE(site.agent(rank).is_running()) << wrong.key << wrong.value;
+    }
+  }
+  EXPECT_EQ(site.group().split_passes(), 0);
+}
+
 // The machine of the leader stands still right after its hold, with the engine
 // beside it, while orders come late.
 TEST(RankAgent, AHoldIsReleasedWhenItsLeaderStandsStill) {
--- a/tests/unit/map_switch_odd_reports_test.cc
+++ b/tests/unit/map_switch_odd_reports_test.cc
@@ -216,6 +216,20 @@
           [](RankReport& r, std::uint64_t n) { r.armed_at = PassNumber(n); }},
     Field{"held", [](const RankReport& r) { return ValueOf(r.held); },
           [](RankReport& r, std::uint64_t n) { r.held = PassNumber(n); }},
+    Field{"waiting",
+          [](const RankReport& r) {
+            return static_cast<std::uint64_t>(r.waiting);
+          },
+          [](RankReport& r, std::uint64_t n) {
+            r.waiting = static_cast<int>(n);
+          }},
+    Field{"slowdown",
+          [](const RankReport& r) {
+            return static_cast<std::uint64_t>(r.slowdown);
+          },
+          [](RankReport& r, std::uint64_t n) {
+            r.slowdown = static_cast<double>(n);
+          }},
     Field{"running",
           [](const RankReport& r) {
             return static_cast<std::uint64_t>(r.running);
